Laid out the workspace, its interfaces and its checks.

Cause: nothing stood; the libraries can only be written side by side once their interfaces do. Conclusion: separate libraries can now be filled in.

--- /dev/null
+++ b/libs/bench/vanillayoke/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded benchmarks in virtual time."""
--- /dev/null
+++ b/libs/cli/vanillayoke/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module per command."""
--- /dev/null
+++ b/libs/cluster/vanillayoke/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, shards, leases, epochs and takeover: pure decisions."""
--- /dev/null
+++ b/libs/core/vanillayoke/core/__init__.py
@@ -0,0 +1,1 @@
+"""Timers, error kinds, events, ids, metrics, logs and time line."""
--- /dev/null
+++ b/libs/core/vanillayoke/core/ids.py
@@ -0,0 +1,47 @@
+"""Identifiers: how they are made and how programs map to shards."""
+
+import random
+import typing
+
+import xxhash
+
+ProgramId = typing.NewType('ProgramId', str)
+InstanceId = typing.NewType('InstanceId', str)
+ClientId = typing.NewType('ClientId', str)
+TargetId = typing.NewType('TargetId', str)
+Shard = typing.NewType('Shard', int)
+
+SHARD_COUNT = 4096
+_ID_BITS = 128
+
+
+def make_id(prefix: str, source: random.Random) -> str:
+    """Make an identifier that cannot be guessed, such as ``prg-1f0c...``.
+
+    A process passes ``random.SystemRandom()``; tests pass a seeded source.
+    """
+    return f'{prefix}-{source.getrandbits(_ID_BITS):032x}'
+
+
+def hash_key(*parts: str) -> int:
+    """Hash parts to 64 bits, alike on all instances and versions."""
+    return xxhash.xxh3_64_intdigest('\x00'.join(parts))
+
+
+def make_child_id(parent: str, source: random.Random) -> str:
+    """Make a sub-agent's id, which keeps its root's part in front.
+
+    All programs of one root so share a shard, and their budget one owner.
+    """
+    root = find_root(parent)
+    return f'{root}.{source.getrandbits(_ID_BITS):032x}'
+
+
+def find_root(program: str) -> str:
+    """Return the root program's id of any program id."""
+    return program.partition('.')[0]
+
+
+def find_shard(key: str) -> Shard:
+    """Return the shard that a program or target id belongs to."""
+    return Shard(hash_key('shard', find_root(key)) % SHARD_COUNT)
--- /dev/null
+++ b/libs/core/vanillayoke/core/timers.py
@@ -0,0 +1,99 @@
+"""The timer service: the only place that reads a clock."""
+
+import abc
+import asyncio
+import time
+import typing
+
+
+class Subscription(abc.ABC):
+    """A subscribed callback that can be taken back."""
+
+    @abc.abstractmethod
+    def cancel(self) -> None:
+        """Drop the subscription; calling it twice is harmless."""
+
+
+class TimerService(abc.ABC):
+    """Gives the time and calls subscribers back, in seconds."""
+
+    @abc.abstractmethod
+    def now(self) -> float:
+        """Return this process's monotonic time."""
+
+    @abc.abstractmethod
+    def wall(self) -> float:
+        """Return the wall-clock time since the epoch, for people only."""
+
+    @abc.abstractmethod
+    def call_after(
+        self, delay: float, callback: typing.Callable[[], None]
+    ) -> Subscription:
+        """Call back once after a delay."""
+
+    @abc.abstractmethod
+    def call_every(
+        self, interval: float, callback: typing.Callable[[], None]
+    ) -> Subscription:
+        """Call back after each interval until cancelled."""
+
+    @abc.abstractmethod
+    async def sleep(self, delay: float) -> None:
+        """Suspend the calling task for a delay."""
+
+
+class _OnceSubscription(Subscription):
+    def __init__(self, handle: asyncio.TimerHandle) -> None:
+        self._handle = handle
+
+    def cancel(self) -> None:
+        self._handle.cancel()
+
+
+class _RepeatingSubscription(Subscription):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        interval: float,
+        callback: typing.Callable[[], None],
+    ) -> None:
+        self._loop = loop
+        self._interval = interval
+        self._callback = callback
+        self._handle = loop.call_later(interval, self._fire)
+
+    def _fire(self) -> None:
+        self._handle = self._loop.call_later(self._interval, self._fire)
+        self._callback()
+
+    def cancel(self) -> None:
+        self._handle.cancel()
+
+
+class LoopTimers(TimerService):
+    """Timer service on an event loop's clock.
+
+    Tests give it the virtual-time loop; the process gives it the real one.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def now(self) -> float:
+        return self._loop.time()
+
+    def wall(self) -> float:
+        return time.time()
+
+    def call_after(
+        self, delay: float, callback: typing.Callable[[], None]
+    ) -> Subscription:
+        return _OnceSubscription(self._loop.call_later(delay, callback))
+
+    def call_every(
+        self, interval: float, callback: typing.Callable[[], None]
+    ) -> Subscription:
+        return _RepeatingSubscription(self._loop, interval, callback)
+
+    async def sleep(self, delay: float) -> None:
+        await asyncio.sleep(delay)
--- /dev/null
+++ b/libs/fakes/vanillayoke/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for engines, services and the platform."""
--- /dev/null
+++ b/libs/node/vanillayoke/node/__init__.py
@@ -0,0 +1,1 @@
+"""Composition of one process: start, drain and stop."""
--- /dev/null
+++ b/libs/peers/vanillayoke/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances over pynng."""
--- /dev/null
+++ b/libs/platform/vanillayoke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to the table service, object store, weight store and instance list."""
--- /dev/null
+++ b/libs/programs/vanillayoke/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Program record, order, budget, journal and replay: pure."""
--- /dev/null
+++ b/libs/scheduling/vanillayoke/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Placement, admission, order, cache lifetime, limits: pure."""
--- /dev/null
+++ b/libs/settings/vanillayoke/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: JSON with comments, folder merge, checks, versions."""
--- /dev/null
+++ b/libs/settings/vanillayoke/settings/configuration.py
@@ -0,0 +1,152 @@
+"""The configuration that operators publish: agents, tools, targets, ...
+
+It is the same on all instances; one version of it is in force at a time.
+"""
+
+import typing
+
+import msgspec
+
+
+class ToolSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """A tool that agents may call on a service target.
+
+    ``service`` names the service group of targets that run it; ``timeout``
+    is in seconds; ``idempotent`` must be said, since it decides whether a
+    call may be repeated. ``reserved_money`` is in millionths.
+    """
+
+    service: str
+    path: str
+    idempotent: bool
+    timeout: float = 10.0
+    description: str = ''
+    parameters: dict[str, typing.Any] = {}
+    reserved_money: int = 0
+
+
+class BudgetSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Most that one program may use; ``money`` in millionths."""
+
+    tokens: int = 1_000_000
+    calls: int = 500
+    seconds: float = 3600.0
+    money: int = 1_000_000_000
+
+
+class AgentSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """An agent: the model, its instructions, its tools and sub-agents."""
+
+    model: str
+    instructions: str = ''
+    tools: tuple[str, ...] = ()
+    children: tuple[str, ...] = ()
+    max_tokens: int = 512
+    call_timeout: float = 120.0
+    progress_timeout: float = 10.0
+    budget: BudgetSettings = BudgetSettings()
+
+
+class TargetSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """A back end; ``kind`` is ``engine`` or ``service``.
+
+    ``group`` is the service group of a service. ``fencing`` is ``checks``
+    where the target refuses an old epoch, else ``ignores``. ``query`` tells
+    whether the service can say what became of a call. ``cache_tokens`` and
+    ``slots`` bound an engine's cache and batch, ``slots`` a service's
+    concurrent calls.
+    """
+
+    kind: str
+    address: str
+    zone: str
+    region: str
+    group: str = ''
+    fencing: str = 'ignores'
+    query: bool = False
+    signed_orders: bool = False
+    cache_tokens: int = 200_000
+    slots: int = 16
+
+
+class ClientSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """A customer: its keys (SHA-256, hex), share and limits.
+
+    ``weight`` is its share of capacity; ``calls_per_second`` and
+    ``running_programs`` hold over all instances together.
+    """
+
+    key_hashes: tuple[str, ...]
+    agents: tuple[str, ...] = ()
+    weight: float = 1.0
+    calls_per_second: float = 1000.0
+    running_programs: int = 100_000
+
+
+class ModelSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """A model: the version in force and how many copies it must have."""
+
+    version: str = '1'
+    minimum_copies: int = 1
+    pinned: tuple[str, ...] = ()
+    money_per_million_tokens: int = 0
+
+
+class PolicySettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Names of the scheduling policies in force and their numbers."""
+
+    placement: str = 'expected_completion'
+    order: str = 'attained_service'
+    admission: str = 'working_set'
+    cache_lifetime: str = 'learned_return'
+    urgent_reserve: float = 0.1
+    retry_fraction: float = 0.1
+    repeated_steps: int = 8
+
+
+class Configuration(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """The merged and checked settings folder."""
+
+    agents: dict[str, AgentSettings] = {}
+    tools: dict[str, ToolSettings] = {}
+    targets: dict[str, TargetSettings] = {}
+    clients: dict[str, ClientSettings] = {}
+    models: dict[str, ModelSettings] = {}
+    policy: PolicySettings = PolicySettings()
+
+
+class PublishedConfiguration(msgspec.Struct, frozen=True, kw_only=True):
+    """A configuration with its version, as it stands in the table.
+
+    ``version`` counts from 1 by one with each accepted change.
+    """
+
+    version: int
+    author: str
+    configuration: Configuration
+
+
+def encode_published(published: PublishedConfiguration) -> bytes:
+    """Encode for the table and for peers."""
+    return msgspec.msgpack.encode(published)
+
+
+def decode_published(blob: bytes) -> PublishedConfiguration:
+    """Decode; raises ``msgspec.DecodeError`` on damage."""
+    return msgspec.msgpack.decode(blob, type=PublishedConfiguration)
--- /dev/null
+++ b/libs/targets/vanillayoke/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to engines and services; load, cache events and orders."""
--- /dev/null
+++ b/libs/testing/vanillayoke/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Test support: function tests with fixtures, a virtual-time event loop."""
--- /dev/null
+++ b/libs/testing/vanillayoke/testing/loops.py
@@ -0,0 +1,49 @@
+"""An event loop in virtual time: waiting costs nothing and is exact."""
+
+import asyncio
+import selectors
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Moves the loop's clock on instead of waiting for it.
+
+    Real sockets are polled without waiting; a test that uses them must use
+    a real loop instead.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = 0.0
+
+    def select(self, timeout: float | None = None):
+        ready = super().select(0)
+        if not ready and timeout is None:
+            raise RuntimeError('deadlock: every task waits for ever')
+        if not ready and timeout > 0:
+            self.clock += timeout
+        return ready
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop whose clock starts at ``START`` and jumps to the next timer."""
+
+    START = 1000.0
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+        self._clock_resolution = 1e-9
+
+    def time(self) -> float:
+        return self.START + self._jumping.clock
+
+    def finish(self) -> None:
+        """Cancel the tasks that a test left behind and let them end."""
+        tasks = asyncio.all_tasks(self)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            self.run_until_complete(
+                asyncio.gather(*tasks, return_exceptions=True)
+            )
+        self.run_until_complete(self.shutdown_asyncgens())
--- /dev/null
+++ b/tests/testing/test_fixtures.py
@@ -0,0 +1,75 @@
+"""Tests of the function-test adapter and the virtual-time loop."""
+
+import asyncio
+import sys
+import types
+import unittest
+
+from vanillayoke.testing import fixtures
+
+_CLOSED = []
+
+
+@fixtures.fixture
+def numbers():
+    values = [1, 2]
+    yield values
+    _CLOSED.append(values)
+
+
+@fixtures.fixture
+def total(numbers):
+    return sum(numbers)
+
+
+def test_fixture_depends_on_fixture(case, numbers, total):
+    case.assertEqual([1, 2], numbers)
+    case.assertEqual(3, total)
+
+
+async def test_sleep_takes_virtual_time(case, loop):
+    begin = loop.time()
+    await asyncio.sleep(3600)
+    case.assertAlmostEqual(3600, loop.time() - begin)
+
+
+def _run_module(**functions) -> unittest.TestResult:
+    module = types.ModuleType('vanillayoke_sample')
+    vars(module).update(functions)
+    sys.modules[module.__name__] = module
+    try:
+        load = fixtures.adapt(module.__name__)
+        result = unittest.TestResult()
+        load(None, unittest.TestSuite(), None).run(result)
+        return result
+    finally:
+        del sys.modules[module.__name__]
+
+
+def test_failing_function_is_reported(case):
+    def test_fails(case):
+        case.fail('expected')
+
+    result = _run_module(test_fails=test_fails)
+    case.assertEqual(1, len(result.failures))
+
+
+def test_unknown_fixture_is_reported(case):
+    def test_asks(nothing_like_it):
+        pass
+
+    result = _run_module(test_asks=test_asks)
+    case.assertEqual(1, len(result.errors))
+
+
+def test_fixture_is_closed_after_a_failure(case):
+    before = len(_CLOSED)
+
+    def test_fails(case, numbers):
+        case.fail('expected')
+
+    _run_module(test_fails=test_fails, numbers=numbers)
+    case.assertEqual(before + 1, len(_CLOSED))
+
+
+load_tests = fixtures.adapt(__name__)
--- /dev/null
+++ b/tools/make_venv.sh
@@ -0,0 +1,18 @@
+#!/bin/sh
+# Builds .venv from pinned requirements with hashes, once for each change of
+# them, and puts the workspace's libraries on its path.
+set -eu
+cd "$(dirname "$0")/.."
+stamp=.venv/requirements.stamp
+if [ ! -f "$stamp" ] || ! cmp -s requirements/dev.txt "$stamp"; then
+    rm -rf .venv
+    python3 -m venv .venv
+    .venv/bin/pip install --quiet --quiet --disable-pip-version-check \
+        --require-hashes --no-deps -r requirements/dev.txt
+    site=$(.venv/bin/python -c \
+        'import sysconfig; print(sysconfig.get_path("purelib"))')
+    for library in libs/*/; do
+        echo "$PWD/${library%/}"
+    done > "$site/vanillayoke-workspace.pth"
+    cp requirements/dev.txt "$stamp"
+fi
