Derived program ids from the keys that open them.

Cause: a repeated open must find its program on any instance. Change: program and sub-agent ids are digests of client and key; calls name the run they belong to; streams can void text after a repeated model call. Conclusion: no index of open keys is needed.

--- a/libs/core/vanillayoke/core/ids.py
+++ b/libs/core/vanillayoke/core/ids.py
@@ -1,5 +1,6 @@
 """Identifiers: how they are made and how programs map to shards."""
 
+import hashlib
 import random
 import typing
 
@@ -28,13 +29,26 @@
     return xxhash.xxh3_64_intdigest('\x00'.join(parts))
 
 
-def make_child_id(parent: str, source: random.Random) -> str:
-    """Make a sub-agent's id, which keeps its root's part in front.
+def derive_program_id(client: str, key: str) -> ProgramId:
+    """Return the id of the program that a client's key opens.
+
+    A repeated open thus reaches the same shard and finds the program,
+    whichever instance it comes to.
+    """
+    return ProgramId(f'prg-{_digest(client, key)}')
+
+
+def derive_child_id(parent: str, key: str) -> ProgramId:
+    """Return a sub-agent's id, which keeps its root's id in front.
 
     All programs of one root so share a shard, and their budget one owner.
     """
-    root = find_root(parent)
-    return f'{root}.{source.getrandbits(_ID_BITS):032x}'
+    return ProgramId(f'{find_root(parent)}.{_digest(parent, key)}')
+
+
+def _digest(*parts: str) -> str:
+    joined = '\x00'.join(parts).encode()
+    return hashlib.blake2b(joined, digest_size=_ID_BITS // 8).hexdigest()
 
 
 def find_root(program: str) -> str:
--- a/libs/entry/vanillayoke/entry/host.py
+++ b/libs/entry/vanillayoke/entry/host.py
@@ -66,6 +66,15 @@
     text: str
 
 
+class TextReset(typing.NamedTuple):
+    """Text from this offset on is void and will be streamed anew.
+
+    It comes where a model call had to be run again after a failure.
+    """
+
+    offset: int
+
+
 class StepNote(typing.NamedTuple):
     """A step of a run began or ended: ``tool`` and what became of it."""
 
@@ -90,7 +99,7 @@
     usage: dict[str, int]
 
 
-StreamItem = TextPiece | StepNote | FinalAnswer | failures.Failure
+StreamItem = TextPiece | TextReset | StepNote | FinalAnswer | failures.Failure
 
 
 class CallStream(abc.ABC):
--- a/libs/programs/vanillayoke/programs/records.py
+++ b/libs/programs/vanillayoke/programs/records.py
@@ -94,7 +94,8 @@
     """A call took its place in the program's order.
 
     ``number`` counts the program's calls from 1. ``messages`` are appended
-    to the history; ``reserved`` is held from the root's budget.
+    to the history; ``reserved`` is held from the root's budget. ``run`` is
+    the key of the run that the call is a step of, empty for a single call.
     """
 
     number: int
@@ -106,6 +107,7 @@
     messages: tuple[Message, ...] = ()
     arguments: str = ''
     tool_call_id: str = ''
+    run: str = ''
     reserved: Spend = Spend()
     accepted_at: float = 0.0
 
