Tests that need real sockets were let onto an ordinary loop.

Tests of HTTP parts need sockets, which the virtual-time loop does not wait for. A test marked by fixtures.on_real_loop runs on a fresh asyncio loop and fails after 60 s, so that a hang does not block the run. Both loops share the making of fixtures and the call.

--- a/libs/testing/vanillayoke/testing/fixtures.py
+++ b/libs/testing/vanillayoke/testing/fixtures.py
@@ -4,7 +4,8 @@
 function named ``test_*`` becomes a test; its parameters name fixtures, which
 are functions marked by ``@fixtures.fixture`` in the module or given to
 ``adapt``. A generator fixture cleans up behind its ``yield``. A coroutine
-function runs on a loop in virtual time, which its fixtures share.
+function runs on a loop in virtual time, which its fixtures share; one marked
+by ``@fixtures.on_real_loop`` runs on an ordinary loop and may use sockets.
 """
 
 import asyncio
@@ -16,7 +17,9 @@
 
 from vanillayoke.testing import loops
 
+REAL_LOOP_TIMEOUT = 60.0
 _MARK = '_is_vanillayoke_fixture'
+_REAL_MARK = '_needs_real_loop'
 
 
 def fixture(function: typing.Callable) -> typing.Callable:
@@ -25,6 +28,16 @@
     return function
 
 
+def on_real_loop(function: typing.Callable) -> typing.Callable:
+    """Mark a test as one that needs real sockets and thus a real clock.
+
+    It fails after ``REAL_LOOP_TIMEOUT`` seconds, so that a hang cannot
+    block the run.
+    """
+    setattr(function, _REAL_MARK, True)
+    return function
+
+
 def adapt(
     module_name: str, shared: typing.Sequence[typing.Any] = ()
 ) -> typing.Callable:
@@ -72,22 +85,45 @@
         return None
 
     def run_function(self) -> None:
+        if getattr(self._function, _REAL_MARK, False):
+            self._run_in_real_time()
+        else:
+            self._run_in_virtual_time()
+
+    def _run_in_real_time(self) -> None:
+        # Unlike asyncio.run, the runner lets fixtures use the loop before
+        # and after the test; it cancels what is left when it closes.
+        with asyncio.Runner() as runner:
+            loop = runner.get_loop()
+            asyncio.set_event_loop(loop)
+            try:
+                with contextlib.ExitStack() as stack:
+                    self._call(stack, loop, REAL_LOOP_TIMEOUT)
+            finally:
+                asyncio.set_event_loop(None)
+
+    def _run_in_virtual_time(self) -> None:
         loop = loops.VirtualLoop()
         asyncio.set_event_loop(loop)
         try:
             with contextlib.ExitStack() as stack:
                 stack.callback(loop.finish)
-                self._call(stack, loop)
+                self._call(stack, loop, None)
         finally:
             asyncio.set_event_loop(None)
             loop.close()
 
-    def _call(self, stack: contextlib.ExitStack, loop) -> None:
+    def _call(
+        self,
+        stack: contextlib.ExitStack,
+        loop: asyncio.AbstractEventLoop,
+        timeout: float | None,
+    ) -> None:
         made: dict[str, typing.Any] = {'loop': loop, 'case': self}
         arguments = self._make_arguments(self._function, stack, made)
         result = self._function(**arguments)
         if inspect.iscoroutine(result):
-            loop.run_until_complete(result)
+            loop.run_until_complete(asyncio.wait_for(result, timeout))
 
     def _make_arguments(
         self,
--- a/tests/testing/test_fixtures.py
+++ b/tests/testing/test_fixtures.py
@@ -4,6 +4,7 @@
 import sys
 import types
 import unittest
+from unittest import mock
 
 from vanillayoke.testing import fixtures
 
@@ -33,6 +34,22 @@
     case.assertAlmostEqual(3600, loop.time() - begin)
 
 
+@fixtures.on_real_loop
+async def test_real_loop_has_sockets(case):
+    async def greet(reader, writer):
+        writer.write(b'hello')
+        writer.close()
+        await writer.wait_closed()
+
+    server = await asyncio.start_server(greet, '127.0.0.1', 0)
+    async with server:
+        address = server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(*address)
+        case.assertEqual(b'hello', await reader.read())
+        writer.close()
+        await writer.wait_closed()
+
+
 def _run_module(**functions) -> unittest.TestResult:
     module = types.ModuleType('vanillayoke_sample')
     vars(module).update(functions)
@@ -72,4 +89,14 @@
     case.assertEqual(before + 1, len(_CLOSED))
 
 
+def test_hang_on_the_real_loop_fails(case):
+    @fixtures.on_real_loop
+    async def test_hangs():
+        await asyncio.Event().wait()
+
+    with mock.patch.object(fixtures, 'REAL_LOOP_TIMEOUT', 0.01):
+        result = _run_module(test_hangs=test_hangs)
+    case.assertEqual(1, len(result.errors))
+
+
 load_tests = fixtures.adapt(__name__)
