--- /dev/null
+++ b/libs/core/vanillayoke/core/events.py
@@ -0,0 +1,575 @@
+"""The catalogue of numbered events that logs and time lines are made of.
+
+A number is never used again for another event. Fields hold identifiers,
+kinds, numbers and reasons; none holds messages, arguments, keys or other
+client text.
+"""
+
+import enum
+import typing
+
+
+class Level(enum.IntEnum):
+    """How much an event matters; logs leave out what is below their level."""
+
+    DEBUG = 10
+    INFO = 20
+    WARNING = 30
+    ERROR = 40
+
+
+class Event(typing.NamedTuple):
+    """One kind of event; ``fields`` names exactly what is written with it.
+
+    ``text`` is for people and may name fields in braces.
+    """
+
+    number: int
+    name: str
+    level: Level
+    text: str
+    fields: tuple[str, ...] = ()
+
+
+class Group(typing.NamedTuple):
+    """Events of one part of the system, numbered from ``first``."""
+
+    first: int
+    title: str
+
+
+GROUPS = (
+    Group(100, 'Process'),
+    Group(200, 'Leases and shards'),
+    Group(300, 'Programs'),
+    Group(400, 'Calls'),
+    Group(500, 'Orders to targets'),
+    Group(600, 'Configuration'),
+    Group(700, 'Members and targets'),
+    Group(800, 'Store'),
+    Group(900, 'Callers'),
+)
+
+_BY_NUMBER: dict[int, Event] = {}
+
+
+def _define(
+    number: int, name: str, level: Level, text: str, *fields: str
+) -> Event:
+    if number in _BY_NUMBER:
+        raise ValueError(f'event number {number} is used twice')
+    event = Event(number, name, level, text, fields)
+    _BY_NUMBER[number] = event
+    return event
+
+
+def find_event(number: int) -> Event | None:
+    """Return the event of a number; ``None`` where there is none."""
+    return _BY_NUMBER.get(number)
+
+
+def list_events() -> list[Event]:
+    """Return the whole catalogue by number."""
+    return [_BY_NUMBER[number] for number in sorted(_BY_NUMBER)]
+
+
+_DEBUG = Level.DEBUG
+_INFO = Level.INFO
+_WARNING = Level.WARNING
+_ERROR = Level.ERROR
+
+PROCESS_STARTED = _define(
+    100,
+    'process_started',
+    _INFO,
+    'The process runs version {version} in {zone}.',
+    'version',
+    'zone',
+)
+PROCESS_STOPPED = _define(
+    101,
+    'process_stopped',
+    _INFO,
+    'The process ended after {seconds} s.',
+    'seconds',
+)
+DRAIN_STARTED = _define(
+    110,
+    'drain_started',
+    _INFO,
+    'The instance stops in an orderly way.',
+    'reason',
+)
+DRAIN_STREAMS_ENDED = _define(
+    111,
+    'drain_streams_ended',
+    _INFO,
+    'Streams ended; {left} were cut at the end of the grace.',
+    'left',
+)
+DRAIN_SHARDS_RELEASED = _define(
+    112,
+    'drain_shards_released',
+    _INFO,
+    '{count} shards were handed over.',
+    'count',
+)
+DRAIN_ENDED = _define(
+    113,
+    'drain_ended',
+    _INFO,
+    'The drain took {seconds} s.',
+    'seconds',
+)
+TASK_FAILED = _define(
+    120,
+    'task_failed',
+    _ERROR,
+    'The task {task} failed: {error}.',
+    'task',
+    'error',
+)
+
+LEASE_GAINED = _define(
+    200,
+    'lease_gained',
+    _INFO,
+    'The instance holds lease incarnation {incarnation}.',
+    'incarnation',
+)
+LEASE_RENEWED = _define(
+    201,
+    'lease_renewed',
+    _DEBUG,
+    'The lease was renewed in {seconds} s.',
+    'seconds',
+)
+LEASE_LOST = _define(
+    202,
+    'lease_lost',
+    _ERROR,
+    'The lease ran out: {reason}.',
+    'reason',
+)
+FENCED = _define(
+    203,
+    'fenced',
+    _ERROR,
+    'Another instance took over incarnation {incarnation}: {reason}.',
+    'incarnation',
+    'reason',
+)
+SHARDS_GAINED = _define(
+    210,
+    'shards_gained',
+    _INFO,
+    '{count} shards gained, {owned} owned.',
+    'count',
+    'owned',
+)
+SHARDS_LOST = _define(
+    211,
+    'shards_lost',
+    _INFO,
+    '{count} shards given up or lost, {owned} owned.',
+    'count',
+    'owned',
+)
+TAKEOVER_STARTED = _define(
+    220,
+    'takeover_started',
+    _WARNING,
+    'Taking over from {holder}, whose lease ran out.',
+    'holder',
+)
+TAKEOVER_ENDED = _define(
+    221,
+    'takeover_ended',
+    _WARNING,
+    'Took over {programs} programs of {holder} in {seconds} s.',
+    'holder',
+    'programs',
+    'seconds',
+)
+TAKEOVER_FAILED = _define(
+    222,
+    'takeover_failed',
+    _WARNING,
+    'Taking over from {holder} failed: {reason}.',
+    'holder',
+    'reason',
+)
+
+PROGRAM_OPENED = _define(
+    300,
+    'program_opened',
+    _INFO,
+    'A program of agent {agent} was opened.',
+    'program',
+    'client',
+    'agent',
+)
+PROGRAM_ENDED = _define(
+    301,
+    'program_ended',
+    _INFO,
+    'The program ended after {seconds} s and {calls} calls.',
+    'program',
+    'client',
+    'seconds',
+    'calls',
+)
+PROGRAM_STOPPED = _define(
+    302,
+    'program_stopped',
+    _WARNING,
+    'The program was stopped: {reason}.',
+    'program',
+    'client',
+    'reason',
+)
+PROGRAM_REPLAYED = _define(
+    303,
+    'program_replayed',
+    _INFO,
+    'The program was rebuilt from {records} records.',
+    'program',
+    'records',
+)
+BUDGET_EXHAUSTED = _define(
+    304,
+    'budget_exhausted',
+    _WARNING,
+    'The budget of the program is used up.',
+    'program',
+    'client',
+)
+
+CALL_ACCEPTED = _define(
+    400,
+    'call_accepted',
+    _INFO,
+    'A {kind} call was accepted.',
+    'program',
+    'call',
+    'kind',
+)
+CALL_PLACED = _define(
+    401,
+    'call_placed',
+    _INFO,
+    'The call goes to {target} after {waited} s.',
+    'program',
+    'call',
+    'target',
+    'waited',
+)
+CALL_INTENDED = _define(
+    402,
+    'call_intended',
+    _DEBUG,
+    'The intent to send the call is durable.',
+    'program',
+    'call',
+    'target',
+)
+CALL_DISPATCHED = _define(
+    403,
+    'call_dispatched',
+    _INFO,
+    'The call was sent, attempt {attempt}.',
+    'program',
+    'call',
+    'target',
+    'attempt',
+)
+CALL_FIRST_TEXT = _define(
+    404,
+    'call_first_text',
+    _DEBUG,
+    'The first text came after {seconds} s.',
+    'program',
+    'call',
+    'target',
+    'seconds',
+)
+CALL_ANSWERED = _define(
+    405,
+    'call_answered',
+    _INFO,
+    'The call was answered after {seconds} s.',
+    'program',
+    'call',
+    'target',
+    'seconds',
+)
+CALL_FAILED = _define(
+    406,
+    'call_failed',
+    _WARNING,
+    'The call failed with {kind}: {reason}.',
+    'program',
+    'call',
+    'target',
+    'kind',
+    'reason',
+)
+CALL_REFUSED = _define(
+    407,
+    'call_refused',
+    _INFO,
+    'The call was refused with {kind}: {reason}.',
+    'program',
+    'client',
+    'kind',
+    'reason',
+)
+CALL_RETRIED = _define(
+    408,
+    'call_retried',
+    _INFO,
+    'The call is sent again in {delay} s after {kind}.',
+    'program',
+    'call',
+    'target',
+    'kind',
+    'delay',
+)
+CALL_OUTCOME_UNKNOWN = _define(
+    409,
+    'call_outcome_unknown',
+    _WARNING,
+    'The call may have run and is not sent again.',
+    'program',
+    'call',
+    'target',
+)
+CALL_CANCELLED = _define(
+    410,
+    'call_cancelled',
+    _INFO,
+    'The call was cancelled: {reason}.',
+    'program',
+    'call',
+    'target',
+    'reason',
+)
+
+ORDER_GIVEN = _define(
+    500,
+    'order_given',
+    _INFO,
+    'A {kind} order was given.',
+    'target',
+    'kind',
+    'epoch',
+    'order',
+)
+ORDER_CONFIRMED = _define(
+    501,
+    'order_confirmed',
+    _INFO,
+    'The {kind} order was confirmed.',
+    'target',
+    'kind',
+    'epoch',
+    'order',
+)
+ORDER_REFUSED = _define(
+    502,
+    'order_refused',
+    _WARNING,
+    'The {kind} order failed: {reason}.',
+    'target',
+    'kind',
+    'epoch',
+    'order',
+    'reason',
+)
+CACHE_RELEASED = _define(
+    503,
+    'cache_released',
+    _INFO,
+    "The program's cache of {tokens} tokens was let go.",
+    'program',
+    'target',
+    'tokens',
+)
+CACHE_RECONCILED = _define(
+    504,
+    'cache_reconciled',
+    _WARNING,
+    'Cache that no program needs was found: {tokens} tokens.',
+    'target',
+    'tokens',
+)
+
+CONFIGURATION_SEEN = _define(
+    600,
+    'configuration_seen',
+    _INFO,
+    'Configuration {version} was heard of.',
+    'version',
+)
+CONFIGURATION_IN_FORCE = _define(
+    601,
+    'configuration_in_force',
+    _INFO,
+    'Configuration {version} is in force.',
+    'version',
+)
+CONFIGURATION_REFUSED = _define(
+    602,
+    'configuration_refused',
+    _WARNING,
+    'Configuration {version} was refused: {reason}.',
+    'version',
+    'reason',
+)
+
+MEMBER_JOINED = _define(
+    700,
+    'member_joined',
+    _INFO,
+    '{member} joined or is back.',
+    'member',
+    'incarnation',
+)
+MEMBER_SUSPECTED = _define(
+    701,
+    'member_suspected',
+    _WARNING,
+    '{member} does not answer.',
+    'member',
+    'incarnation',
+)
+MEMBER_FAILED = _define(
+    702,
+    'member_failed',
+    _WARNING,
+    '{member} is held for failed.',
+    'member',
+    'incarnation',
+)
+MEMBER_LEAVING = _define(
+    703,
+    'member_leaving',
+    _INFO,
+    '{member} is leaving.',
+    'member',
+    'incarnation',
+)
+MEMBER_LEFT = _define(
+    704,
+    'member_left',
+    _INFO,
+    '{member} has left.',
+    'member',
+    'incarnation',
+)
+SUSPICION_REFUTED = _define(
+    705,
+    'suspicion_refuted',
+    _INFO,
+    'This instance was suspected and says that it lives.',
+    'incarnation',
+)
+TARGET_LEAVING = _define(
+    720,
+    'target_leaving',
+    _INFO,
+    'The target is leaving and gets no new work.',
+    'target',
+)
+TARGET_FAILED = _define(
+    721,
+    'target_failed',
+    _WARNING,
+    'The target is held for failed: {reason}.',
+    'target',
+    'reason',
+)
+TARGET_RECOVERED = _define(
+    722,
+    'target_recovered',
+    _INFO,
+    'The target is back.',
+    'target',
+)
+
+STORE_DOWN = _define(
+    800,
+    'store_down',
+    _ERROR,
+    "The platform's {service} cannot be reached: {reason}.",
+    'service',
+    'reason',
+)
+STORE_UP = _define(
+    801,
+    'store_up',
+    _WARNING,
+    "The platform's {service} is back after {seconds} s.",
+    'service',
+    'seconds',
+)
+STORE_RETRIED = _define(
+    802,
+    'store_retried',
+    _DEBUG,
+    "A request to the platform's {service} is repeated after {kind}.",
+    'service',
+    'kind',
+    'attempt',
+)
+STORE_UNCERTAIN = _define(
+    803,
+    'store_uncertain',
+    _WARNING,
+    'The reply to a write was lost; its effect is read back.',
+    'service',
+)
+COMMITTED = _define(
+    804,
+    'committed',
+    _DEBUG,
+    '{records} records were committed in {seconds} s.',
+    'records',
+    'seconds',
+)
+
+STREAM_CUT = _define(
+    900,
+    'stream_cut',
+    _INFO,
+    "The caller's stream was cut: {reason}.",
+    'program',
+    'call',
+    'reason',
+)
+STREAM_RESUMED = _define(
+    901,
+    'stream_resumed',
+    _INFO,
+    'The caller came back at offset {offset}.',
+    'program',
+    'call',
+    'offset',
+)
+PASSED_ON = _define(
+    902,
+    'passed_on',
+    _INFO,
+    'The request was passed on to {owner}.',
+    'program',
+    'owner',
+)
+CALLER_REFUSED = _define(
+    903,
+    'caller_refused',
+    _INFO,
+    'A request was refused with {kind}.',
+    'client',
+    'kind',
+    'reason',
+)
--- /dev/null
+++ b/libs/core/vanillayoke/core/timeline.py
@@ -0,0 +1,121 @@
+"""A bounded ring of an instance's last events, and merging of several."""
+
+import collections
+import typing
+
+from vanillayoke.core import events
+from vanillayoke.core import hybrid
+
+DEFAULT_CAPACITY = 20000
+
+Value = str | int | float | bool | None
+
+
+class EventDump(typing.TypedDict):
+    """One event as JSON; ``time`` is a hybrid time."""
+
+    time: int
+    number: int
+    name: str
+    instance: str
+    program: str
+    target: str
+    fields: dict[str, Value]
+
+
+class TimelineDump(typing.TypedDict):
+    """The events of one instance, oldest first."""
+
+    instance: str
+    events: list[EventDump]
+
+
+class Filter(typing.NamedTuple):
+    """What to keep of a time line; an empty field keeps all.
+
+    A program's id keeps its sub-agents' events too.
+    """
+
+    program: str = ''
+    target: str = ''
+    instance: str = ''
+
+    def matches(self, event: EventDump) -> bool:
+        """Tell whether an event is to be kept."""
+        return (
+            self._matches_program(event['program'])
+            and self.target in ('', event['target'])
+            and self.instance in ('', event['instance'])
+        )
+
+    def _matches_program(self, program: str) -> bool:
+        if self.program in ('', program):
+            return True
+        return program.startswith(f'{self.program}.')
+
+
+class Timeline:
+    """The last events of one instance."""
+
+    def __init__(
+        self,
+        instance: str,
+        clock: hybrid.HybridClock,
+        capacity: int = DEFAULT_CAPACITY,
+    ) -> None:
+        self.instance = instance
+        self.clock = clock
+        self._ring: collections.deque = collections.deque(maxlen=capacity)
+
+    def add(self, event: events.Event, fields: dict[str, Value]) -> int:
+        """Keep an event; return its hybrid time."""
+        time = self.clock.read()
+        self._ring.append((time, event, fields))
+        return time
+
+    def dump(self, kept: Filter | None = None) -> TimelineDump:
+        """Return the events that a filter keeps, ready for JSON."""
+        kept = kept or Filter()
+        dumps = (self._dump_event(*entry) for entry in self._ring)
+        return {
+            'instance': self.instance,
+            'events': [dump for dump in dumps if kept.matches(dump)],
+        }
+
+    def _dump_event(
+        self, time: int, event: events.Event, fields: dict[str, Value]
+    ) -> EventDump:
+        others = {
+            name: value
+            for name, value in fields.items()
+            if name not in ('program', 'target') and value is not None
+        }
+        return {
+            'time': time,
+            'number': event.number,
+            'name': event.name,
+            'instance': self.instance,
+            'program': str(fields.get('program') or ''),
+            'target': str(fields.get('target') or ''),
+            'fields': others,
+        }
+
+
+def merge_timelines(
+    dumps: typing.Iterable[TimelineDump], kept: Filter | None = None
+) -> list[EventDump]:
+    """Return the events of several instances in causal order.
+
+    Hybrid times respect causality where instances passed them on with their
+    messages, though their wall clocks differ. Ties go by instance; the sort
+    is stable, so an instance's own order always stays.
+    """
+    kept = kept or Filter()
+    merged = [
+        event
+        for dump in dumps
+        for event in dump['events']
+        if kept.matches(event)
+    ]
+    merged.sort(key=lambda event: (event['time'], event['instance']))
+    return merged
