--- a/libs/core/vanillayoke/core/metrics.py
+++ b/libs/core/vanillayoke/core/metrics.py
@@ -254,7 +254,7 @@
             'outcomes_unknown_total',
             'Non-idempotent calls that may or may not have run.',
         )
-        self.streams = Gauge(add, 'streams', 'Answer streams now open.')
+        self.streams = Gauge(registry, 'streams', 'Answer streams now open.')
         self.streams_cut = Counter(
             registry,
             'streams_cut_total',
