--- /dev/null
+++ b/libs/programs/vanillayoke/programs/program.py
@@ -0,0 +1,393 @@
+"""A program's state: the result of applying its journal records in order."""
+
+import dataclasses
+import enum
+import typing
+
+import msgspec
+
+from vanillayoke.core import ids
+from vanillayoke.programs import budget
+from vanillayoke.programs import records
+
+
+class CallState(enum.StrEnum):
+    """How far a call has come; the last two are final."""
+
+    ACCEPTED = 'accepted'
+    INTENDED = 'intended'
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+
+
+class ProgramState(enum.StrEnum):
+    """Whether a program takes calls."""
+
+    ACTIVE = 'active'
+    ENDED = 'ended'
+
+
+FINAL = frozenset((CallState.ANSWERED, CallState.FAILED))
+
+
+class ToolError(msgspec.Struct, frozen=True):
+    """What the model reads in place of a failed tool call's result."""
+
+    error: str
+    reason: str
+
+
+class RunEnd(msgspec.Struct, frozen=True):
+    """Why a run was ended before its final answer."""
+
+    error: str
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One call of a program; the fields are those of its records.
+
+    ``message`` is the answer, ``spent`` what was settled. ``in_doubt``
+    tells that an attempt before the last one may have run.
+    """
+
+    number: int
+    kind: records.CallKind
+    name: str
+    key: str
+    fingerprint: str
+    run: str
+    idempotent: bool
+    messages: tuple[records.Message, ...]
+    arguments: str
+    tool_call_id: str
+    reserved: records.Spend
+    accepted_at: float
+    state: CallState = CallState.ACCEPTED
+    attempts: int = 0
+    target: str = ''
+    in_doubt: bool = False
+    message: records.Message | None = None
+    finish_reason: str = ''
+    error: str = ''
+    reason: str = ''
+    spent: records.Spend = records.Spend()
+
+    @classmethod
+    def from_accepted(cls, record: records.CallAccepted) -> 'Call':
+        """Make a call from the record that accepted it."""
+        return cls(
+            number=record.number,
+            kind=record.kind,
+            name=record.name,
+            key=record.key,
+            fingerprint=record.fingerprint,
+            run=record.run,
+            idempotent=record.idempotent,
+            messages=record.messages,
+            arguments=record.arguments,
+            tool_call_id=record.tool_call_id,
+            reserved=record.reserved,
+            accepted_at=record.accepted_at,
+        )
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether the call has its answer or final error."""
+        return self.state in FINAL
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether the call was, or was about to be, sent."""
+        return self.state is not CallState.ACCEPTED
+
+    def list_result(self) -> tuple[records.Message, ...]:
+        """Return the messages that a final call adds to the history.
+
+        A tool call that the model did not ask for adds none: the protocol
+        has no place for it. A failed one adds its error, since an engine
+        refuses a conversation with an unanswered tool request.
+        """
+        is_model = self.kind is records.CallKind.MODEL
+        if not is_model and not self.tool_call_id:
+            return ()
+        if self.state is CallState.ANSWERED:
+            return (self.message,)
+        if self.state is CallState.FAILED and not is_model:
+            return (
+                make_error_message(self.tool_call_id, self.error, self.reason),
+            )
+        return ()
+
+
+def make_error_message(
+    tool_call_id: str, error: str, reason: str
+) -> records.Message:
+    """Return the message that answers a tool request with an error."""
+    content = msgspec.json.encode(ToolError(error, reason)).decode()
+    return records.Message(
+        role='tool', content=content, tool_call_id=tool_call_id
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Program:
+    """A program as of the last applied record.
+
+    The first fields are those of ``ProgramOpened``; ``epoch`` is the
+    highest one seen and ``sequence`` counts the records that had an
+    effect. ``held`` names the targets that may hold engine memory.
+    ``open_run`` is the key of the run that goes on, empty for none.
+    """
+
+    program: str
+    epoch: int
+    client: str
+    agent: str
+    key: str
+    fingerprint: str
+    budget: records.Budget
+    deadline: float
+    urgent: bool
+    opened_at: float
+    parent: str
+    parent_call: int
+    root: str
+    config_version: int
+    ledger: budget.Ledger
+    sequence: int = 0
+    state: ProgramState = ProgramState.ACTIVE
+    end_reason: str = ''
+    ended_at: float = 0.0
+    calls: list[Call] = dataclasses.field(default_factory=list)
+    held: set[str] = dataclasses.field(default_factory=set)
+    open_run: str = ''
+    run_ends: dict[str, RunEnd] = dataclasses.field(default_factory=dict)
+    text_length: int = 0
+    _history: list[records.Message] = dataclasses.field(default_factory=list)
+    _pending: list[records.ToolRequest] = dataclasses.field(
+        default_factory=list
+    )
+    _numbers: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    @classmethod
+    def from_opened(cls, record: records.ProgramOpened) -> 'Program':
+        """Make a program from the record that opened it."""
+        fields = msgspec.structs.asdict(record)
+        fields['root'] = record.root or ids.find_root(record.program)
+        return cls(**fields, ledger=budget.Ledger(record.budget))
+
+    @property
+    def id(self) -> str:
+        """Return the program's id."""
+        return self.program
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether the program takes calls."""
+        return self.state is ProgramState.ACTIVE
+
+    @property
+    def running(self) -> Call | None:
+        """Return the call without a final outcome; only the last can be."""
+        if self.calls and not self.calls[-1].is_final:
+            return self.calls[-1]
+        return None
+
+    @property
+    def pending_tools(self) -> tuple[records.ToolRequest, ...]:
+        """Return the last answer's tool requests that have no call yet."""
+        return tuple(self._pending)
+
+    @property
+    def committed(self) -> records.Spend:
+        """Return what the program and its sub-agents have spent."""
+        return self.ledger.committed
+
+    @property
+    def reserved(self) -> records.Spend:
+        """Return what running calls hold of the budget."""
+        return self.ledger.reserved
+
+    def remaining(self) -> records.Spend:
+        """Return what is neither spent nor reserved."""
+        return self.ledger.remaining()
+
+    def history(self) -> list[records.Message]:
+        """Return the conversation in order; the texts are not copied."""
+        return list(self._history)
+
+    def find_call(self, number: int) -> Call | None:
+        """Return a call by its number."""
+        if 1 <= number <= len(self.calls):
+            return self.calls[number - 1]
+        return None
+
+    def find_key(self, key: str) -> Call | None:
+        """Return the call that was accepted under an idempotency key."""
+        return self.find_call(self._numbers.get(key, 0))
+
+    def apply(self, record: records.AnyRecord) -> bool:
+        """Change the state by a record; return whether it had an effect.
+
+        Applying a record twice, out of date or behind a final outcome has
+        none. Snapshots are applied by ``replay``.
+        """
+        # A holder that was paused past its lease may still get a segment
+        # out; its records carry the old epoch and come behind those of its
+        # successor, who has already decided what became of the calls.
+        if record.epoch < self.epoch or not self._change(record):
+            return False
+        self.epoch = record.epoch
+        self.sequence += 1
+        return True
+
+    def _change(self, record: records.AnyRecord) -> bool:
+        match record:
+            case records.CallAccepted():
+                return self._accept(record)
+            case records.CallIntended():
+                return self._intend(record)
+            case records.CallAnswered():
+                return self._answer(record)
+            case records.CallFailed():
+                return self._fail(record)
+            case records.BudgetDrawn():
+                return self._draw(record)
+            case records.RunEnded():
+                return self._end_run(record)
+            case records.ProgramEnded():
+                return self._end(record)
+            case records.CacheHeld():
+                return self._hold(record.target)
+            case records.CacheReleased():
+                return self._release(record.target)
+        return False
+
+    def restore_call(self, call: Call) -> None:
+        """Append a call of a snapshot with all it adds to the history."""
+        self._append_call(call)
+        if call.is_final:
+            self._append_result(call)
+
+    def _append_call(self, call: Call) -> None:
+        self.calls.append(call)
+        self._numbers[call.key] = call.number
+        self._append_messages(call.messages)
+        if call.kind is records.CallKind.MODEL:
+            self._pending.clear()
+        else:
+            self._take_pending(call.tool_call_id)
+
+    def _take_pending(self, tool_call_id: str) -> None:
+        for index, request in enumerate(self._pending):
+            if request.id == tool_call_id:
+                del self._pending[index]
+                return
+
+    def _append_result(self, call: Call) -> None:
+        self._append_messages(call.list_result())
+        is_model = call.kind is records.CallKind.MODEL
+        if is_model and call.message is not None:
+            self._pending = list(call.message.tool_calls)
+
+    def _append_messages(
+        self, messages: typing.Iterable[records.Message]
+    ) -> None:
+        for message in messages:
+            self._history.append(message)
+            self.text_length += measure_message(message)
+
+    def _accept(self, record: records.CallAccepted) -> bool:
+        if not self.is_active or record.number != len(self.calls) + 1:
+            return False
+        self._append_call(Call.from_accepted(record))
+        self.open_run = record.run
+        self.ledger.reserve(
+            budget.make_key(self.program, record.number), record.reserved
+        )
+        return True
+
+    def _intend(self, record: records.CallIntended) -> bool:
+        call = self.find_call(record.number)
+        if call is None or call.is_final or record.attempt <= call.attempts:
+            return False
+        if call.attempts and not record.earlier_not_run:
+            call.in_doubt = True
+        call.state = CallState.INTENDED
+        call.attempts = record.attempt
+        call.target = record.target
+        if call.kind is records.CallKind.MODEL:
+            self.held.add(record.target)
+        return True
+
+    def _answer(self, record: records.CallAnswered) -> bool:
+        call = self.find_call(record.number)
+        if call is None or call.is_final:
+            return False
+        call.state = CallState.ANSWERED
+        call.message = record.message
+        call.finish_reason = record.finish_reason
+        call.target = record.target
+        self._finish(call, record.spent)
+        return True
+
+    def _fail(self, record: records.CallFailed) -> bool:
+        call = self.find_call(record.number)
+        if call is None or call.is_final:
+            return False
+        call.state = CallState.FAILED
+        call.error = record.error
+        call.reason = record.reason
+        self._finish(call, record.spent)
+        return True
+
+    def _finish(self, call: Call, spent: records.Spend) -> None:
+        call.spent = spent
+        self._append_result(call)
+        self.ledger.settle(budget.make_key(self.program, call.number), spent)
+        if call.kind is records.CallKind.MODEL and not self._pending:
+            self.open_run = ''
+
+    def _draw(self, record: records.BudgetDrawn) -> bool:
+        if record.settled is None:
+            return self.ledger.reserve(record.draw, record.reserved)
+        return self.ledger.settle(record.draw, record.settled)
+
+    def _end_run(self, record: records.RunEnded) -> bool:
+        if not self.open_run or record.run != self.open_run:
+            return False
+        self.open_run = ''
+        self.run_ends[record.run] = RunEnd(record.error, record.reason)
+        return True
+
+    def _end(self, record: records.ProgramEnded) -> bool:
+        if not self.is_active:
+            return False
+        self.state = ProgramState.ENDED
+        self.end_reason = record.reason
+        self.ended_at = record.ended_at
+        self.open_run = ''
+        return True
+
+    def _hold(self, target: str) -> bool:
+        if target in self.held:
+            return False
+        self.held.add(target)
+        return True
+
+    def _release(self, target: str) -> bool:
+        if target not in self.held:
+            return False
+        self.held.remove(target)
+        return True
+
+
+def measure_message(message: records.Message) -> int:
+    """Return the characters of a message that an engine reads."""
+    requests = sum(
+        len(request.name) + len(request.arguments)
+        for request in message.tool_calls
+    )
+    return len(message.content) + requests
--- a/libs/programs/vanillayoke/programs/records.py
+++ b/libs/programs/vanillayoke/programs/records.py
@@ -117,11 +117,14 @@
 
     For a non-idempotent call this record is durable before the call is
     sent: without an outcome behind it, the outcome is unknown.
+    ``earlier_not_run`` tells that all earlier attempts provably did not
+    run; without it a later refusal cannot say so of the call.
     """
 
     number: int
     attempt: int
     target: str
+    earlier_not_run: bool = False
 
 
 class CallAnswered(Record, frozen=True, tag=True, kw_only=True):
@@ -143,8 +146,19 @@
     spent: Spend = Spend()
 
 
+class RunEnded(Record, frozen=True, tag=True, kw_only=True):
+    """A run ended before its final answer: cancelled, out of budget, ...
+
+    ``error`` is a ``failures.Kind`` value.
+    """
+
+    run: str
+    error: str
+    reason: str
+
+
 class BudgetDrawn(Record, frozen=True, tag=True, kw_only=True):
-    """A sub-agent's reservation against this root's budget changed.
+    """A sub-agent's reservation against this ancestor's budget changed.
 
     ``draw`` identifies the sub-agent's call, so that a repeated or late
     message changes nothing. ``settled`` is ``None`` while it is reserved.
@@ -177,9 +191,11 @@
 class ProgramSnapshot(Record, frozen=True, tag=True, kw_only=True):
     """A program's whole state as of this record; replaces what came before.
 
-    ``state`` is encoded by ``vanillayoke.programs.snapshots``.
+    ``state`` is encoded by ``vanillayoke.programs.snapshots``;
+    ``sequence`` counts the records that had an effect on it.
     """
 
+    sequence: int
     state: msgspec.Raw
 
 
@@ -189,6 +205,7 @@
     | CallIntended
     | CallAnswered
     | CallFailed
+    | RunEnded
     | BudgetDrawn
     | ProgramEnded
     | CacheHeld
