Settings folders and process settings came to be loaded and checked.

Cause: nothing read settings files, so that `serve` could not be started. Measured: 11 tests of the folder pass; nothing else was run.

--- /dev/null
+++ b/libs/cli/vanillayoke/cli/exits.py
@@ -0,0 +1,13 @@
+"""Exit statuses of the command line."""
+
+import enum
+
+
+class Exit(enum.IntEnum):
+    """What a command's exit status tells a script."""
+
+    OK = 0
+    FAILED = 1
+    BAD_INPUT = 2
+    RACE_LOST = 3
+    NOT_REACHABLE = 4
--- /dev/null
+++ b/libs/cli/vanillayoke/cli/management/__init__.py
@@ -0,0 +1,1 @@
+"""What operators can do from the command line."""
--- /dev/null
+++ b/libs/cli/vanillayoke/cli/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module each; ``main`` finds them here."""
--- /dev/null
+++ b/libs/cli/vanillayoke/cli/management/commands/serve.py
@@ -0,0 +1,33 @@
+"""Run one instance until it is told to stop."""
+
+from absl import flags
+
+from vanillayoke.cli import commands
+from vanillayoke.cli import exits
+from vanillayoke.cli import reports
+from vanillayoke.settings import loading
+
+ARGUMENTS = ()
+
+
+def add_flags(values: flags.FlagValues) -> None:
+    """Define this command's flags."""
+    flags.DEFINE_string(
+        'settings',
+        None,
+        'The process settings file, JSON with comments.',
+        flag_values=values,
+        required=True,
+    )
+
+
+def run(invocation: commands.Invocation) -> int:
+    """Check the settings and run the instance."""
+    loaded = loading.inspect_process_settings(invocation.flags.settings)
+    reports.warn_of_faults(invocation, loaded.faults)
+    if loaded.settings is None:
+        return exits.Exit.BAD_INPUT
+    # Imported late: the other commands need no server.
+    from vanillayoke.node import process
+
+    return process.run(loaded.settings)
--- a/libs/settings/vanillayoke/settings/configuration.py
+++ b/libs/settings/vanillayoke/settings/configuration.py
@@ -7,6 +7,13 @@
 
 import msgspec
 
+TARGET_KINDS = ('engine', 'service')
+FENCING = ('checks', 'ignores')
+PLACEMENTS = ('expected_completion',)
+ORDERS = ('attained_service',)
+ADMISSIONS = ('working_set',)
+CACHE_LIFETIMES = ('learned_return',)
+
 
 class ToolSettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
--- /dev/null
+++ b/libs/settings/vanillayoke/settings/folder.py
@@ -0,0 +1,202 @@
+"""The settings folder: which files count and how they merge.
+
+Files merge in the order of their names. Maps merge by key, a later value
+replaces an earlier one, lists are replaced whole, and ``null`` removes.
+"""
+
+import os
+import pathlib
+import stat
+import typing
+
+from vanillayoke.settings import faults
+from vanillayoke.settings import sources
+
+ENDINGS = ('.json', '.jsonc')
+IGNORED_ENDINGS = ('~', '.bak', '.orig', '.rej', '.swp', '.tmp', '.md')
+LARGEST_FILE = 4 * 1024 * 1024
+SCHEMA_KEY = '$schema'
+
+
+class MergedFolder(typing.NamedTuple):
+    """The merged tree of all files that could be read.
+
+    ``complete`` is false where some file could not be read, so that what
+    is absent from the tree may well stand in that file.
+    """
+
+    tree: sources.MapNode
+    faults: tuple[faults.Fault, ...]
+    complete: bool
+
+
+def load_folder(folder: str | os.PathLike[str]) -> MergedFolder:
+    """Read and merge all settings files of a folder."""
+    path = pathlib.Path(folder)
+    whole = faults.Place(str(path), 0, 0)
+    merger = _Merger(whole)
+    files, found = _list_files(path, whole)
+    complete = not found
+    for file in files:
+        source = load_file(file)
+        found.extend(source.faults)
+        if source.tree is None:
+            complete = False
+            continue
+        merger.add(source.tree)
+    if complete:
+        found.extend(merger.faults)
+    return MergedFolder(merger.tree, tuple(found), complete)
+
+
+def load_file(file: pathlib.Path) -> sources.Source:
+    """Read and parse one file."""
+    whole = faults.Place(str(file), 0, 0)
+    try:
+        with open(file, 'rb') as stream:
+            blob = stream.read(LARGEST_FILE + 1)
+    except OSError as error:
+        return _refuse_file('E001', whole, f'{error.strerror}.')
+    if len(blob) > LARGEST_FILE:
+        text = f'The file has more than {LARGEST_FILE} bytes.'
+        return _refuse_file('E014', whole, text)
+    return _decode_blob(blob, whole)
+
+
+def drop_schema_key(tree: sources.MapNode) -> sources.MapNode:
+    """Return a file's tree without the key by which editors find a schema."""
+    entries = dict(tree.entries)
+    entries.pop(SCHEMA_KEY, None)
+    return tree._replace(entries=entries)
+
+
+def _decode_blob(blob: bytes, whole: faults.Place) -> sources.Source:
+    if blob.startswith(b'\xef\xbb\xbf'):
+        place = whole._replace(line=1, column=1)
+        return _refuse_file('E002', place, 'It begins with a mark.')
+    try:
+        text = blob.decode('utf-8')
+    except UnicodeDecodeError as error:
+        before = blob[: error.start].decode('utf-8')
+        lines = before.splitlines() if before else ['']
+        if before.endswith(('\n', '\r')):
+            lines.append('')
+        place = whole._replace(line=len(lines), column=len(lines[-1]) + 1)
+        return _refuse_file('E002', place, 'This byte is not UTF-8.')
+    return sources.parse_source(whole.file, text)
+
+
+def _refuse_file(
+    number: str, place: faults.Place, text: str
+) -> sources.Source:
+    rule = faults.FILE_RULES[f'settings.{number}']
+    return sources.Source(None, (faults.Fault(rule, place, (), text),))
+
+
+def _list_files(
+    folder: pathlib.Path, whole: faults.Place
+) -> tuple[list[pathlib.Path], list[faults.Fault]]:
+    try:
+        names = sorted(os.listdir(folder))
+    except OSError as error:
+        refused = _refuse_file('E001', whole, f'{error.strerror}.')
+        return [], list(refused.faults)
+    files: list[pathlib.Path] = []
+    found: list[faults.Fault] = []
+    for name in names:
+        if _is_ignored(name):
+            continue
+        refused = _check_file(folder / name)
+        if refused is None:
+            files.append(folder / name)
+        else:
+            found.extend(refused.faults)
+    if not files and not found:
+        refused = _refuse_file('E007', whole, 'There is no settings file.')
+        found.extend(refused.faults)
+    return files, found
+
+
+def _is_ignored(name: str) -> bool:
+    return name.startswith(('.', '#')) or name.endswith(IGNORED_ENDINGS)
+
+
+def _check_file(file: pathlib.Path) -> sources.Source | None:
+    whole = faults.Place(str(file), 0, 0)
+    if not file.name.endswith(ENDINGS):
+        return _refuse_file('E008', whole, 'Its name has another ending.')
+    try:
+        mode = file.stat().st_mode
+    except OSError as error:
+        return _refuse_file('E001', whole, f'{error.strerror}.')
+    # Opening a named pipe would wait for a writer for ever, so only
+    # regular files and links to them are opened.
+    if not stat.S_ISREG(mode):
+        return _refuse_file('E008', whole, 'It is not a regular file.')
+    return None
+
+
+class _Merger:
+    """Adds one file after the other to a tree."""
+
+    def __init__(self, whole: faults.Place) -> None:
+        self.tree = sources.MapNode(whole, {}, {})
+        self.faults: list[faults.Fault] = []
+
+    def add(self, tree: sources.MapNode) -> None:
+        """Merge a later file into the tree."""
+        later = drop_schema_key(tree)
+        self.tree = self._merge_maps(self.tree, later, ())
+
+    def _merge_maps(
+        self,
+        earlier: sources.MapNode,
+        later: sources.MapNode,
+        path: faults.Path,
+    ) -> sources.MapNode:
+        entries = dict(earlier.entries)
+        removed = dict(earlier.removed)
+        for key, entry in later.entries.items():
+            if _is_removal(entry.node):
+                self._remove(entries, removed, key, entry.place, path)
+                continue
+            entries[key] = self._merge_entry(
+                entries.get(key), entry, (*path, key)
+            )
+            removed.pop(key, None)
+        return sources.MapNode(earlier.place, entries, removed)
+
+    def _remove(
+        self,
+        entries: dict[str, sources.Entry],
+        removed: dict[str, faults.Place],
+        key: str,
+        place: faults.Place,
+        path: faults.Path,
+    ) -> None:
+        if key in entries:
+            del entries[key]
+            removed[key] = place
+            return
+        rule = faults.FILE_RULES['settings.E009']
+        text = 'There is nothing to remove.'
+        self.faults.append(faults.Fault(rule, place, (*path, key), text))
+
+    def _merge_entry(
+        self,
+        earlier: sources.Entry | None,
+        later: sources.Entry,
+        path: faults.Path,
+    ) -> sources.Entry:
+        if not isinstance(later.node, sources.MapNode):
+            return later
+        if earlier is None or not isinstance(earlier.node, sources.MapNode):
+            empty = sources.MapNode(later.node.place, {}, {})
+            merged = self._merge_maps(empty, later.node, path)
+            return sources.Entry(later.place, merged)
+        merged = self._merge_maps(earlier.node, later.node, path)
+        return sources.Entry(earlier.place, merged)
+
+
+def _is_removal(node: sources.Node) -> bool:
+    return isinstance(node, sources.ScalarNode) and node.value is None
--- /dev/null
+++ b/libs/settings/vanillayoke/settings/processes.py
@@ -0,0 +1,219 @@
+"""Checks of the process settings file."""
+
+import functools
+import typing
+import urllib.parse
+
+from vanillayoke.settings import checks
+from vanillayoke.settings import decoding
+from vanillayoke.settings import faults
+from vanillayoke.settings import ranges
+
+_PROCESS = checks.Scope.PROCESS
+_UNAVAILABLE = ('refuse', 'wait')
+_SHORTEST_KEY = 16
+_POSITIVE = (
+    'platform.timeout',
+    'lease.time_to_live',
+    'lease.margin',
+    'store.writes_per_second',
+    'store.shortest_commit_interval',
+    'probe.interval',
+    'probe.timeout',
+    'probe.suspicion',
+    'entry.largest_body',
+    'entry.address_lifetime',
+    'entry.body_timeout',
+    'entry.slow_reader_timeout',
+    'timeline_events',
+)
+_ADDRESSES = ('instance.entry_address', 'instance.peer_address')
+_LISTENS = ('instance.entry_listen', 'instance.peer_listen')
+_URLS = (
+    'platform.table',
+    'platform.objects',
+    'platform.weights',
+    'platform.instances',
+)
+
+
+def _add(
+    number: str, summary: str, hint: str, function: checks.CheckFunction
+) -> None:
+    rule = faults.Rule(f'settings.{number}', summary, hint)
+    checks.add_check(_PROCESS, rule, function)
+
+
+_add(
+    'E301',
+    'A number of the process settings must be above 0.',
+    'Give a number above 0.',
+    functools.partial(ranges.check_positive, _POSITIVE),
+)
+_add(
+    'E302',
+    'A number of the process settings must not be below 0.',
+    'Give 0 or more.',
+    functools.partial(
+        ranges.check_not_negative, ('entry.drain_grace', 'probe.indirect')
+    ),
+)
+_add(
+    'E303',
+    'An address of the instance is not IP:PORT.',
+    'Write it like 10.0.0.7:8000; host names are not looked up.',
+    functools.partial(ranges.check_addresses, _ADDRESSES),
+)
+_add(
+    'E304',
+    'A name of the instance is empty.',
+    'Give the name.',
+    functools.partial(
+        ranges.check_present,
+        ('instance.name', 'instance.zone', 'instance.region'),
+    ),
+)
+_add(
+    'E305',
+    'A text of the process settings is not on the list of allowed ones.',
+    'Take one of the names listed in docs/reference/settings.md.',
+    functools.partial(
+        ranges.check_choices, {'store.unavailable': _UNAVAILABLE}
+    ),
+)
+
+
+@checks.register(
+    _PROCESS,
+    'E306',
+    'A listening address is not IP:PORT.',
+    'Write it like 0.0.0.0:8000, or leave it out to listen on the address '
+    'itself.',
+)
+def check_listens(
+    values: decoding.Values,
+) -> typing.Iterator[checks.Finding]:
+    """Find listening addresses that are given but not usable."""
+    for pattern in _LISTENS:
+        for path, value in values.select(pattern):
+            problem = ranges.find_address_problem(value) if value else None
+            if problem:
+                yield checks.Finding(path, problem)
+
+
+@checks.register(
+    _PROCESS,
+    'E307',
+    "A URL of the platform's services is not usable.",
+    'Write it like http://10.0.0.9:8500, with IP number and port.',
+)
+def check_urls(
+    values: decoding.Values,
+) -> typing.Iterator[checks.Finding]:
+    """Find URLs that are not http or https to an ``IP:PORT``."""
+    for pattern in _URLS:
+        for path, value in values.select(pattern):
+            problem = find_url_problem(value)
+            if problem:
+                yield checks.Finding(path, problem)
+
+
+def find_url_problem(url: str) -> str | None:
+    """Return what is wrong with a service's base URL, if anything."""
+    try:
+        parts = urllib.parse.urlsplit(url)
+    except ValueError as error:
+        return f'"{url}" is no URL: {error}.'
+    if parts.scheme not in ('http', 'https'):
+        return f'"{url}" is neither http nor https.'
+    if parts.username or parts.password:
+        return 'The URL holds a user name or password.'
+    if parts.query or parts.fragment:
+        return f'"{url}" has a query or fragment.'
+    return ranges.find_address_problem(parts.netloc)
+
+
+@checks.register(
+    _PROCESS,
+    'E308',
+    'Both addresses of the instance are the same.',
+    'Give callers and instances a port each.',
+)
+def check_ports(
+    values: decoding.Values,
+) -> typing.Iterator[checks.Finding]:
+    """Find instances whose two listeners would want one port."""
+    where = ('instance', 'peer_address')
+    peer = values.find('instance.peer_address', where)
+    entry = values.find(
+        'instance.entry_address', ('instance', 'entry_address')
+    )
+    if peer is not None and peer == entry:
+        yield checks.Finding(where, f'"{peer}" is the entry address too.')
+
+
+@checks.register(
+    _PROCESS,
+    'E309',
+    'The lease margin leaves the holder no time to work.',
+    'Make margin less than half of time_to_live.',
+)
+def check_margin(
+    values: decoding.Values,
+) -> typing.Iterator[checks.Finding]:
+    """Find margins that eat up the lease; absent numbers are defaults."""
+    lease = values.find('lease', ('lease',))
+    if lease is None or lease.time_to_live <= 0:
+        return
+    if lease.margin * 2 >= lease.time_to_live:
+        text = f'{lease.margin} s of {lease.time_to_live} s.'
+        yield checks.Finding(('lease', 'margin'), text)
+
+
+@checks.register(
+    _PROCESS,
+    'E310',
+    'A call to the store may take as long as the lease.',
+    'Make platform.timeout less than half of lease.time_to_live, so that a '
+    'renewal can be tried again before the lease ends.',
+)
+def check_platform_timeout(
+    values: decoding.Values,
+) -> typing.Iterator[checks.Finding]:
+    """Find timeouts that leave one try to renew a lease."""
+    lease = values.find('lease', ('lease',))
+    timeout = values.find('platform', ('platform',))
+    if lease is None or timeout is None or lease.time_to_live <= 0:
+        return
+    if timeout.timeout * 2 >= lease.time_to_live:
+        text = f'{timeout.timeout} s, lease {lease.time_to_live} s.'
+        yield checks.Finding(('platform', 'timeout'), text)
+
+
+@checks.register(
+    _PROCESS,
+    'E311',
+    'The operator key is too short to be safe.',
+    f'Take at least {_SHORTEST_KEY} characters from a random source.',
+)
+def check_operator_key(
+    values: decoding.Values,
+) -> typing.Iterator[checks.Finding]:
+    """Find keys that could be guessed; the text does not repeat them."""
+    for path, key in values.select('operator_key'):
+        if 0 < len(key) < _SHORTEST_KEY:
+            yield checks.Finding(path, f'It has {len(key)} characters.')
+
+
+@checks.register(
+    _PROCESS,
+    'W301',
+    'There is no operator key, so that operators are refused.',
+    'Set operator_key to use status, drain, explain and timeline.',
+)
+def check_operator_access(
+    values: decoding.Values,
+) -> typing.Iterator[checks.Finding]:
+    """Find instances that no operator can ask."""
+    if not values.find('operator_key', ('operator_key',)):
+        yield checks.Finding(('operator_key',), 'No operator key is set.')
--- /dev/null
+++ b/libs/settings/vanillayoke/settings/sources.py
@@ -0,0 +1,230 @@
+"""Settings files as trees whose values know where they stand.
+
+pyjson5 decides whether a text is well formed. A scan over the accepted text
+then finds the place of each value and refuses what JSON5 allows beyond
+comments and trailing commas; each name, text and number is decoded by
+msgspec.
+"""
+
+import bisect
+import re
+import typing
+
+import msgspec
+import pyjson5
+
+from vanillayoke.settings import faults
+
+LARGEST_DEPTH = 32
+_INTEGER_LIMIT = 2**63
+
+_SKIPPED = re.compile(
+    r'(?:[\s\ufeff]+|//[^\n\r\u2028\u2029]*|/\*.*?\*/)*', re.DOTALL
+)
+_STRING = re.compile(r'"(?:[^"\\]|\\.)*"', re.DOTALL)
+_WORD = re.compile(r'''(?:"(?:[^"\\]|\\.)*"|[^\s,:\]}"/]+)''', re.DOTALL)
+_LINE_END = re.compile(r'\r\n|\n|\r')
+_NEAR = re.compile(r' near (\d+)')
+
+
+class ScalarNode(typing.NamedTuple):
+    """A text, number, truth value or null."""
+
+    place: faults.Place
+    value: str | int | float | bool | None
+
+
+class ListNode(typing.NamedTuple):
+    """A list."""
+
+    place: faults.Place
+    items: tuple['Node', ...]
+
+
+class Entry(typing.NamedTuple):
+    """A key's place and its value."""
+
+    place: faults.Place
+    node: 'Node'
+
+
+class MapNode(typing.NamedTuple):
+    """A map; ``removed`` gives the place where a key was taken out."""
+
+    place: faults.Place
+    entries: dict[str, Entry]
+    removed: dict[str, faults.Place] = {}
+
+
+Node = ScalarNode | ListNode | MapNode
+
+
+class Source(typing.NamedTuple):
+    """One file's tree, ``None`` where it cannot be used, and its faults."""
+
+    tree: MapNode | None
+    faults: tuple[faults.Fault, ...]
+
+
+def parse_source(file: str, text: str) -> Source:
+    """Parse the text of one settings file."""
+    scanner = _Scanner(file, text)
+    try:
+        pyjson5.decode(text, maxdepth=LARGEST_DEPTH)
+    except pyjson5.Json5DecoderException as error:
+        return Source(None, (_describe_syntax(scanner, error),))
+    try:
+        tree = scanner.scan_document()
+    except _ScanError as error:
+        return Source(None, (error.fault,))
+    if not isinstance(tree, MapNode):
+        fault = _make_fault('E006', tree.place, (), 'Expected a map here.')
+        return Source(None, (fault,))
+    return Source(tree, tuple(scanner.faults))
+
+
+def make_plain(node: Node) -> typing.Any:
+    """Return a tree as plain dicts, lists and scalars."""
+    match node:
+        case ScalarNode(value=value):
+            return value
+        case ListNode(items=items):
+            return [make_plain(item) for item in items]
+        case MapNode(entries=entries):
+            return {
+                key: make_plain(entry.node) for key, entry in entries.items()
+            }
+
+
+class _ScanError(Exception):
+    """Scanning cannot go on; leaves this module only as a fault."""
+
+    def __init__(self, fault: faults.Fault) -> None:
+        super().__init__(fault.text)
+        self.fault = fault
+
+
+class _Scanner:
+    """Walks a text that pyjson5 has accepted."""
+
+    def __init__(self, file: str, text: str) -> None:
+        self.faults: list[faults.Fault] = []
+        self._file = file
+        self._text = text
+        self._at = 0
+        ends = (match.end() for match in _LINE_END.finditer(text))
+        self._line_starts = [0, *ends]
+
+    def find_place(self, offset: int) -> faults.Place:
+        """Return the place of a character offset."""
+        line = bisect.bisect_right(self._line_starts, offset)
+        column = offset - self._line_starts[line - 1] + 1
+        return faults.Place(self._file, line, column)
+
+    def scan_document(self) -> Node:
+        """Return the tree of the whole text."""
+        self._skip()
+        return self._scan_value(())
+
+    def _skip(self) -> None:
+        self._at = _SKIPPED.match(self._text, self._at).end()
+
+    def _take(self, character: str) -> bool:
+        self._skip()
+        if not self._text.startswith(character, self._at):
+            return False
+        self._at += 1
+        return True
+
+    def _scan_value(self, path: faults.Path) -> Node:
+        place = self.find_place(self._at)
+        if self._take('{'):
+            return self._scan_map(place, path)
+        if self._take('['):
+            return self._scan_list(place, path)
+        return ScalarNode(place, self._scan_scalar(place, path))
+
+    def _scan_map(self, place: faults.Place, path: faults.Path) -> MapNode:
+        entries: dict[str, Entry] = {}
+        while not self._take('}'):
+            key_place = self.find_place(self._at)
+            key = self._scan_key(key_place, path)
+            self._take(':')
+            self._skip()
+            node = self._scan_value((*path, key))
+            self._note_repeat(entries, key, key_place, path)
+            entries[key] = Entry(key_place, node)
+            self._take(',')
+        return MapNode(place, entries)
+
+    def _note_repeat(
+        self,
+        entries: dict[str, Entry],
+        key: str,
+        place: faults.Place,
+        path: faults.Path,
+    ) -> None:
+        if key not in entries:
+            return
+        text = f'The key stands on line {entries[key].place.line} already.'
+        self.faults.append(_make_fault('E005', place, (*path, key), text))
+
+    def _scan_list(self, place: faults.Place, path: faults.Path) -> ListNode:
+        items: list[Node] = []
+        while not self._take(']'):
+            items.append(self._scan_value((*path, len(items))))
+            self._take(',')
+        return ListNode(place, tuple(items))
+
+    def _scan_key(self, place: faults.Place, path: faults.Path) -> str:
+        match = _STRING.match(self._text, self._at)
+        if match is None:
+            self._refuse(place, path, 'This key is not in double quotes.')
+        self._at = match.end()
+        return self._decode(match.group(), place, path)
+
+    def _scan_scalar(
+        self, place: faults.Place, path: faults.Path
+    ) -> str | int | float | bool | None:
+        match = _WORD.match(self._text, self._at)
+        if match is None:
+            self._refuse(place, path, 'This value is not written as in JSON.')
+        self._at = match.end()
+        value = self._decode(match.group(), place, path)
+        if isinstance(value, int) and abs(value) >= _INTEGER_LIMIT:
+            text = 'The number is too large.'
+            self.faults.append(_make_fault('E013', place, path, text))
+            return 0
+        return value
+
+    def _decode(
+        self, word: str, place: faults.Place, path: faults.Path
+    ) -> typing.Any:
+        try:
+            return msgspec.json.decode(word)
+        except msgspec.DecodeError:
+            self._refuse(place, path, 'This is not written as in JSON.')
+
+    def _refuse(
+        self, place: faults.Place, path: faults.Path, text: str
+    ) -> typing.NoReturn:
+        raise _ScanError(_make_fault('E004', place, path, text))
+
+
+def _describe_syntax(
+    scanner: _Scanner, error: pyjson5.Json5DecoderException
+) -> faults.Fault:
+    message = str(error.args[0])
+    near = _NEAR.search(message)
+    # pyjson5 counts characters from 1, and from 0 in an empty text.
+    offset = max(int(near.group(1)) - 1, 0) if near else 0
+    reason = _NEAR.sub('', message).replace("b'", "'")
+    place = scanner.find_place(offset)
+    return _make_fault('E003', place, (), f'{reason.rstrip(".")}.')
+
+
+def _make_fault(
+    number: str, place: faults.Place, path: faults.Path, text: str
+) -> faults.Fault:
+    rule = faults.FILE_RULES[f'settings.{number}']
+    return faults.Fault(rule, place, path, text)
--- /dev/null
+++ b/tests/settings/test_folder.py
@@ -0,0 +1,103 @@
+"""Tests of which files of a folder count and how they merge."""
+
+import os
+
+from tests.settings import folders
+from vanillayoke.settings import loading
+from vanillayoke.testing import fixtures
+
+
+def _list_faults(folder) -> list[tuple[str, str, int]]:
+    loaded = loading.load_configuration(folder.path)
+    return [
+        (fault.rule.id, os.path.basename(fault.place.file), fault.place.line)
+        for fault in loaded.faults
+        if not fault.is_warning
+    ]
+
+
+def test_later_file_wins_and_maps_merge(case, good):
+    good.write('20-more.json', '{"agents": {"board": {"max_tokens": 7}}}')
+    good.write('15-less.json', '{"agents": {"board": {"max_tokens": 5}}}')
+    agent = loading.load_configuration(good.path).configuration.agents['board']
+    case.assertEqual(7, agent.max_tokens)
+    case.assertEqual('mm', agent.model)
+    case.assertEqual(('stock',), agent.tools)
+
+
+def test_list_is_replaced_whole(case, good):
+    good.write('20.json', '{"agents": {"board": {"tools": []}}}')
+    loaded = loading.load_configuration(good.path)
+    case.assertEqual((), loaded.configuration.agents['board'].tools)
+
+
+def test_null_removes(case, good):
+    good.write('20.json', '{"clients": {"shop": null}}')
+    loaded = loading.load_configuration(good.path)
+    case.assertEqual({}, loaded.configuration.clients)
+
+
+def test_removal_of_absent_is_a_fault(case, good):
+    good.write('20.json', '{\n"clients": {\n"shoq": null}}')
+    case.assertEqual([('settings.E009', '20.json', 3)], _list_faults(good))
+
+
+def test_removed_required_field_is_reported_where_removed(case, good):
+    good.write('20.json', '{"agents":\n {"board": {"model": null}}}')
+    case.assertEqual([('settings.E012', '20.json', 2)], _list_faults(good))
+
+
+def test_removed_entry_may_come_again(case, good):
+    good.write('20.json', '{"clients": {"shop": null}}')
+    good.write('30.json', '{"clients": {"shop": {"key_hashes": []}}}')
+    loaded = loading.load_configuration(good.path)
+    case.assertEqual((), loaded.configuration.clients['shop'].key_hashes)
+
+
+def test_hidden_and_backup_files_are_ignored(case, good):
+    for name in ('.20.json', '20.json~', '20.json.bak', '#20.json#', 'a.md'):
+        good.write(name, 'not JSON')
+    case.assertEqual([], _list_faults(good))
+
+
+def test_link_to_a_file_is_read_under_its_own_name(case, good):
+    other = good.write('.kept', '{"agents": {"board": {"max_tokens": 9}}}')
+    os.symlink(other, good.path / '20.json')
+    loaded = loading.load_configuration(good.path)
+    case.assertEqual(9, loaded.configuration.agents['board'].max_tokens)
+
+
+def test_what_is_no_settings_file_is_a_fault(case, good):
+    os.symlink(good.path / 'nowhere', good.path / '20.json')
+    os.mkfifo(good.path / '30.json')
+    os.mkdir(good.path / '40.json')
+    good.write('50.jsn', '{}')
+    case.assertEqual(
+        [
+            ('settings.E001', '20.json', 0),
+            ('settings.E008', '30.json', 0),
+            ('settings.E008', '40.json', 0),
+            ('settings.E008', '50.jsn', 0),
+        ],
+        _list_faults(good),
+    )
+
+
+def test_empty_and_absent_folders_are_faults(case, folder):
+    name = os.path.basename(folder.path)
+    case.assertEqual([('settings.E007', name, 0)], _list_faults(folder))
+    os.rmdir(folder.path)
+    case.assertEqual([('settings.E001', name, 0)], _list_faults(folder))
+    os.mkdir(folder.path)
+
+
+def test_broken_file_hides_no_fault_of_the_others(case, good):
+    good.write('20.json', '{"agents": }')
+    good.write('30.json', '{"policy": {"urgent_reserve": 2}}')
+    case.assertEqual(
+        [('settings.E003', '20.json', 1), ('settings.E106', '30.json', 1)],
+        _list_faults(good),
+    )
+
+
+load_tests = fixtures.adapt(__name__, [folders])
