Split the decisions about programs into modules of one job.

Cause: the first version held call state, conversation and checks in two files near four hundred lines.

Change: calls holds the state of one call, conversations the history, checks what a new call must pass, decisions accept, intend, answer and fail, caches hold and release.

--- a/libs/programs/vanillayoke/programs/calls.py
+++ b/libs/programs/vanillayoke/programs/calls.py
@@ -1,431 +1,114 @@
-"""Decisions about a call: accept it, send it, settle its outcome.
+"""One call of a program and what it adds to the conversation."""
 
-Each returns records to apply and journal, or a failure. The records of one
-decision belong into one segment: a sub-agent's call and its draws on the
-budgets above it become durable together or not at all.
-"""
+import dataclasses
+import enum
 
-import typing
+import msgspec
 
-from vanillayoke.core import failures
-from vanillayoke.programs import budget
-from vanillayoke.programs import program as programs
 from vanillayoke.programs import records
 
-_STEP_SEPARATOR = '\n'
-_NOT_RUN_REASON = 'the conversation went on without it; it did not run'
-_REPEAT_REASON = (
-    'it did not run: the outcome of an identical earlier call is unknown, '
-    'and running it again might do its work twice'
-)
 
+class CallState(enum.StrEnum):
+    """How far a call has come; the last two are final."""
 
-class CallRequest(typing.NamedTuple):
-    """A call that wants its place in a program's order.
+    ACCEPTED = 'accepted'
+    INTENDED = 'intended'
+    ANSWERED = 'answered'
+    FAILED = 'failed'
 
-    The fields are those of ``records.CallAccepted``.
-    """
 
-    kind: records.CallKind
-    key: str
-    fingerprint: str
-    idempotent: bool
-    name: str
-    messages: tuple[records.Message, ...] = ()
-    arguments: str = ''
-    tool_call_id: str = ''
-    run: str = ''
-    reserved: records.Spend = records.Spend(calls=1)
+FINAL = frozenset((CallState.ANSWERED, CallState.FAILED))
 
 
-class Repeat(typing.NamedTuple):
-    """The key is that of an accepted call: give its answer or join it."""
+class ToolError(msgspec.Struct, frozen=True):
+    """What the model reads in place of a failed tool call's result."""
 
-    number: int
-
-
-def make_step_key(run: str, number: int) -> str:
-    """Return the key of a run's later step; clients cannot send such."""
-    return f'{run}{_STEP_SEPARATOR}{number}'
+    error: str
+    reason: str
 
 
-def accept_call(
-    program: programs.Program,
-    ancestors: typing.Sequence[programs.Program],
-    request: CallRequest,
-    epoch: int,
-    now_wall: float,
-) -> list[records.AnyRecord] | Repeat | failures.Failure:
-    """Decide on a new call of a program.
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One call of a program; the fields are those of its records.
 
-    ``ancestors`` are the program's, the parent first and the root last.
-    The first record is the ``CallAccepted``. A model's repeat of a call
-    whose outcome is unknown is accepted and failed by the same records, so
-    that the model reads why.
+    ``message`` is the answer, ``spent`` what was settled. ``in_doubt``
+    tells that an attempt before the last one may have run.
     """
-    known = program.find_key(request.key)
-    if known is not None:
-        return _check_repeat(known, request)
-    failure = (
-        _check_request(program, request)
-        or _check_state(program, ancestors, now_wall)
-        or _check_order(program, request)
-    )
-    if failure is not None:
-        return failure
-    if _repeats_unknown(program, request):
-        return _refuse_repeat(program, request, epoch, now_wall)
-    failure = _check_budget(program, ancestors, request.reserved)
-    if failure is not None:
-        return failure
-    accepted = _make_accepted(program, request, epoch, now_wall)
-    key = budget.make_key(program.id, accepted.number)
-    return [accepted, *draw_budget(ancestors, key, accepted.reserved, epoch)]
-
-
-def _check_repeat(
-    known: programs.Call, request: CallRequest
-) -> Repeat | failures.Failure:
-    if known.fingerprint == request.fingerprint:
-        return Repeat(known.number)
-    return failures.Failure(
-        failures.Kind.KEY_REUSED, f'call {known.number} has this key'
-    )
-
-
-def _check_request(
-    program: programs.Program, request: CallRequest
-) -> failures.Failure | None:
-    if not request.key:
-        return failures.Failure(
-            failures.Kind.BAD_REQUEST, 'an idempotency key is needed'
-        )
-    is_first = request.key == request.run or not request.run
-    if is_first and _STEP_SEPARATOR in request.key:
-        return failures.Failure(
-            failures.Kind.BAD_REQUEST, 'the idempotency key has a line break'
-        )
-    if any(getattr(request.reserved, name) < 0 for name in budget.RESOURCES):
-        return failures.Failure(
-            failures.Kind.BAD_REQUEST, 'a reservation is negative'
-        )
-    # A tool request of the model stands for one call. A host that lost
-    # track, say after a takeover, would else run it under a second key.
-    if request.tool_call_id and not _is_pending(program, request):
-        return failures.Failure(
-            failures.Kind.BAD_REQUEST, 'the model has no such open request'
-        )
-    return None
-
-
-def _is_pending(program: programs.Program, request: CallRequest) -> bool:
-    pending = program.pending_tools
-    return any(one.id == request.tool_call_id for one in pending)
-
 
-def _check_state(
-    program: programs.Program,
-    ancestors: typing.Sequence[programs.Program],
-    now_wall: float,
-) -> failures.Failure | None:
-    if not program.is_active:
-        return failures.Failure(
-            failures.Kind.PROGRAM_ENDED, f'ended: {program.end_reason}'
-        )
-    if not all(one.is_active for one in ancestors):
-        return failures.Failure(
-            failures.Kind.PROGRAM_ENDED, 'an ancestor has ended'
-        )
-    if now_wall >= program.deadline:
-        return failures.Failure(
-            failures.Kind.DEADLINE_PASSED, "the program's deadline passed"
-        )
-    return None
-
-
-def _check_order(
-    program: programs.Program, request: CallRequest
-) -> failures.Failure | None:
-    running = program.running
-    if running is not None:
-        return failures.Failure(
-            failures.Kind.CALL_IN_PROGRESS, f'call {running.number} is running'
-        )
-    if program.open_run and program.open_run != request.run:
-        return failures.Failure(
-            failures.Kind.CALL_IN_PROGRESS, 'a run has not ended'
-        )
-    is_step = request.run and request.key != request.run
-    if is_step and program.open_run != request.run:
-        return _explain_closed_run(program, request.run)
-    return None
-
-
-def _explain_closed_run(
-    program: programs.Program, run: str
-) -> failures.Failure:
-    end = program.run_ends.get(run)
-    if end is None:
-        return failures.Failure(
-            failures.Kind.BAD_REQUEST, 'the run has ended or never began'
+    number: int
+    kind: records.CallKind
+    name: str
+    key: str
+    fingerprint: str
+    run: str
+    idempotent: bool
+    messages: tuple[records.Message, ...]
+    arguments: str
+    tool_call_id: str
+    reserved: records.Spend
+    accepted_at: float
+    state: CallState = CallState.ACCEPTED
+    attempts: int = 0
+    target: str = ''
+    in_doubt: bool = False
+    message: records.Message | None = None
+    finish_reason: str = ''
+    error: str = ''
+    reason: str = ''
+    spent: records.Spend = records.Spend()
+
+    @classmethod
+    def from_accepted(cls, record: records.CallAccepted) -> 'Call':
+        """Make a call from the record that accepted it."""
+        return cls(
+            number=record.number,
+            kind=record.kind,
+            name=record.name,
+            key=record.key,
+            fingerprint=record.fingerprint,
+            run=record.run,
+            idempotent=record.idempotent,
+            messages=record.messages,
+            arguments=record.arguments,
+            tool_call_id=record.tool_call_id,
+            reserved=record.reserved,
+            accepted_at=record.accepted_at,
         )
-    return failures.Failure(failures.Kind(end.error), end.reason)
-
-
-def _repeats_unknown(program: programs.Program, request: CallRequest) -> bool:
-    """Tell whether a model asks again for what may have been done.
-
-    An instance dies while an order is on its way; the model reads that the
-    outcome is unknown and simply orders again under a new request id: two
-    deliveries, two invoices. A client that knows better can still make the
-    call itself, since such a call has no ``tool_call_id``.
-    """
-    if request.idempotent or not request.tool_call_id:
-        return False
-    return any(
-        call.error == failures.Kind.OUTCOME_UNKNOWN.value
-        and not call.idempotent
-        and call.name == request.name
-        and call.arguments == request.arguments
-        for call in program.calls
-    )
-
 
-def _refuse_repeat(
-    program: programs.Program,
-    request: CallRequest,
-    epoch: int,
-    now_wall: float,
-) -> list[records.AnyRecord]:
-    free = request._replace(reserved=records.Spend())
-    accepted = _make_accepted(program, free, epoch, now_wall)
-    failed = records.CallFailed(
-        program.id,
-        epoch,
-        number=accepted.number,
-        error=failures.Kind.CONFLICT.value,
-        reason=_REPEAT_REASON,
-    )
-    return [accepted, failed]
-
-
-def _check_budget(
-    program: programs.Program,
-    ancestors: typing.Sequence[programs.Program],
-    reserved: records.Spend,
-) -> failures.Failure | None:
-    for holder in (program, *ancestors):
-        shortage = holder.ledger.find_shortage(reserved)
-        if shortage is not None:
-            return failures.Failure(
-                failures.Kind.BUDGET_EXHAUSTED,
-                f'the {shortage} left do not cover the call',
+    @property
+    def is_final(self) -> bool:
+        """Tell whether the call has its answer or final error."""
+        return self.state in FINAL
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether the call was, or was about to be, sent."""
+        return self.state is not CallState.ACCEPTED
+
+    def list_result(self) -> tuple[records.Message, ...]:
+        """Return the messages that a final call adds to the history.
+
+        A tool call that the model did not ask for adds none, as the chat
+        completions protocol has no place for it. A failed one adds its
+        error: an engine refuses an unanswered tool request.
+        """
+        is_model = self.kind is records.CallKind.MODEL
+        if not is_model and not self.tool_call_id:
+            return ()
+        if self.state is CallState.ANSWERED:
+            return (self.message,)
+        if self.state is CallState.FAILED and not is_model:
+            return (
+                make_error_message(self.tool_call_id, self.error, self.reason),
             )
-    return None
-
-
-def _make_accepted(
-    program: programs.Program,
-    request: CallRequest,
-    epoch: int,
-    now_wall: float,
-) -> records.CallAccepted:
-    fields = request._asdict()
-    if request.kind is records.CallKind.MODEL:
-        skipped = _answer_skipped(program)
-        fields['messages'] = (*skipped, *request.messages)
-    return records.CallAccepted(
-        program.id,
-        epoch,
-        number=len(program.calls) + 1,
-        accepted_at=now_wall,
-        **fields,
-    )
-
-
-def _answer_skipped(
-    program: programs.Program,
-) -> tuple[records.Message, ...]:
-    """Answer the tool requests that the conversation passes over.
-
-    An engine refuses a conversation in which one stays unanswered, as
-    after a cancelled run.
-    """
-    return tuple(
-        programs.make_error_message(
-            request.id, failures.Kind.CANCELLED.value, _NOT_RUN_REASON
-        )
-        for request in program.pending_tools
-    )
-
-
-def draw_budget(
-    ancestors: typing.Sequence[programs.Program],
-    key: str,
-    reserved: records.Spend,
-    epoch: int,
-    settled: records.Spend | None = None,
-) -> list[records.AnyRecord]:
-    """Return the records of a sub-agent's call for all budgets above it."""
-    return [
-        records.BudgetDrawn(
-            one.id, epoch, draw=key, reserved=reserved, settled=settled
-        )
-        for one in ancestors
-    ]
-
-
-def intend_call(
-    program: programs.Program,
-    number: int,
-    attempt: int,
-    target: str,
-    epoch: int,
-    earlier_not_run: bool = False,
-) -> list[records.AnyRecord] | failures.Failure:
-    """Decide on sending a call to a target, as its nth attempt from 1.
-
-    ``earlier_not_run`` tells that all earlier attempts provably did not
-    run. The record of a non-idempotent call must be durable, and the lease
-    checked, before the call is sent.
-    """
-    call = program.find_call(number)
-    if call is None or call.is_final:
-        return failures.Failure(
-            failures.Kind.CANCELLED, 'the call has its outcome already'
-        )
-    if attempt <= call.attempts:
-        return failures.Failure(
-            failures.Kind.CONFLICT, f'attempt {call.attempts} was made'
-        )
-    # A reply can be lost after the target did the work. Sending a
-    # non-idempotent call again would do it twice, so an intent without
-    # proof that it did not run is the last one.
-    if call.may_have_run and not call.idempotent and not earlier_not_run:
-        return failures.Failure(
-            failures.Kind.OUTCOME_UNKNOWN, f'attempt {attempt - 1} may run'
-        )
-    intended = records.CallIntended(
-        program.id,
-        epoch,
-        number=number,
-        attempt=attempt,
-        target=target,
-        earlier_not_run=earlier_not_run,
-    )
-    return [intended]
-
+        return ()
 
-def answer_call(
-    program: programs.Program,
-    ancestors: typing.Sequence[programs.Program],
-    number: int,
-    message: records.Message,
-    finish_reason: str,
-    spent: records.Spend,
-    target: str,
-    epoch: int,
-) -> list[records.AnyRecord]:
-    """Record a call's whole answer.
 
-    There are no records where the call is final: an answer that comes
-    late, or twice, changes nothing.
-    """
-    call = program.find_call(number)
-    if call is None or call.is_final:
-        return []
-    answered = records.CallAnswered(
-        program.id,
-        epoch,
-        number=number,
-        message=message,
-        finish_reason=finish_reason,
-        spent=spent,
-        target=target,
+def make_error_message(
+    tool_call_id: str, error: str, reason: str
+) -> records.Message:
+    """Return the message that answers a tool request with an error."""
+    content = msgspec.json.encode(ToolError(error, reason)).decode()
+    return records.Message(
+        role='tool', content=content, tool_call_id=tool_call_id
     )
-    key = budget.make_key(program.id, number)
-    draws = draw_budget(ancestors, key, call.reserved, epoch, spent)
-    return [answered, *draws]
-
-
-def fail_call(
-    program: programs.Program,
-    ancestors: typing.Sequence[programs.Program],
-    number: int,
-    failure: failures.Failure,
-    epoch: int,
-    spent: records.Spend | None = None,
-    not_run: bool = False,
-) -> list[records.AnyRecord]:
-    """Record a call's final error; no records where it is final already.
-
-    ``not_run`` tells that the last attempt provably did not run, as
-    ``TARGET_REFUSED`` does by itself. Without that proof the failure of a
-    call that was sent is recorded as one that may have run. ``spent`` of
-    ``None`` is nothing for a call that did not run, else the whole
-    reservation, since it may have been used.
-    """
-    call = program.find_call(number)
-    if call is None or call.is_final:
-        return []
-    proven = _is_proven_not_run(call, failure, not_run)
-    told = failure if proven else _admit_doubt(failure)
-    if spent is None:
-        spent = records.Spend() if proven else call.reserved
-    failed = records.CallFailed(
-        program.id,
-        epoch,
-        number=number,
-        error=told.kind.value,
-        reason=told.reason,
-        spent=spent,
-    )
-    key = budget.make_key(program.id, number)
-    draws = draw_budget(ancestors, key, call.reserved, epoch, spent)
-    return [failed, *draws]
-
-
-def _is_proven_not_run(
-    call: programs.Call, failure: failures.Failure, not_run: bool
-) -> bool:
-    if not call.may_have_run:
-        return True
-    refused = failure.kind is failures.Kind.TARGET_REFUSED
-    return (not_run or refused) and not call.in_doubt
-
-
-def _admit_doubt(failure: failures.Failure) -> failures.Failure:
-    """Return a failure that does not claim that the call did not run."""
-    if failure.answer.ran is not failures.Ran.NO:
-        return failure
-    if failure.kind is failures.Kind.DEADLINE_PASSED:
-        return failure._replace(kind=failures.Kind.DEADLINE_PASSED_RUNNING)
-    return failure._replace(kind=failures.Kind.OUTCOME_UNKNOWN)
-
-
-def hold_cache(
-    program: programs.Program, target: str, epoch: int
-) -> list[records.AnyRecord]:
-    """Record that a target may hold engine memory for a program.
-
-    An intended model call records that by itself; this is for a cache that
-    comes by another way, such as an import.
-    """
-    if target in program.held:
-        return []
-    return [records.CacheHeld(program.id, epoch, target=target)]
-
-
-def release_cache(
-    program: programs.Program, target: str, epoch: int
-) -> list[records.AnyRecord]:
-    """Record a target's word that it holds no memory for a program.
-
-    A late word is not taken while a model call runs there: the engine
-    fills its cache again, and nobody would release that.
-    """
-    running = program.running
-    is_in_use = running is not None and running.target == target
-    if target not in program.held or is_in_use:
-        return []
-    return [records.CacheReleased(program.id, epoch, target=target)]
--- a/libs/programs/vanillayoke/programs/endings.py
+++ b/libs/programs/vanillayoke/programs/endings.py
@@ -4,6 +4,7 @@
 
 from vanillayoke.core import failures
 from vanillayoke.programs import calls
+from vanillayoke.programs import decisions
 from vanillayoke.programs import opening
 from vanillayoke.programs import program as programs
 from vanillayoke.programs import records
@@ -28,7 +29,7 @@
 def _stop_call(
     program: programs.Program,
     ancestors: typing.Sequence[programs.Program],
-    running: programs.Call,
+    running: calls.Call,
     failure: failures.Failure,
     epoch: int,
 ) -> list[records.AnyRecord]:
@@ -36,7 +37,9 @@
         failure = failures.Failure(
             failures.Kind.OUTCOME_UNKNOWN, failure.reason
         )
-    return calls.fail_call(program, ancestors, running.number, failure, epoch)
+    return decisions.fail_call(
+        program, ancestors, running.number, failure, epoch
+    )
 
 
 def end_run(
@@ -80,7 +83,7 @@
     return [*found, ended]
 
 
-def _explain_end(running: programs.Call, reason: str) -> failures.Failure:
+def _explain_end(running: calls.Call, reason: str) -> failures.Failure:
     kind = (
         failures.Kind.CANCELLED
         if running.may_have_run
@@ -138,4 +141,6 @@
         failures.Kind.OUTCOME_UNKNOWN,
         'the instance that sent the call was lost before its answer',
     )
-    return calls.fail_call(program, ancestors, running.number, failure, epoch)
+    return decisions.fail_call(
+        program, ancestors, running.number, failure, epoch
+    )
--- a/libs/programs/vanillayoke/programs/program.py
+++ b/libs/programs/vanillayoke/programs/program.py
@@ -2,24 +2,16 @@
 
 import dataclasses
 import enum
-import typing
 
 import msgspec
 
 from vanillayoke.core import ids
 from vanillayoke.programs import budget
+from vanillayoke.programs import calls as call_types
+from vanillayoke.programs import conversations
 from vanillayoke.programs import records
 
 
-class CallState(enum.StrEnum):
-    """How far a call has come; the last two are final."""
-
-    ACCEPTED = 'accepted'
-    INTENDED = 'intended'
-    ANSWERED = 'answered'
-    FAILED = 'failed'
-
-
 class ProgramState(enum.StrEnum):
     """Whether a program takes calls."""
 
@@ -27,16 +19,6 @@
     ENDED = 'ended'
 
 
-FINAL = frozenset((CallState.ANSWERED, CallState.FAILED))
-
-
-class ToolError(msgspec.Struct, frozen=True):
-    """What the model reads in place of a failed tool call's result."""
-
-    error: str
-    reason: str
-
-
 class RunEnd(msgspec.Struct, frozen=True):
     """Why a run was ended before its final answer."""
 
@@ -44,93 +26,6 @@
     reason: str
 
 
-@dataclasses.dataclass(slots=True)
-class Call:
-    """One call of a program; the fields are those of its records.
-
-    ``message`` is the answer, ``spent`` what was settled. ``in_doubt``
-    tells that an attempt before the last one may have run.
-    """
-
-    number: int
-    kind: records.CallKind
-    name: str
-    key: str
-    fingerprint: str
-    run: str
-    idempotent: bool
-    messages: tuple[records.Message, ...]
-    arguments: str
-    tool_call_id: str
-    reserved: records.Spend
-    accepted_at: float
-    state: CallState = CallState.ACCEPTED
-    attempts: int = 0
-    target: str = ''
-    in_doubt: bool = False
-    message: records.Message | None = None
-    finish_reason: str = ''
-    error: str = ''
-    reason: str = ''
-    spent: records.Spend = records.Spend()
-
-    @classmethod
-    def from_accepted(cls, record: records.CallAccepted) -> 'Call':
-        """Make a call from the record that accepted it."""
-        return cls(
-            number=record.number,
-            kind=record.kind,
-            name=record.name,
-            key=record.key,
-            fingerprint=record.fingerprint,
-            run=record.run,
-            idempotent=record.idempotent,
-            messages=record.messages,
-            arguments=record.arguments,
-            tool_call_id=record.tool_call_id,
-            reserved=record.reserved,
-            accepted_at=record.accepted_at,
-        )
-
-    @property
-    def is_final(self) -> bool:
-        """Tell whether the call has its answer or final error."""
-        return self.state in FINAL
-
-    @property
-    def may_have_run(self) -> bool:
-        """Tell whether the call was, or was about to be, sent."""
-        return self.state is not CallState.ACCEPTED
-
-    def list_result(self) -> tuple[records.Message, ...]:
-        """Return the messages that a final call adds to the history.
-
-        A tool call that the model did not ask for adds none: the protocol
-        has no place for it. A failed one adds its error, since an engine
-        refuses a conversation with an unanswered tool request.
-        """
-        is_model = self.kind is records.CallKind.MODEL
-        if not is_model and not self.tool_call_id:
-            return ()
-        if self.state is CallState.ANSWERED:
-            return (self.message,)
-        if self.state is CallState.FAILED and not is_model:
-            return (
-                make_error_message(self.tool_call_id, self.error, self.reason),
-            )
-        return ()
-
-
-def make_error_message(
-    tool_call_id: str, error: str, reason: str
-) -> records.Message:
-    """Return the message that answers a tool request with an error."""
-    content = msgspec.json.encode(ToolError(error, reason)).decode()
-    return records.Message(
-        role='tool', content=content, tool_call_id=tool_call_id
-    )
-
-
 @dataclasses.dataclass(slots=True)
 class Program:
     """A program as of the last applied record.
@@ -160,14 +55,12 @@
     state: ProgramState = ProgramState.ACTIVE
     end_reason: str = ''
     ended_at: float = 0.0
-    calls: list[Call] = dataclasses.field(default_factory=list)
+    calls: list[call_types.Call] = dataclasses.field(default_factory=list)
     held: set[str] = dataclasses.field(default_factory=set)
     open_run: str = ''
     run_ends: dict[str, RunEnd] = dataclasses.field(default_factory=dict)
-    text_length: int = 0
-    _history: list[records.Message] = dataclasses.field(default_factory=list)
-    _pending: list[records.ToolRequest] = dataclasses.field(
-        default_factory=list
+    conversation: conversations.Conversation = dataclasses.field(
+        default_factory=conversations.Conversation
     )
     _numbers: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -189,7 +82,7 @@
         return self.state is ProgramState.ACTIVE
 
     @property
-    def running(self) -> Call | None:
+    def running(self) -> call_types.Call | None:
         """Return the call without a final outcome; only the last can be."""
         if self.calls and not self.calls[-1].is_final:
             return self.calls[-1]
@@ -198,7 +91,7 @@
     @property
     def pending_tools(self) -> tuple[records.ToolRequest, ...]:
         """Return the last answer's tool requests that have no call yet."""
-        return tuple(self._pending)
+        return tuple(self.conversation.pending)
 
     @property
     def committed(self) -> records.Spend:
@@ -216,15 +109,20 @@
 
     def history(self) -> list[records.Message]:
         """Return the conversation in order; the texts are not copied."""
-        return list(self._history)
+        return list(self.conversation.messages)
+
+    @property
+    def text_length(self) -> int:
+        """Return the characters of the whole conversation."""
+        return self.conversation.text_length
 
-    def find_call(self, number: int) -> Call | None:
+    def find_call(self, number: int) -> call_types.Call | None:
         """Return a call by its number."""
         if 1 <= number <= len(self.calls):
             return self.calls[number - 1]
         return None
 
-    def find_key(self, key: str) -> Call | None:
+    def find_key(self, key: str) -> call_types.Call | None:
         """Return the call that was accepted under an idempotency key."""
         return self.find_call(self._numbers.get(key, 0))
 
@@ -265,44 +163,21 @@
                 return self._release(record.target)
         return False
 
-    def restore_call(self, call: Call) -> None:
+    def restore_call(self, call: call_types.Call) -> None:
         """Append a call of a snapshot with all it adds to the history."""
         self._append_call(call)
         if call.is_final:
-            self._append_result(call)
+            self.conversation.add_result(call)
 
-    def _append_call(self, call: Call) -> None:
+    def _append_call(self, call: call_types.Call) -> None:
         self.calls.append(call)
         self._numbers[call.key] = call.number
-        self._append_messages(call.messages)
-        if call.kind is records.CallKind.MODEL:
-            self._pending.clear()
-        else:
-            self._take_pending(call.tool_call_id)
-
-    def _take_pending(self, tool_call_id: str) -> None:
-        for index, request in enumerate(self._pending):
-            if request.id == tool_call_id:
-                del self._pending[index]
-                return
-
-    def _append_result(self, call: Call) -> None:
-        self._append_messages(call.list_result())
-        is_model = call.kind is records.CallKind.MODEL
-        if is_model and call.message is not None:
-            self._pending = list(call.message.tool_calls)
-
-    def _append_messages(
-        self, messages: typing.Iterable[records.Message]
-    ) -> None:
-        for message in messages:
-            self._history.append(message)
-            self.text_length += measure_message(message)
+        self.conversation.add_call(call)
 
     def _accept(self, record: records.CallAccepted) -> bool:
         if not self.is_active or record.number != len(self.calls) + 1:
             return False
-        self._append_call(Call.from_accepted(record))
+        self._append_call(call_types.Call.from_accepted(record))
         self.open_run = record.run
         self.ledger.reserve(
             budget.make_key(self.program, record.number), record.reserved
@@ -315,7 +190,7 @@
             return False
         if call.attempts and not record.earlier_not_run:
             call.in_doubt = True
-        call.state = CallState.INTENDED
+        call.state = call_types.CallState.INTENDED
         call.attempts = record.attempt
         call.target = record.target
         if call.kind is records.CallKind.MODEL:
@@ -326,7 +201,7 @@
         call = self.find_call(record.number)
         if call is None or call.is_final:
             return False
-        call.state = CallState.ANSWERED
+        call.state = call_types.CallState.ANSWERED
         call.message = record.message
         call.finish_reason = record.finish_reason
         call.target = record.target
@@ -337,17 +212,17 @@
         call = self.find_call(record.number)
         if call is None or call.is_final:
             return False
-        call.state = CallState.FAILED
+        call.state = call_types.CallState.FAILED
         call.error = record.error
         call.reason = record.reason
         self._finish(call, record.spent)
         return True
 
-    def _finish(self, call: Call, spent: records.Spend) -> None:
+    def _finish(self, call: call_types.Call, spent: records.Spend) -> None:
         call.spent = spent
-        self._append_result(call)
+        self.conversation.add_result(call)
         self.ledger.settle(budget.make_key(self.program, call.number), spent)
-        if call.kind is records.CallKind.MODEL and not self._pending:
+        if call.kind is records.CallKind.MODEL and not self.pending_tools:
             self.open_run = ''
 
     def _draw(self, record: records.BudgetDrawn) -> bool:
@@ -382,12 +257,3 @@
             return False
         self.held.remove(target)
         return True
-
-
-def measure_message(message: records.Message) -> int:
-    """Return the characters of a message that an engine reads."""
-    requests = sum(
-        len(request.name) + len(request.arguments)
-        for request in message.tool_calls
-    )
-    return len(message.content) + requests
--- a/libs/programs/vanillayoke/programs/snapshots.py
+++ b/libs/programs/vanillayoke/programs/snapshots.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from vanillayoke.programs import budget
+from vanillayoke.programs import calls
 from vanillayoke.programs import program as programs
 from vanillayoke.programs import records
 
@@ -14,7 +15,7 @@
     state: programs.ProgramState
     end_reason: str
     ended_at: float
-    calls: list[programs.Call]
+    calls: list[calls.Call]
     held: list[str]
     open_run: str
     run_ends: dict[str, programs.RunEnd]
