--- /dev/null
+++ b/libs/cluster/vanillayoke/cluster/membership_events.py
@@ -0,0 +1,73 @@
+"""What membership is told, and what it answers to be done."""
+
+import typing
+
+from vanillayoke.cluster import messages
+
+
+class Ticked(typing.NamedTuple):
+    """The time that ``Membership.next_wake`` gave has come."""
+
+
+class Received(typing.NamedTuple):
+    """A message came from another instance."""
+
+    message: messages.Message
+
+
+class Listed(typing.NamedTuple):
+    """The platform's list was read; members are of incarnation 0."""
+
+    members: tuple[messages.Member, ...]
+
+
+class Published(typing.NamedTuple):
+    """This instance has news for the others."""
+
+    news: messages.News
+
+
+class Leaving(typing.NamedTuple):
+    """This instance begins to drain."""
+
+
+class Departed(typing.NamedTuple):
+    """This instance stops now."""
+
+
+Event = Ticked | Received | Listed | Published | Leaving | Departed
+
+
+class Send(typing.NamedTuple):
+    """Send a message to a peer address."""
+
+    address: str
+    message: messages.Message
+
+
+class Reconnect(typing.NamedTuple):
+    """Drop the connection to a peer address, since it may be silent."""
+
+    address: str
+
+
+class MemberChanged(typing.NamedTuple):
+    """A member joined or changed its state."""
+
+    before: messages.Member | None
+    after: messages.Member
+
+
+class Heard(typing.NamedTuple):
+    """News other than of members came or was published."""
+
+    news: messages.News
+
+
+class Refuted(typing.NamedTuple):
+    """Others held this instance for suspected or failed."""
+
+    incarnation: int
+
+
+Action = Send | Reconnect | MemberChanged | Heard | Refuted
--- a/libs/cluster/vanillayoke/cluster/messages.py
+++ b/libs/cluster/vanillayoke/cluster/messages.py
@@ -84,13 +84,19 @@
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag='P'):
     """Ask a member whether it is there.
 
-    ``reply_to`` is the address that the ``Ack`` goes to.
+    ``reply_to`` is the address that the ``Ack`` goes to. ``attempt`` 1 says
+    that the answer to attempt 0 did not come. ``introduce`` asks for news of
+    the answering member itself, ``known`` is the count of members that the
+    sender knows.
     """
 
     sequence: int
     sender: str
     reply_to: str
-    news: list[News] = []
+    attempt: int
+    introduce: bool
+    known: int
+    news: list[msgspec.Raw] = []
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag='A'):
@@ -98,7 +104,7 @@
 
     sequence: int
     sender: str
-    news: list[News] = []
+    news: list[msgspec.Raw] = []
 
 
 class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag='R'):
@@ -107,29 +113,62 @@
     sequence: int
     sender: str
     reply_to: str
+    instance: str
     address: str
-    news: list[News] = []
+    news: list[msgspec.Raw] = []
+
+
+class Notice(msgspec.Struct, frozen=True, array_like=True, tag='N'):
+    """Tell news that cannot wait for the next ping; no answer is due."""
+
+    sender: str
+    news: list[msgspec.Raw] = []
+
+
+Message = Ping | Ack | PingRequest | Notice
 
 
-Message = Ping | Ack | PingRequest
+class Packet(msgspec.Struct, frozen=True, array_like=True):
+    """What goes over the wire; ``time`` is the sender's hybrid time."""
+
+    time: int
+    message: Message
+
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Message)
+_PACKET_DECODER = msgspec.msgpack.Decoder(Packet)
+_NEWS_DECODER = msgspec.msgpack.Decoder(News)
 
 
-def encode_message(message: Message) -> bytes:
-    """Return a message's bytes on the wire."""
-    return _ENCODER.encode(message)
+def encode_packet(packet: Packet) -> bytes:
+    """Return a packet's bytes on the wire."""
+    return _ENCODER.encode(packet)
 
 
-def decode_message(packet: bytes) -> Message | None:
-    """Return the message in a packet; ``None`` where it is malformed."""
+def decode_packet(data: bytes) -> Packet | None:
+    """Return the packet in a received message; ``None`` if malformed."""
     try:
-        return _DECODER.decode(packet)
+        return _PACKET_DECODER.decode(data)
     except msgspec.DecodeError:
         return None
 
 
-def measure_news(news: News) -> int:
-    """Return the bytes that one piece of news takes in a packet."""
-    return len(_ENCODER.encode(news))
+def encode_news(news: News) -> msgspec.Raw:
+    """Return news as it stands in a packet."""
+    return msgspec.Raw(_ENCODER.encode(news))
+
+
+def decode_news(encoded: typing.Iterable[msgspec.Raw]) -> list[News]:
+    """Return the news that this version understands.
+
+    During a rolling upgrade newer instances may send kinds of news that this
+    one does not know. They are passed over one by one: refusing the whole
+    packet would lose the ack in it and make a live member look failed.
+    """
+    found = []
+    for raw in encoded:
+        try:
+            found.append(_NEWS_DECODER.decode(raw))
+        except msgspec.DecodeError:
+            continue
+    return found
