--- /dev/null
+++ b/libs/targets/vanillayoke/targets/answers.py
@@ -0,0 +1,89 @@
+"""What an HTTP answer, or its absence, proves of a request to a target."""
+
+import aiohttp
+
+from vanillayoke.core import failures
+
+NOT_RUN_HEADER = 'X-Not-Run'
+_UNRUN_STATUSES = (429, 503)
+# A gateway before the target answers these without knowing what the target
+# did: the client would see a refusal of a call that runs.
+_GATEWAY_STATUSES = (502, 504)
+_FIRST_ERROR = 300
+
+
+def check_status(
+    response: aiohttp.ClientResponse,
+) -> failures.Failure | None:
+    """Return the failure that a status stands for, ``None`` for success.
+
+    A redirect is a failure: following it could run a call twice.
+    """
+    status = response.status
+    if status < _FIRST_ERROR:
+        return None
+    reason = f'the target answered {status}'
+    kind = failures.Kind.TARGET_FAILED
+    if status in _GATEWAY_STATUSES:
+        kind = failures.Kind.OUTCOME_UNKNOWN
+    elif status in _UNRUN_STATUSES and is_not_run(response):
+        kind = failures.Kind.TARGET_REFUSED
+    return failures.Failure(kind, reason, _read_retry_after(response))
+
+
+def is_not_run(response: aiohttp.ClientResponse) -> bool:
+    """Tell whether the target says that it did not run the request."""
+    return response.headers.get(NOT_RUN_HEADER, '').lower() == 'true'
+
+
+def _read_retry_after(response: aiohttp.ClientResponse) -> float | None:
+    """Return the header's seconds; a date in it is not understood."""
+    text = response.headers.get('Retry-After', '')
+    return float(text) if text.isascii() and text.isdigit() else None
+
+
+def explain_error(error: Exception) -> failures.Failure:
+    """Return the failure that a client error stands for.
+
+    Only an error of connecting proves that nothing was sent. A broken or
+    silent connection may have carried the whole request, and the reply may
+    be what was lost.
+    """
+    match error:
+        case aiohttp.ClientConnectorError() | aiohttp.ConnectionTimeoutError():
+            kind = failures.Kind.TARGET_REFUSED
+            reason = 'no connection to the target'
+        case aiohttp.InvalidURL():
+            kind = failures.Kind.TARGET_REFUSED
+            reason = "the target's address is malformed"
+        case TimeoutError():
+            kind = failures.Kind.OUTCOME_UNKNOWN
+            reason = 'the target was silent for too long'
+        case _:
+            kind = failures.Kind.OUTCOME_UNKNOWN
+            reason = 'the connection to the target broke'
+    return failures.Failure(kind, reason)
+
+
+async def read_bounded(
+    response: aiohttp.ClientResponse, largest: int
+) -> bytes | failures.Failure:
+    """Read a whole body; one over ``largest`` bytes is a failure.
+
+    The failure is ``TARGET_FAILED``, since the target did run the request.
+    """
+    parts = []
+    size = 0
+    while data := await response.content.readany():
+        size += len(data)
+        if size > largest:
+            return fail_malformed(f'an answer of over {largest} bytes')
+        parts.append(data)
+    return b''.join(parts)
+
+
+def fail_malformed(what: str) -> failures.Failure:
+    """Return the failure for an answer that cannot be used."""
+    return failures.Failure(
+        failures.Kind.TARGET_FAILED, f'the target sent {what}'
+    )
