The callers' HTTP interface was built over the host.

Cause: callers had no way in. Change: an aiohttp application built from a Host and EntrySettings serves the paths under /v1, the operators' commands and the health checks; bodies are typed structs, faults name their field; answers stream as server-sent events; a request for another instance's program is passed on; draining refuses new work and lets streams end. Conclusion: the process can be composed with it.

--- /dev/null
+++ b/libs/entry/vanillayoke/entry/guards.py
@@ -0,0 +1,87 @@
+"""What every request passes: authentication, errors and slow readers."""
+
+import typing
+
+from aiohttp import web
+
+from vanillayoke.core import failures
+from vanillayoke.entry import answers
+from vanillayoke.entry import bodies
+from vanillayoke.entry import contexts
+from vanillayoke.entry import parsing
+from vanillayoke.entry import routing
+from vanillayoke.entry import streams
+
+# The host checks operators' keys itself.
+OPERATOR_PREFIX = '/operator/'
+SERVER_NAME = 'vanillayoke'
+
+Handler = typing.Callable[[web.Request], typing.Awaitable[routing.Outcome]]
+FaultReport = typing.Callable[[Exception], None]
+
+_INTERNAL = failures.Failure(failures.Kind.INTERNAL, 'see the log')
+FAULT_REPORT = web.AppKey('fault_report', FaultReport)
+OPEN_PATHS = web.AppKey('open_paths', frozenset)
+
+
+@web.middleware
+async def answer_faults(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Turn failures and exceptions into answers, and send these."""
+    try:
+        outcome = await handler(request)
+    except web.HTTPException as error:
+        outcome = _read_exception(error)
+    except ConnectionError:
+        raise
+    except Exception as error:
+        request.app[FAULT_REPORT](error)
+        outcome = _INTERNAL
+    if isinstance(outcome, (failures.Failure, bodies.BadField)):
+        outcome = answers.make_error(outcome)
+    context = contexts.find(request)
+    await streams.send_whole(
+        request, outcome, context.timers, context.settings.slow_reader_timeout
+    )
+    if context.drain.is_draining:
+        outcome.force_close()
+    return outcome
+
+
+def _read_exception(error: web.HTTPException) -> answers.Fault:
+    if isinstance(error, web.HTTPMethodNotAllowed):
+        return bodies.make_fault('the path does not take this method')
+    if isinstance(error, web.HTTPNotFound):
+        return parsing.NOT_FOUND
+    return bodies.make_fault(error.reason)
+
+
+@web.middleware
+async def authenticate(
+    request: web.Request, handler: Handler
+) -> routing.Outcome:
+    """Let through who has a key; others learn nothing, not even paths."""
+    if request.path in request.app[OPEN_PATHS]:
+        return await handler(request)
+    key = parsing.read_bearer(request)
+    if failures.is_failure(key):
+        return key
+    if request.path.startswith(OPERATOR_PREFIX):
+        return await handler(request)
+    client = contexts.find(request).host.find_client(key)
+    if failures.is_failure(client):
+        return client
+    request[contexts.CLIENT] = client
+    return await handler(request)
+
+
+async def finish_head(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    """Complete the head of every answer."""
+    # The library's default names its version and the interpreter's.
+    response.headers['Server'] = SERVER_NAME
+    if contexts.find(request).drain.is_draining:
+        response.headers['Connection'] = 'close'
+        response.force_close()
