Bad input, slow readers, passing on and draining were tested.

Cause: these guards had no test. Change: tests over real sockets for malformed, oversized and half-sent requests, for readers that stall or leave, for broken, silent and disagreeing owners, and for draining; the test on a real loop now runs in the loop's first task, so that it sees which tasks are left. Conclusion: no task is left behind in these cases.

--- a/libs/testing/vanillayoke/testing/fixtures.py
+++ b/libs/testing/vanillayoke/testing/fixtures.py
@@ -67,6 +67,13 @@
     }
 
 
+async def _limit(test: typing.Coroutine, seconds: float | None) -> None:
+    # The test runs in the loop's first task, so that all others it sees are
+    # those it started.
+    async with asyncio.timeout(seconds):
+        await test
+
+
 class _FunctionTest(unittest.TestCase):
     """One test function as a unittest case."""
 
@@ -123,7 +130,7 @@
         arguments = self._make_arguments(self._function, stack, made)
         result = self._function(**arguments)
         if inspect.iscoroutine(result):
-            loop.run_until_complete(asyncio.wait_for(result, timeout))
+            loop.run_until_complete(_limit(result, timeout))
 
     def _make_arguments(
         self,
--- a/tests/entry/hosts.py
+++ b/tests/entry/hosts.py
@@ -183,19 +183,25 @@
 
     async def settle(self, case) -> None:
         """Wait until the server has no task but the idle connections'."""
-        for _ in range(200):
-            if not self._find_busy():
-                return
-            await asyncio.sleep(0.01)
-        case.fail(f'tasks left: {self._find_busy()}')
+        await wait_until(case, lambda: not _find_busy())
 
-    def _find_busy(self) -> list[asyncio.Task]:
-        return [
-            task
-            for task in asyncio.all_tasks()
-            if task is not asyncio.current_task()
-            and 'RequestHandler.start' not in task.get_coro().__qualname__
-        ]
+
+async def wait_until(case, condition: typing.Callable[[], typing.Any]) -> None:
+    """Wait for what other tasks do; fail if they never do it."""
+    for _ in range(500):
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+    case.fail(f'in vain; tasks left: {_find_busy()}')
+
+
+def _find_busy() -> list[asyncio.Task]:
+    return [
+        task
+        for task in asyncio.all_tasks()
+        if task is not asyncio.current_task()
+        and 'RequestHandler.start' not in task.get_coro().__qualname__
+    ]
 
 
 class Reply(typing.NamedTuple):
@@ -218,8 +224,7 @@
         return self.data['error']
 
 
-@fixtures.fixture
-def site(loop):
+def _serve(loop):
     made = Site(
         loop,
         largest_body=2000,
@@ -232,6 +237,17 @@
     loop.run_until_complete(made.finish())
 
 
+@fixtures.fixture
+def site(loop):
+    yield from _serve(loop)
+
+
+@fixtures.fixture
+def owner(loop):
+    """Another instance."""
+    yield from _serve(loop)
+
+
 def split_events(body: bytes) -> list[tuple[str, str, str]]:
     """Return the name, id and data of each event of a body."""
     found = []
--- /dev/null
+++ b/tests/entry/test_draining.py
@@ -0,0 +1,65 @@
+"""Tests of stopping in an orderly way."""
+
+import asyncio
+
+from tests.entry import hosts
+from vanillayoke.entry import host
+from vanillayoke.testing import fixtures
+
+_CALLS = f'/v1/programs/{hosts.PROGRAM}/calls'
+
+
+@fixtures.on_real_loop
+async def test_draining_refuses_new_work_and_closes_connections(case, site):
+    ready = await site.ask('GET', '/readyz')
+    case.assertEqual(200, ready.status)
+    site.app.begin_drain()
+    requests = (
+        ('GET', '/readyz', None),
+        ('POST', '/v1/programs', {'agent': 'stylist', 'deadline': 1}),
+        ('POST', _CALLS, {'mode': 'run'}),
+    )
+    for method, path, body in requests:
+        reply = await site.ask(method, path, json=body)
+        case.assertEqual(503, reply.status)
+        case.assertEqual('draining', reply.error['kind'])
+        case.assertEqual('close', reply.headers['Connection'])
+    live = await site.ask('GET', '/healthz')
+    case.assertEqual(200, live.status)
+
+
+@fixtures.on_real_loop
+async def test_running_stream_ends_within_the_grace(case, site):
+    site.host.stream = hosts.ScriptedStream([host.TextPiece(0, 'a')])
+    async with site.session.get(f'{_CALLS}/7/stream') as answer:
+        await answer.content.readany()
+        finishing = asyncio.ensure_future(site.app.finish())
+        await asyncio.sleep(0.01)
+        site.host.stream.put(hosts.ANSWER)
+        rest = await answer.content.read()
+    case.assertEqual('done', hosts.split_events(rest)[-1][0])
+    await finishing
+
+
+@fixtures.on_real_loop
+async def test_stream_beyond_the_grace_is_told_to_resume(case, site, owner):
+    """An instance stops while a long call still streams through it.
+
+    When the grace is over the caller gets an error event that tells it to
+    resume at another instance, not a connection that just closes.
+    """
+    site.host.stream = hosts.ScriptedStream([host.TextPiece(0, 'a')])
+    owner.host.place = host.Elsewhere('site', site.address)
+    path = f'{_CALLS}/7/stream'
+    direct = await site.session.get(path)
+    passed = await owner.session.get(path)
+    finishing = asyncio.ensure_future(site.app.finish())
+    for answer in (direct, passed):
+        error = hosts.split_events(await answer.read())[-1]
+        case.assertEqual('error', error[0])
+        case.assertIn('"kind":"lease_lost"', error[2])
+    await finishing
+    case.assertEqual(0, site.app.reader_count)
+
+
+load_tests = fixtures.adapt(__name__, [hosts])
