Configurations came to be published by one compare-and-set.

Cause: operators could check a folder, but not bring it into force or ask instances for anything. Conclusion: a large configuration lies in an object that the row names, as instances read the row every few seconds.

--- a/libs/cli/vanillayoke/cli/management/commands/serve.py
+++ b/libs/cli/vanillayoke/cli/management/commands/serve.py
@@ -14,15 +14,17 @@
     """Define this command's flags."""
     flags.DEFINE_string(
         'settings',
-        None,
+        '',
         'The process settings file, JSON with comments.',
         flag_values=values,
-        required=True,
     )
 
 
 def run(invocation: commands.Invocation) -> int:
     """Check the settings and run the instance."""
+    if not invocation.flags.settings:
+        invocation.warn('Give --settings=FILE.')
+        return exits.Exit.BAD_INPUT
     loaded = loading.inspect_process_settings(invocation.flags.settings)
     reports.warn_of_faults(invocation, loaded.faults)
     if loaded.settings is None:
--- a/libs/cli/vanillayoke/cli/reports.py
+++ b/libs/cli/vanillayoke/cli/reports.py
@@ -1,10 +1,17 @@
-"""How faults in settings are shown."""
+"""How faults in settings and failures of the store are shown."""
 
 import typing
 
 from vanillayoke.cli import commands
+from vanillayoke.cli import exits
+from vanillayoke.core import failures
 from vanillayoke.settings import faults
 
+_STORE_KINDS = (
+    failures.Kind.STORE_UNAVAILABLE,
+    failures.Kind.STORE_UNCERTAIN,
+)
+
 
 def warn_of_faults(
     invocation: commands.Invocation, found: typing.Iterable[faults.Fault]
@@ -12,3 +19,17 @@
     """Write each fault on a line of its own."""
     for fault in found:
         invocation.warn(fault.describe())
+
+
+def report_store(
+    invocation: commands.Invocation, failure: failures.Failure
+) -> int:
+    """Say what a failure of the store means; return the exit status."""
+    invocation.warn(f'{failure.answer.text} ({failure.reason})')
+    if failure.kind is failures.Kind.STORE_UNCERTAIN:
+        invocation.warn(
+            'The change may have been accepted all the same: see diff.'
+        )
+    if failure.kind in _STORE_KINDS:
+        return exits.Exit.NOT_REACHABLE
+    return exits.Exit.FAILED
--- /dev/null
+++ b/libs/cli/vanillayoke/cli/stores.py
@@ -0,0 +1,100 @@
+"""How commands reach the platform's table and object store."""
+
+import asyncio
+import contextlib
+import random
+import typing
+
+from absl import flags
+
+from vanillayoke.cli import commands
+from vanillayoke.core import timers
+from vanillayoke.platform import http
+from vanillayoke.platform import links
+from vanillayoke.platform import publishing
+from vanillayoke.platform import retrying
+from vanillayoke.settings import processes
+
+CALLER = 'operator'
+VARIABLES = {
+    'table': 'VANILLAYOKE_TABLE',
+    'objects': 'VANILLAYOKE_OBJECTS',
+}
+
+
+class BadStores(typing.NamedTuple):
+    """The flags do not say where the services are."""
+
+    text: str
+
+
+class Stores(typing.NamedTuple):
+    """Base URLs; ``timeout`` in seconds."""
+
+    table: str
+    objects: str
+    timeout: float
+
+    @contextlib.asynccontextmanager
+    async def open_publisher(
+        self,
+    ) -> typing.AsyncIterator[publishing.Publisher]:
+        """Give a publisher and close its connections afterwards."""
+        service = timers.LoopTimers(asyncio.get_running_loop())
+        opened = [
+            links.Link(
+                links.LinkSettings(url, CALLER, timeout=self.timeout), service
+            )
+            for url in (self.table, self.objects)
+        ]
+        source = random.SystemRandom()
+        table = retrying.RetryingTable(
+            http.HttpTable(opened[0]), service, source
+        )
+        objects = retrying.RetryingObjects(
+            http.HttpObjects(opened[1]), service, source
+        )
+        try:
+            yield publishing.Publisher(table, objects)
+        finally:
+            for link in opened:
+                await link.close()
+
+
+def add_flags(values: flags.FlagValues) -> None:
+    """Define the flags that ``read_stores`` reads."""
+    flags.DEFINE_string(
+        'table',
+        '',
+        "Base URL of the platform's table service; default: the "
+        f'environment variable {VARIABLES["table"]}.',
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        'objects',
+        '',
+        "Base URL of the platform's object store; default: the environment "
+        f'variable {VARIABLES["objects"]}.',
+        flag_values=values,
+    )
+    flags.DEFINE_float(
+        'store_timeout',
+        5.0,
+        'Seconds until a request to the store counts as lost.',
+        lower_bound=0.01,
+        flag_values=values,
+    )
+
+
+def read_stores(invocation: commands.Invocation) -> Stores | BadStores:
+    """Return where the services are."""
+    urls = {}
+    for name, variable in VARIABLES.items():
+        url = invocation.flags[name].value
+        urls[name] = url or invocation.environ.get(variable, '')
+        if not urls[name]:
+            return BadStores(f'Give --{name}=URL or set {variable}.')
+        problem = processes.find_url_problem(urls[name])
+        if problem:
+            return BadStores(f'--{name}: {problem}')
+    return Stores(**urls, timeout=invocation.flags.store_timeout)
--- a/libs/platform/vanillayoke/platform/publishing.py
+++ b/libs/platform/vanillayoke/platform/publishing.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from vanillayoke.core import failures
-from vanillayoke.core import timers
 from vanillayoke.platform import ports
 from vanillayoke.settings import configuration
 
@@ -19,8 +18,6 @@
 LARGEST_INLINE = 32 * 1024
 KEPT_CHANGES = 16
 KEPT_OBJECTS = 8
-_ATTEMPTS = 6
-_FIRST_DELAY = 0.2
 _OBJECT_READS = 3
 
 
@@ -65,30 +62,20 @@
     floor: int = 0
 
 
-class _Retry(typing.NamedTuple):
-    """Nothing is known to be written; the attempt may be repeated."""
-
-    failure: failures.Failure
-
-
 class Publisher:
-    """Reads and publishes configurations."""
+    """Reads and publishes configurations.
+
+    The table and object store given are those that retry.
+    """
 
     def __init__(
-        self,
-        table: ports.TableService,
-        objects: ports.ObjectStore,
-        service: timers.TimerService,
+        self, table: ports.TableService, objects: ports.ObjectStore
     ) -> None:
         self._table = table
         self._objects = objects
-        self._timers = service
 
     async def read_current(self) -> Current | failures.Failure:
         """Return what is published now."""
-        missing = failures.Failure(
-            failures.Kind.INTERNAL, 'the configuration object is missing'
-        )
         for _ in range(_OBJECT_READS):
             row = await self._table.read(ROW_KEY)
             if failures.is_failure(row):
@@ -102,7 +89,9 @@
             # go between the two reads; the row then names a newer one.
             if published is not None:
                 return _make_current(published, row)
-        return missing
+        return failures.Failure(
+            failures.Kind.INTERNAL, 'the configuration object is missing'
+        )
 
     async def publish(
         self, draft: Draft
@@ -115,15 +104,13 @@
         published = _make_published(draft)
         pointer = _make_pointer(draft, published)
         if pointer is not None:
-            stored = await self._store(pointer.key, published)
+            blob = configuration.encode_published(published)
+            stored = await self._objects.put(pointer.key, blob)
             if failures.is_failure(stored):
-                return stored
-        put = ports.Put(
-            ROW_KEY,
-            configuration.encode_published(pointer or published),
-            draft.base.row_version,
-        )
-        result = await self._commit(draft, put)
+                # Whatever became of the object, no row names it.
+                return stored._replace(kind=failures.Kind.STORE_UNAVAILABLE)
+        row = configuration.encode_published(pointer or published)
+        result = await self._commit(draft, row)
         if pointer is not None and isinstance(result, RaceLost):
             await self._objects.delete(pointer.key)
         if isinstance(result, Accepted):
@@ -131,74 +118,40 @@
         return result
 
     async def _commit(
-        self, draft: Draft, put: ports.Put
+        self, draft: Draft, row: bytes
     ) -> Accepted | RaceLost | failures.Failure:
-        in_doubt: failures.Failure | None = None
-        delay = _FIRST_DELAY
-        for _ in range(_ATTEMPTS):
-            result = await self._try_commit(draft, put)
-            if not isinstance(result, _Retry):
-                return result
-            if result.failure.kind is failures.Kind.STORE_UNCERTAIN:
-                in_doubt = result.failure
-            await self._timers.sleep(delay)
-            delay *= 2
-        return in_doubt or result.failure
-
-    async def _try_commit(
-        self, draft: Draft, put: ports.Put
-    ) -> Accepted | RaceLost | _Retry | failures.Failure:
-        answer = await self._table.transact(draft.write_id, [put])
-        if isinstance(answer, ports.Committed):
-            return Accepted(_find_version(draft))
-        if failures.is_failure(answer):
-            if answer.kind is failures.Kind.STORE_UNAVAILABLE:
-                return _Retry(answer)
-            if answer.kind is not failures.Kind.STORE_UNCERTAIN:
-                return answer
-        # Guards against a reply that is lost after the write took effect:
-        # the operator would be told of a failure, or, after a repeat, of a
-        # lost race against the own change. The row and its list of changes
-        # carry the write's id, which tells whose change it is. Repeating
-        # the write is safe, since its expected version allows it once.
-        outcome = await self._judge(draft)
-        if isinstance(outcome, _Retry) and failures.is_failure(answer):
-            return _Retry(answer)
-        return outcome
-
-    async def _judge(
+        put = ports.Put(ROW_KEY, row, draft.base.row_version)
+        done = await self._table.transact(draft.write_id, [put])
+        match done:
+            case ports.Committed():
+                return Accepted(_find_version(draft))
+            case ports.Conflict():
+                return await self._find_outcome(draft)
+            case failures.Failure(failures.Kind.STORE_UNCERTAIN):
+                outcome = await self._find_outcome(draft)
+                return done if failures.is_failure(outcome) else outcome
+        return done
+
+    async def _find_outcome(
         self, draft: Draft
-    ) -> Accepted | RaceLost | _Retry | failures.Failure:
+    ) -> Accepted | RaceLost | failures.Failure:
+        # Guards against a reply that is lost after the write took effect:
+        # the operator would be told of a failure, or of a race lost against
+        # the own change. The published list of changes carries the id of
+        # each write and so tells whose change it is, even where another
+        # operator has published on top of it since.
         row = await self._table.read(ROW_KEY)
         if failures.is_failure(row):
-            doubt = failures.Kind.STORE_UNCERTAIN
-            return _Retry(row._replace(kind=doubt))
-        version = row.version if row else 0
-        if version == draft.base.row_version:
-            reason = 'the change is not in the table yet'
-            doubt = failures.Failure(failures.Kind.STORE_UNCERTAIN, reason)
-            return _Retry(doubt)
-        if row is None:
-            return RaceLost(0, '')
+            return row._replace(kind=failures.Kind.STORE_UNCERTAIN)
+        if row is None or row.version == draft.base.row_version:
+            return failures.Failure(
+                failures.Kind.STORE_UNCERTAIN, 'the change is not there yet'
+            )
         found = _decode(row.value)
         if failures.is_failure(found):
             return found
         return _find_winner(draft, found)
 
-    async def _store(
-        self, key: str, published: configuration.PublishedConfiguration
-    ) -> None | failures.Failure:
-        blob = configuration.encode_published(published)
-        delay = _FIRST_DELAY
-        for _ in range(_ATTEMPTS):
-            stored = await self._objects.put(key, blob)
-            if stored is None:
-                return None
-            await self._timers.sleep(delay)
-            delay *= 2
-        # Whatever became of the object, no row names it yet.
-        return stored._replace(kind=failures.Kind.STORE_UNAVAILABLE)
-
     async def _delete_old(self, version: int) -> None:
         keys = await self._objects.list_keys(OBJECT_PREFIX)
         if failures.is_failure(keys):
--- a/libs/settings/vanillayoke/settings/configuration.py
+++ b/libs/settings/vanillayoke/settings/configuration.py
@@ -138,22 +138,56 @@
     policy: PolicySettings = PolicySettings()
 
 
-class PublishedConfiguration(msgspec.Struct, frozen=True, kw_only=True):
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """One accepted change; ``write_id`` names the write that made it."""
+
+    version: int
+    author: str
+    write_id: str
+
+
+class PublishedConfiguration(
+    msgspec.Struct, frozen=True, kw_only=True, tag='configuration'
+):
     """A configuration with its version, as it stands in the table.
 
-    ``version`` counts from 1 by one with each accepted change.
+    ``version`` only grows, by one with each accepted change. ``changes``
+    holds the last few changes, this one at the end.
     """
 
     version: int
     author: str
     configuration: Configuration
+    changes: tuple[Change, ...] = ()
+
+
+class PublishedPointer(
+    msgspec.Struct, frozen=True, kw_only=True, tag='pointer'
+):
+    """Stands in the table for a large configuration.
+
+    ``key`` names the object that holds the ``PublishedConfiguration``.
+    """
+
+    version: int
+    author: str
+    key: str
+    changes: tuple[Change, ...] = ()
 
 
-def encode_published(published: PublishedConfiguration) -> bytes:
-    """Encode for the table and for peers."""
+Published = PublishedConfiguration | PublishedPointer
+
+
+def encode_published(published: Published) -> bytes:
+    """Encode for the table, for the object store and for peers."""
     return msgspec.msgpack.encode(published)
 
 
 def decode_published(blob: bytes) -> PublishedConfiguration:
     """Decode; raises ``msgspec.DecodeError`` on damage."""
     return msgspec.msgpack.decode(blob, type=PublishedConfiguration)
+
+
+def decode_row(blob: bytes) -> Published:
+    """Decode a table row; raises ``msgspec.DecodeError`` on damage."""
+    return msgspec.msgpack.decode(blob, type=Published)
--- a/libs/settings/vanillayoke/settings/process.py
+++ b/libs/settings/vanillayoke/settings/process.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+UNAVAILABLE = ('refuse', 'wait')
+
 
 class InstanceSettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
--- a/libs/settings/vanillayoke/settings/processes.py
+++ b/libs/settings/vanillayoke/settings/processes.py
@@ -7,10 +7,11 @@
 from vanillayoke.settings import checks
 from vanillayoke.settings import decoding
 from vanillayoke.settings import faults
+from vanillayoke.settings import process
 from vanillayoke.settings import ranges
 
 _PROCESS = checks.Scope.PROCESS
-_UNAVAILABLE = ('refuse', 'wait')
+CHOICES = {'store.unavailable': process.UNAVAILABLE}
 _SHORTEST_KEY = 16
 _POSITIVE = (
     'platform.timeout',
@@ -77,9 +78,7 @@
     'E305',
     'A text of the process settings is not on the list of allowed ones.',
     'Take one of the names listed in docs/reference/settings.md.',
-    functools.partial(
-        ranges.check_choices, {'store.unavailable': _UNAVAILABLE}
-    ),
+    functools.partial(ranges.check_choices, CHOICES),
 )
 
 
--- a/libs/settings/vanillayoke/settings/ranges.py
+++ b/libs/settings/vanillayoke/settings/ranges.py
@@ -32,7 +32,7 @@
     'models.*.money_per_million_tokens',
 )
 _FRACTIONS = ('policy.urgent_reserve', 'policy.retry_fraction')
-_CHOICES = {
+CHOICES = {
     'targets.*.kind': configuration.TARGET_KINDS,
     'targets.*.fencing': configuration.FENCING,
     'policy.placement': configuration.PLACEMENTS,
@@ -148,7 +148,7 @@
         'A text is not on the list of allowed ones.',
         'Take one of the names listed in docs/reference/settings.md.',
     ),
-    functools.partial(check_choices, _CHOICES),
+    functools.partial(check_choices, CHOICES),
 )
 checks.add_check(
     _VALUES,
