--- a/libs/entry/vanillayoke/entry/app.py
+++ b/libs/entry/vanillayoke/entry/app.py
@@ -26,7 +26,7 @@
 _PROGRAM = '/v1/programs/{program}'
 _HEALTH = '/healthz'
 _READY = '/readyz'
-_ROUTES = (
+ROUTES = (
     web.route('GET', _HEALTH, health.check_live),
     web.route('GET', _READY, health.check_ready),
     web.route('GET', '/v1/addresses', health.list_addresses),
@@ -67,7 +67,7 @@
         self.application[contexts.KEY] = context
         self.application[guards.FAULT_REPORT] = report_fault
         self.application[guards.OPEN_PATHS] = frozenset(open_paths)
-        self.application.add_routes([*_ROUTES, *extra_routes])
+        self.application.add_routes([*ROUTES, *extra_routes])
         self.application.on_response_prepare.append(guards.finish_head)
         self._runner: web.AppRunner | None = None
 
