Composed one process out of the libraries.

Cause: the libraries stood side by side; no request could pass through. Conclusion: the whole path can be tried over loopback next.

--- /dev/null
+++ b/libs/node/vanillayoke/node/attempts.py
@@ -0,0 +1,244 @@
+"""What model and service calls share: placing, sending, settling."""
+
+import dataclasses
+import typing
+
+from vanillayoke.core import events
+from vanillayoke.core import failures
+from vanillayoke.core import ids
+from vanillayoke.node import parts
+from vanillayoke.programs import calls as program_calls
+from vanillayoke.programs import decisions
+from vanillayoke.programs import program as programs
+from vanillayoke.programs import records
+from vanillayoke.scheduling import calls
+
+MOST_ATTEMPTS = 4
+FIRST_DELAY = 0.05
+LONGEST_DELAY = 2.0
+_TOKENS_PER_CHARACTER = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class Attempts:
+    """How far one call has come with its targets.
+
+    ``proven_not_run`` holds while every attempt was refused unrun.
+    """
+
+    program: programs.Program
+    call: program_calls.Call
+    deadline: float
+    avoid: frozenset[str] = frozenset()
+    proven_not_run: bool = True
+
+    @property
+    def name(self) -> str:
+        """Return the call's name towards targets: alike on all attempts."""
+        return f'{self.program.id}/{self.call.number}'
+
+
+class CallSettler:
+    """Writes what became of calls, and finds out whether it still may.
+
+    Every method asks the ownership anew: between two awaits the instance
+    may have been paused past its lease and replaced.
+    """
+
+    def __init__(self, shared: parts.Parts) -> None:
+        self._parts = shared
+
+    def begin(
+        self, program: programs.Program, call: program_calls.Call
+    ) -> Attempts:
+        """Return the attempts of a call, with its deadline."""
+        clock = self._parts.clock
+        left = program.deadline - clock.wall()
+        return Attempts(program, call, clock.now() + left)
+
+    def find_epoch(self, program: programs.Program) -> int | None:
+        """Return the epoch held for a program, whether it may act or not."""
+        shard = ids.find_shard(program.id)
+        return self._parts.ownership.held_epoch(shard)
+
+    def may_act(self, program: programs.Program) -> bool:
+        """Tell whether the lease allows what cannot be taken back."""
+        shard = ids.find_shard(program.id)
+        return self._parts.ownership.epoch_of(shard) is not None
+
+    async def place(
+        self, attempts: Attempts, demand: calls.CallDemand
+    ) -> calls.Placement | failures.Failure:
+        """Wait for a target."""
+        began = self._parts.clock.now()
+        placed = await self._parts.dispatcher.place(demand)
+        if isinstance(placed, calls.Placement):
+            self._parts.logger.write(
+                events.CALL_PLACED,
+                program=attempts.program.id,
+                call=attempts.call.number,
+                target=placed.target,
+                waited=round(self._parts.clock.now() - began, 4),
+            )
+        return placed
+
+    def intend(
+        self, attempts: Attempts, target: str
+    ) -> None | failures.Failure:
+        """Record that a call is about to be sent."""
+        epoch = self.find_epoch(attempts.program)
+        if epoch is None:
+            return make_lost()
+        call = attempts.call
+        decided = decisions.intend_call(
+            attempts.program,
+            call.number,
+            call.attempts + 1,
+            target,
+            epoch,
+            earlier_not_run=attempts.proven_not_run and call.attempts > 0,
+        )
+        if failures.is_failure(decided):
+            return decided
+        self._parts.programs.write(decided)
+        self._parts.logger.write(
+            events.CALL_DISPATCHED,
+            program=attempts.program.id,
+            call=call.number,
+            target=target,
+            attempt=call.attempts,
+        )
+        return None
+
+    def answer(
+        self,
+        attempts: Attempts,
+        message: records.Message,
+        finish_reason: str,
+        spent: records.Spend,
+        target: str,
+    ) -> None | failures.Failure:
+        """Record a call's answer; a failure where the program moved."""
+        program = attempts.program
+        epoch = self.find_epoch(program)
+        if epoch is None:
+            return make_lost()
+        decided = decisions.answer_call(
+            program,
+            self._parts.programs.list_ancestors(program),
+            attempts.call.number,
+            message,
+            finish_reason,
+            spent,
+            target,
+            epoch,
+        )
+        self._parts.programs.write(decided)
+        self._parts.logger.write(
+            events.CALL_ANSWERED,
+            program=program.id,
+            call=attempts.call.number,
+            target=target,
+            seconds=round(spent.seconds, 4),
+        )
+        return None
+
+    def fail(
+        self,
+        attempts: Attempts,
+        failure: failures.Failure,
+        not_run: bool = False,
+    ) -> None | failures.Failure:
+        """Record a call's final error; a failure where the program moved."""
+        program = attempts.program
+        epoch = self.find_epoch(program)
+        if epoch is None:
+            return make_lost()
+        decided = decisions.fail_call(
+            program,
+            self._parts.programs.list_ancestors(program),
+            attempts.call.number,
+            failure,
+            epoch,
+            not_run=not_run and attempts.proven_not_run,
+        )
+        self._parts.programs.write(decided)
+        self._parts.logger.write(
+            events.CALL_FAILED,
+            program=program.id,
+            call=attempts.call.number,
+            target=attempts.call.target or None,
+            kind=failure.kind.value,
+            reason=failure.reason,
+        )
+        return None
+
+    async def wait_before_retry(
+        self, attempts: Attempts, failure: failures.Failure, target: str
+    ) -> bool:
+        """Wait before another attempt; ``False`` where none may follow."""
+        if attempts.call.attempts >= MOST_ATTEMPTS:
+            return False
+        delay = min(
+            FIRST_DELAY * 2 ** (attempts.call.attempts - 1), LONGEST_DELAY
+        )
+        if self._parts.clock.now() + delay >= attempts.deadline:
+            return False
+        attempts.avoid |= {target}
+        self._parts.logger.write(
+            events.CALL_RETRIED,
+            program=attempts.program.id,
+            call=attempts.call.number,
+            target=target,
+            kind=failure.kind.value,
+            delay=delay,
+        )
+        await self._parts.clock.sleep(delay)
+        return True
+
+
+def make_lost() -> failures.Failure:
+    """Return what a caller is told whose program moves away meanwhile."""
+    return failures.Failure(
+        failures.Kind.LEASE_LOST,
+        'the program moves to another instance',
+        retry_after=1.0,
+    )
+
+
+def estimate_tokens(characters: int) -> int:
+    """Estimate, rather too high, how many tokens a text has."""
+    return int(characters * _TOKENS_PER_CHARACTER) + 1
+
+
+def make_outcome(
+    demand: calls.CallDemand,
+    target: str,
+    result: typing.Any,
+    seconds: float,
+    prompt_tokens: int = 0,
+    cached_tokens: int = 0,
+    output_tokens: int = 0,
+) -> calls.Outcome:
+    """Return what the scheduler is told of an attempt's end."""
+    return calls.Outcome(
+        call=demand.call,
+        target=target,
+        state=_name_state(result),
+        seconds=seconds,
+        prompt_tokens=prompt_tokens,
+        cached_tokens=cached_tokens,
+        output_tokens=output_tokens,
+    )
+
+
+def _name_state(result: typing.Any) -> str:
+    if not failures.is_failure(result):
+        return 'answered'
+    match result.kind:
+        case failures.Kind.TARGET_REFUSED:
+            return 'refused'
+        case failures.Kind.TARGET_FAILED:
+            return 'failed'
+        case _:
+            return 'unknown'
--- /dev/null
+++ b/libs/node/vanillayoke/node/caches.py
@@ -0,0 +1,99 @@
+"""Frees engine memory of programs until the engine says that it is free."""
+
+import asyncio
+
+from vanillayoke.core import events
+from vanillayoke.core import failures
+from vanillayoke.core import ids
+from vanillayoke.core import logs
+from vanillayoke.core import timers
+from vanillayoke.node import hosted
+from vanillayoke.node import parts
+from vanillayoke.programs import caches
+from vanillayoke.scheduling import scheduler
+from vanillayoke.targets import ports
+
+RELEASE = 'release'
+_FIRST_DELAY = 0.5
+_LONGEST_DELAY = 5.0
+
+
+class CacheReleaser:
+    """Gives release orders and repeats them until they are confirmed.
+
+    What a program may hold is in its journal, so the next owner goes on
+    where this one stops. A release carries no fencing number: freeing a
+    cache that is still wanted costs a prefill, nothing else.
+    """
+
+    def __init__(
+        self,
+        programs: hosted.HostedPrograms,
+        adapters: parts.Adapters,
+        ownership: parts.Ownership,
+        clock: timers.TimerService,
+        logger: logs.Logger,
+        decisions: scheduler.Scheduler,
+    ) -> None:
+        self._programs = programs
+        self._adapters = adapters
+        self._ownership = ownership
+        self._clock = clock
+        self._logger = logger
+        self._scheduler = decisions
+        self._tasks: dict[tuple[str, str], asyncio.Task] = {}
+
+    def release(self, target: str, program: str) -> None:
+        """Start freeing a program's memory on a target."""
+        key = (target, program)
+        if key in self._tasks:
+            return
+        task = asyncio.ensure_future(self._release(target, program))
+        self._tasks[key] = task
+        task.add_done_callback(lambda _: self._tasks.pop(key, None))
+
+    def export(self, target: str, program: str) -> None:
+        """Start exporting a program's cache, then freeing it."""
+        task = asyncio.ensure_future(self._export(target, program))
+        self._tasks[(target, f'export {program}')] = task
+        task.add_done_callback(
+            lambda _: self._tasks.pop((target, f'export {program}'), None)
+        )
+
+    def stop(self) -> None:
+        """Stop; the next owner of the programs goes on."""
+        for task in list(self._tasks.values()):
+            task.cancel()
+
+    async def _export(self, target: str, program: str) -> None:
+        engine = self._adapters.get_engine(target)
+        if engine is not None:
+            await engine.export_cache(program)
+        self.release(target, program)
+
+    async def _release(self, target: str, program: str) -> None:
+        delay = _FIRST_DELAY
+        while True:
+            engine = self._adapters.get_engine(target)
+            if engine is None:
+                # A target that was removed from the configuration keeps
+                # nothing that anybody could still use.
+                return self._confirm(target, program)
+            order = ports.Order(RELEASE, program, '', 0, 0)
+            failure = await engine.give_order(order)
+            if not failures.is_failure(failure):
+                return self._confirm(target, program)
+            await self._clock.sleep(delay)
+            delay = min(2 * delay, _LONGEST_DELAY)
+
+    def _confirm(self, target: str, program: str) -> None:
+        self._scheduler.release_confirmed(target, program)
+        hosted_program = self._programs.find(program)
+        epoch = self._ownership.held_epoch(ids.find_shard(program))
+        if hosted_program is None or epoch is None:
+            return
+        released = caches.release_cache(hosted_program, target, epoch)
+        self._programs.write(released)
+        self._logger.write(
+            events.CACHE_RELEASED, program=program, target=target, tokens=None
+        )
--- /dev/null
+++ b/libs/node/vanillayoke/node/configuration.py
@@ -0,0 +1,116 @@
+"""The configuration in force in this process, kept up with the table."""
+
+import asyncio
+import hashlib
+import typing
+
+import msgspec
+
+from vanillayoke.core import failures
+from vanillayoke.core import timers
+from vanillayoke.platform import ports
+from vanillayoke.settings import configuration
+
+ROW_KEY = 'configuration/current'
+POLL_INTERVAL = 2.0
+
+Listener = typing.Callable[[configuration.PublishedConfiguration], None]
+
+
+class ConfigurationHolder:
+    """Holds the highest configuration version ever seen.
+
+    A lower version is never taken: a row read late, or a peer that lags,
+    would otherwise bring back what operators replaced.
+    """
+
+    def __init__(
+        self, table: ports.TableService, clock: timers.TimerService
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._published = configuration.PublishedConfiguration(
+            version=0, author='', configuration=configuration.Configuration()
+        )
+        self._clients: dict[str, str] = {}
+        self._listeners: list[Listener] = []
+        self._poll: timers.Subscription | None = None
+        self._refreshing: asyncio.Task | None = None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; 0 before any is known."""
+        return self._published.version
+
+    @property
+    def published(self) -> configuration.PublishedConfiguration:
+        """Return what is in force with its version and author."""
+        return self._published
+
+    @property
+    def current(self) -> configuration.Configuration:
+        """Return the configuration in force."""
+        return self._published.configuration
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call back with each version that comes into force."""
+        self._listeners.append(listener)
+
+    async def start(self) -> None:
+        """Read the configuration and go on watching it."""
+        await self.refresh()
+        self._poll = self._clock.call_every(POLL_INTERVAL, self._refresh_soon)
+
+    def stop(self) -> None:
+        """Stop watching."""
+        if self._poll is not None:
+            self._poll.cancel()
+        if self._refreshing is not None:
+            self._refreshing.cancel()
+
+    def hear(self, version: int) -> None:
+        """Take news from a peer that a version exists."""
+        if version > self.version:
+            self._refresh_soon()
+
+    async def refresh(self) -> None | failures.Failure:
+        """Read the table and take what is newer."""
+        row = await self._table.read(ROW_KEY)
+        if failures.is_failure(row):
+            return row
+        if row is None:
+            return None
+        return self.offer(row.value)
+
+    def offer(self, blob: bytes) -> None | failures.Failure:
+        """Take an encoded configuration if it is newer than ours."""
+        try:
+            published = configuration.decode_published(blob)
+        except msgspec.DecodeError as error:
+            return failures.Failure(
+                failures.Kind.BAD_REQUEST, f'configuration: {error}'
+            )
+        if published.version > self.version:
+            self._put_in_force(published)
+        return None
+
+    def find_client(self, key: str) -> str | None:
+        """Return the client whose key this is."""
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        return self._clients.get(digest)
+
+    def _put_in_force(
+        self, published: configuration.PublishedConfiguration
+    ) -> None:
+        self._published = published
+        self._clients = {
+            key_hash: client
+            for client, settings in published.configuration.clients.items()
+            for key_hash in settings.key_hashes
+        }
+        for listener in self._listeners:
+            listener(published)
+
+    def _refresh_soon(self) -> None:
+        if self._refreshing is None or self._refreshing.done():
+            self._refreshing = asyncio.ensure_future(self.refresh())
--- /dev/null
+++ b/libs/node/vanillayoke/node/feeds.py
@@ -0,0 +1,182 @@
+"""Load reports and cache events of all targets, read at intervals."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+from vanillayoke.core import events
+from vanillayoke.core import failures
+from vanillayoke.core import logs
+from vanillayoke.core import timers
+from vanillayoke.node import configuration
+from vanillayoke.node import parts
+from vanillayoke.scheduling import calls
+from vanillayoke.scheduling import scheduler
+from vanillayoke.settings import configuration as settings
+from vanillayoke.targets import ports
+
+INTERVAL = 0.5
+_SPREAD = 0.2
+_FAILURES_TO_DOUBT = 2
+
+LeavingCallback = typing.Callable[[str], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Feed:
+    """What is known of one target's feed."""
+
+    task: asyncio.Task | None = None
+    last_event: int = 0
+    failed: int = 0
+    leaving: bool = False
+    healthy: bool = True
+    report: ports.LoadReport | None = None
+
+
+class TargetFeeds:
+    """Polls every configured target and tells the scheduler.
+
+    Each target is polled on its own, so that one that hangs delays no
+    other's news.
+    """
+
+    def __init__(
+        self,
+        holder: configuration.ConfigurationHolder,
+        adapters: parts.Adapters,
+        decisions: scheduler.Scheduler,
+        clock: timers.TimerService,
+        logger: logs.Logger,
+        source: random.Random,
+        pump: typing.Callable[[], None],
+    ) -> None:
+        self._holder = holder
+        self._adapters = adapters
+        self._scheduler = decisions
+        self._clock = clock
+        self._logger = logger
+        self._source = source
+        self._pump = pump
+        self._feeds: dict[str, _Feed] = {}
+        self._listeners: list[LeavingCallback] = []
+
+    def subscribe_leaving(self, callback: LeavingCallback) -> None:
+        """Call back with each target that says that it is leaving."""
+        self._listeners.append(callback)
+
+    def update(self, targets: typing.Iterable[str]) -> None:
+        """Poll these targets and no others from now on."""
+        wanted = set(targets)
+        for name in self._feeds.keys() - wanted:
+            self._stop_feed(self._feeds.pop(name))
+        for name in sorted(wanted - self._feeds.keys()):
+            feed = _Feed()
+            self._feeds[name] = feed
+            feed.task = asyncio.ensure_future(self._follow(name, feed))
+
+    def stop(self) -> None:
+        """Stop polling."""
+        self.update(())
+
+    def find_report(self, target: str) -> ports.LoadReport | None:
+        """Return a target's last load report."""
+        feed = self._feeds.get(target)
+        return feed.report if feed else None
+
+    def is_healthy(self, target: str) -> bool:
+        """Tell whether a target answered its last polls."""
+        feed = self._feeds.get(target)
+        return feed is not None and feed.healthy
+
+    def mark_leaving(self, target: str) -> None:
+        """Give a target no new work, as another instance told."""
+        feed = self._feeds.get(target)
+        if feed is not None and not feed.leaving:
+            feed.leaving = True
+            self._scheduler.mark_leaving(target)
+            self._logger.write(events.TARGET_LEAVING, target=target)
+
+    def _stop_feed(self, feed: _Feed) -> None:
+        if feed.task is not None:
+            feed.task.cancel()
+
+    async def _follow(self, name: str, feed: _Feed) -> None:
+        while True:
+            await self._poll(name, feed)
+            self._pump()
+            spread = 1 + self._source.uniform(-_SPREAD, _SPREAD)
+            await self._clock.sleep(INTERVAL * spread)
+
+    async def _poll(self, name: str, feed: _Feed) -> None:
+        engine = self._adapters.get_engine(name)
+        target = engine or self._adapters.get_service(name)
+        if target is None:
+            return
+        report = await target.report_load()
+        if failures.is_failure(report):
+            self._note_failure(name, feed, report)
+            return
+        self._note_report(name, feed, report)
+        if engine is not None:
+            await self._read_cache_events(name, feed, engine)
+
+    def _note_failure(
+        self, name: str, feed: _Feed, failure: failures.Failure
+    ) -> None:
+        feed.failed += 1
+        if feed.failed < _FAILURES_TO_DOUBT or not feed.healthy:
+            return
+        feed.healthy = False
+        self._scheduler.observe_health(name, False, self._clock.now())
+        self._logger.write(
+            events.TARGET_FAILED, target=name, reason=failure.reason
+        )
+
+    def _note_report(
+        self, name: str, feed: _Feed, report: ports.LoadReport
+    ) -> None:
+        feed.failed = 0
+        if not feed.healthy:
+            feed.healthy = True
+            self._scheduler.observe_health(name, True, self._clock.now())
+            self._logger.write(events.TARGET_RECOVERED, target=name)
+        feed.report = report
+        self._scheduler.observe_report(self._translate(name, report))
+        if report.leaving and not feed.leaving:
+            self.mark_leaving(name)
+            for listener in self._listeners:
+                listener(name)
+
+    def _translate(
+        self, name: str, report: ports.LoadReport
+    ) -> calls.TargetReport:
+        models = self._holder.current.models
+        default = settings.ModelSettings()
+        return calls.TargetReport(
+            target=name,
+            received_at=self._clock.now(),
+            running=report.running,
+            waiting=report.waiting,
+            cache_used=report.cache_used,
+            cache_size=report.cache_size,
+            models=frozenset(
+                (model, models.get(model, default).version)
+                for model in report.models
+            ),
+            role=report.role,
+            leaving=report.leaving,
+        )
+
+    async def _read_cache_events(
+        self, name: str, feed: _Feed, engine: ports.Engine
+    ) -> None:
+        found = await engine.list_cache_events(feed.last_event)
+        if failures.is_failure(found):
+            return
+        for event in found:
+            feed.last_event = max(feed.last_event, event.number)
+            self._scheduler.observe_cache(
+                name, event.session, event.tokens, event.kind
+            )
--- /dev/null
+++ b/libs/node/vanillayoke/node/hosted.py
@@ -0,0 +1,91 @@
+"""The programs that this instance hosts, in memory and in the journal."""
+
+import typing
+
+from vanillayoke.core import ids
+from vanillayoke.programs import opening
+from vanillayoke.programs import program as programs
+from vanillayoke.programs import records
+
+
+class RecordSink(typing.Protocol):
+    """What takes the records of a decision, in order."""
+
+    def append(self, added: typing.Sequence[records.AnyRecord]) -> None:
+        """Buffer records for the next group commit."""
+
+
+class HostedPrograms:
+    """Programs by id; every change goes through ``write``.
+
+    The records of one decision are applied and handed to the journal in
+    one step without an await between, so that memory and journal never
+    tell different stories.
+    """
+
+    def __init__(self, journal: RecordSink) -> None:
+        self._journal = journal
+        self._programs: dict[str, programs.Program] = {}
+
+    @property
+    def known(self) -> typing.Mapping[str, programs.Program]:
+        """Return all hosted programs by id."""
+        return self._programs
+
+    def find(self, program: str) -> programs.Program | None:
+        """Return a hosted program."""
+        return self._programs.get(program)
+
+    def list_ancestors(
+        self, program: programs.Program
+    ) -> tuple[programs.Program, ...]:
+        """Return the programs above one, the parent first."""
+        return opening.list_ancestors(self._programs, program.parent)
+
+    def find_root(self, program: programs.Program) -> programs.Program:
+        """Return the root of a program's tree."""
+        return self._programs.get(program.root, program)
+
+    def list_family(self, root: str) -> list[programs.Program]:
+        """Return a root and all programs under it."""
+        return [one for one in self._programs.values() if one.root == root]
+
+    def list_shard(self, shard: ids.Shard) -> list[programs.Program]:
+        """Return the hosted programs of a shard."""
+        return [
+            one
+            for one in self._programs.values()
+            if ids.find_shard(one.id) == shard
+        ]
+
+    def write(self, added: typing.Sequence[records.AnyRecord]) -> None:
+        """Apply a decision's records and journal them."""
+        for record in added:
+            self._apply(record)
+        if added:
+            self._journal.append(added)
+
+    def add(self, gained: typing.Iterable[programs.Program]) -> None:
+        """Take over programs rebuilt from a journal."""
+        for one in gained:
+            self._programs[one.id] = one
+
+    def drop(
+        self, shards: typing.AbstractSet[ids.Shard]
+    ) -> list[programs.Program]:
+        """Forget the programs of lost shards and return them."""
+        lost = [
+            one
+            for one in self._programs.values()
+            if ids.find_shard(one.id) in shards
+        ]
+        for one in lost:
+            del self._programs[one.id]
+        return lost
+
+    def _apply(self, record: records.AnyRecord) -> None:
+        if isinstance(record, records.ProgramOpened):
+            opened = programs.Program.from_opened(record)
+            self._programs.setdefault(opened.id, opened)
+            return
+        self._programs[record.program].apply(record)
--- /dev/null
+++ b/libs/node/vanillayoke/node/instance.py
@@ -0,0 +1,304 @@
+"""One instance: its parts, built from ports, started and drained."""
+
+import random
+import typing
+
+from vanillayoke.cluster import messages
+from vanillayoke.core import events
+from vanillayoke.core import failures
+from vanillayoke.core import ids
+from vanillayoke.core import logs
+from vanillayoke.core import metrics
+from vanillayoke.core import timers
+from vanillayoke.node import attempts
+from vanillayoke.node import caches
+from vanillayoke.node import configuration
+from vanillayoke.node import directory
+from vanillayoke.node import dispatcher
+from vanillayoke.node import feeds
+from vanillayoke.node import host
+from vanillayoke.node import hosted
+from vanillayoke.node import journal
+from vanillayoke.node import members
+from vanillayoke.node import operations
+from vanillayoke.node import ownership
+from vanillayoke.node import parts
+from vanillayoke.node import recovery
+from vanillayoke.node import runs
+from vanillayoke.node import services
+from vanillayoke.peers import ports as peer_ports
+from vanillayoke.platform import ports as platform_ports
+from vanillayoke.scheduling import calls
+from vanillayoke.scheduling import scheduler
+from vanillayoke.settings import configuration as settings_configuration
+from vanillayoke.settings import process
+
+StopRequest = typing.Callable[[str], None]
+
+
+class TargetAdapters(parts.Adapters, typing.Protocol):
+    """Adapters that follow the configuration."""
+
+    async def apply(
+        self,
+        targets: typing.Mapping[str, settings_configuration.TargetSettings],
+    ) -> None:
+        """Build and close adapters to fit the configured targets."""
+
+
+class Surroundings(typing.NamedTuple):
+    """All that an instance takes from outside; tests pass stand-ins."""
+
+    platform: platform_ports.Platform
+    transport: peer_ports.PeerTransport
+    adapters: TargetAdapters
+    operators: operations.PeerOperations
+    clock: timers.TimerService
+    source: random.Random
+    logger: logs.Logger
+    registry: metrics.Metrics
+
+
+class Instance:
+    """The composition of one process, without its HTTP server."""
+
+    def __init__(
+        self, settings: process.ProcessSettings, outside: Surroundings
+    ) -> None:
+        self._settings = settings
+        self._outside = outside
+        clock = outside.clock
+        platform = outside.platform
+        self.configuration = configuration.ConfigurationHolder(
+            platform.table, clock
+        )
+        self.journal = journal.Journal.from_config(
+            settings, platform, clock, outside.source
+        )
+        self.programs = hosted.HostedPrograms(self.journal)
+        self.ownership = ownership.Ownership.from_config(
+            settings, self.journal, platform, clock, outside.source
+        )
+        self.members = members.Members.from_settings(
+            settings.instance,
+            settings.probe,
+            outside.transport,
+            platform.instances,
+            clock,
+            outside.source,
+            outside.logger,
+            outside.registry,
+        )
+        self.directory = directory.Directory(self.members, self.ownership)
+        self.scheduler = scheduler.Scheduler.from_config(
+            settings_configuration.PolicySettings(),
+            settings.instance.zone,
+            settings.instance.region,
+            outside.source,
+        )
+        self.releaser = caches.CacheReleaser(
+            self.programs,
+            outside.adapters,
+            self.ownership,
+            clock,
+            outside.logger,
+            self.scheduler,
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            self.scheduler, clock, self.releaser
+        )
+        self.parts = parts.Parts(
+            clock=clock,
+            logger=outside.logger,
+            programs=self.programs,
+            journal=self.journal,
+            ownership=self.ownership,
+            dispatcher=self.dispatcher,
+            adapters=outside.adapters,
+            configuration=self.configuration,
+        )
+        self.runner = runs.Runner(
+            self.parts, services.StorePolicy(settings.store.unavailable)
+        )
+        self.recovery = recovery.Recovery(
+            self.parts, self.runner, self.scheduler
+        )
+        self.feeds = feeds.TargetFeeds(
+            self.configuration,
+            outside.adapters,
+            self.scheduler,
+            clock,
+            outside.logger,
+            outside.source,
+            self.dispatcher.pump,
+        )
+        self._stop_request: StopRequest = lambda reason: None
+        self.operations = operations.Operations(
+            settings,
+            self.parts,
+            self.directory,
+            self.feeds,
+            outside.operators,
+            lambda reason: self._stop_request(reason),
+            self._describe_store,
+        )
+        self.host = host.NodeHost(
+            settings,
+            self.parts,
+            self.runner,
+            self.directory,
+            self.operations,
+            outside.source,
+        )
+        self._subscribe()
+
+    def on_stop_request(self, callback: StopRequest) -> None:
+        """Call back when an operator asks this instance to stop."""
+        self._stop_request = callback
+
+    async def start(self) -> None | failures.Failure:
+        """Start all parts.
+
+        A failure says that the store cannot be reached yet; all parts go
+        on trying, and requests are passed on to their owners meanwhile.
+        """
+        await self.configuration.start()
+        await self.members.start()
+        failure = await self.journal.start()
+        self.ownership.update_members(self.members.members())
+        return await self.ownership.start() or failure
+
+    async def drain(self, grace: float) -> None:
+        """Stop in order: be named no more, finish, hand over, close.
+
+        What still runs at the end of the grace goes on at the instance
+        that takes the programs over.
+        """
+        began = self._outside.clock.now()
+        self.host.begin_drain()
+        self.members.leave()
+        await self._wait_for_runs(grace)
+        await self.ownership.release()
+        self._outside.logger.write(
+            events.DRAIN_ENDED,
+            seconds=round(self._outside.clock.now() - began, 3),
+        )
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Close all parts without handing anything over."""
+        self.feeds.stop()
+        self.configuration.stop()
+        self.releaser.stop()
+        self.dispatcher.stop()
+        for task in list(self.parts.tasks):
+            task.cancel()
+        await self.ownership.stop()
+        await self.journal.stop()
+        await self.members.stop()
+
+    async def _wait_for_runs(self, grace: float) -> None:
+        deadline = self._outside.clock.now() + grace
+        while self.runner.count and self._outside.clock.now() < deadline:
+            await self._outside.clock.sleep(_RUN_POLL)
+
+    def _subscribe(self) -> None:
+        self.configuration.subscribe(self._take_configuration)
+        self.ownership.subscribe_gained(self.recovery.take_over)
+        self.ownership.subscribe_lost(self._lose_shards)
+        self.ownership.provide_programs(self.programs.list_shard)
+        self.ownership.provide_may_move(self._is_idle)
+        self.journal.subscribe_lost(self._lose_lease)
+        self.members.subscribe(self._take_members)
+        self.members.subscribe_news(self._take_news)
+        self.feeds.subscribe_leaving(self._tell_leaving)
+
+    def _take_configuration(
+        self, published: settings_configuration.PublishedConfiguration
+    ) -> None:
+        in_force = published.configuration
+        self.scheduler.set_targets(
+            [
+                _make_spec(name, target)
+                for name, target in in_force.targets.items()
+            ]
+        )
+        self.scheduler.set_clients(in_force.clients)
+        self.parts.start_task(self._apply_targets(in_force.targets))
+        self._outside.logger.write(
+            events.CONFIGURATION_IN_FORCE, version=published.version
+        )
+        self.members.publish_news(
+            messages.ConfigurationNews(published.version)
+        )
+
+    async def _apply_targets(
+        self,
+        targets: typing.Mapping[str, settings_configuration.TargetSettings],
+    ) -> None:
+        await self._outside.adapters.apply(targets)
+        self.feeds.update(targets)
+        self.dispatcher.pump()
+
+    def _take_members(self, found: list[messages.Member]) -> None:
+        self.ownership.update_members(found)
+        self.scheduler.set_instances(len(self.directory.list_usable()))
+
+    def _take_news(self, news: messages.News) -> None:
+        match news:
+            case messages.ConfigurationNews(version):
+                self.configuration.hear(version)
+            case messages.TargetNews(target, messages.TargetState.LEAVING):
+                self.feeds.mark_leaving(target)
+
+    def _tell_leaving(self, target: str) -> None:
+        self.members.publish_news(
+            messages.TargetNews(
+                target,
+                messages.TargetState.LEAVING,
+                int(self._outside.clock.wall() * 1000),
+            )
+        )
+
+    def _lose_shards(self, shards: frozenset[ids.Shard]) -> None:
+        for program in self.programs.drop(shards):
+            self.runner.cancel(program, attempts.make_lost())
+            self.dispatcher.forget(program.id)
+
+    def _is_idle(self, shard: ids.Shard) -> bool:
+        """Tell whether no call of a shard's programs is under way."""
+        return all(
+            program.running is None and not program.open_run
+            for program in self.programs.list_shard(shard)
+        )
+
+    def _lose_lease(self) -> None:
+        self._outside.logger.write(
+            events.LEASE_LOST, reason='another instance took over'
+        )
+        self._stop_request(LEASE_LOST)
+
+    def _describe_store(self) -> dict[str, typing.Any]:
+        return {
+            'state': 'failing' if self.journal.is_failing else 'reachable',
+            'uncommitted_records': self.journal.pending_records,
+        }
+
+
+_RUN_POLL = 0.05
+# The reason given where the instance has to begin anew.
+LEASE_LOST = 'the lease is lost'
+
+
+def _make_spec(
+    name: str, target: settings_configuration.TargetSettings
+) -> calls.TargetSpec:
+    return calls.TargetSpec(
+        target=name,
+        kind=target.kind,
+        group=target.group,
+        zone=target.zone,
+        region=target.region,
+        cache_tokens=target.cache_tokens,
+        slots=target.slots,
+    )
