--- a/libs/cli/vanillayoke/cli/management/commands/explain.py
+++ b/libs/cli/vanillayoke/cli/management/commands/explain.py
@@ -3,11 +3,12 @@
 from absl import flags
 
 from vanillayoke.cli import commands
+from vanillayoke.cli import lookups
 from vanillayoke.cli import operators
 from vanillayoke.cli import queries
 from vanillayoke.cli import tables
 
-ARGUMENTS = ('PROGRAM',)
+ARGUMENTS = lookups.ARGUMENTS
 _WEIGHED = ('target', 'cost', 'cached', 'reason')
 
 
@@ -18,9 +19,7 @@
 
 async def run(invocation: commands.Invocation) -> int:
     """Ask why targets were chosen."""
-    arguments = {'program': invocation.arguments[0]}
-    query = queries.Query('explain', arguments, format_explanation)
-    return await queries.run_query(invocation, query)
+    return await lookups.run_lookup(invocation, 'explain', format_explanation)
 
 
 def format_explanation(answer: operators.Answer) -> str:
--- a/libs/cli/vanillayoke/cli/management/commands/program.py
+++ b/libs/cli/vanillayoke/cli/management/commands/program.py
@@ -3,11 +3,12 @@
 from absl import flags
 
 from vanillayoke.cli import commands
+from vanillayoke.cli import lookups
 from vanillayoke.cli import operators
 from vanillayoke.cli import queries
 from vanillayoke.cli import tables
 
-ARGUMENTS = ('PROGRAM',)
+ARGUMENTS = lookups.ARGUMENTS
 _STEPS = ('number', 'kind', 'name', 'state', 'target', 'error')
 
 
@@ -18,9 +19,7 @@
 
 async def run(invocation: commands.Invocation) -> int:
     """Ask for one program."""
-    arguments = {'program': invocation.arguments[0]}
-    query = queries.Query('program', arguments, format_program)
-    return await queries.run_query(invocation, query)
+    return await lookups.run_lookup(invocation, 'program', format_program)
 
 
 def format_program(answer: operators.Answer) -> str:
--- a/libs/cli/vanillayoke/cli/stores.py
+++ b/libs/cli/vanillayoke/cli/stores.py
@@ -9,6 +9,7 @@
 
 from vanillayoke.cli import commands
 from vanillayoke.core import timers
+from vanillayoke.platform import attempts
 from vanillayoke.platform import http
 from vanillayoke.platform import links
 from vanillayoke.platform import publishing
@@ -16,6 +17,7 @@
 from vanillayoke.settings import processes
 
 CALLER = 'operator'
+LONGEST_REQUEST = 3.0
 VARIABLES = {
     'table': 'VANILLAYOKE_TABLE',
     'objects': 'VANILLAYOKE_OBJECTS',
@@ -29,7 +31,7 @@
 
 
 class Stores(typing.NamedTuple):
-    """Base URLs; ``timeout`` in seconds."""
+    """Base URLs; ``timeout`` bounds repeated requests, in seconds."""
 
     table: str
     objects: str
@@ -41,21 +43,21 @@
     ) -> typing.AsyncIterator[publishing.Publisher]:
         """Give a publisher and close its connections afterwards."""
         service = timers.LoopTimers(asyncio.get_running_loop())
+        limit = min(self.timeout, LONGEST_REQUEST)
         opened = [
-            links.Link(
-                links.LinkSettings(url, CALLER, timeout=self.timeout), service
-            )
+            links.Link(links.LinkSettings(url, CALLER, timeout=limit), service)
             for url in (self.table, self.objects)
         ]
-        source = random.SystemRandom()
-        table = retrying.RetryingTable(
-            http.HttpTable(opened[0]), service, source
-        )
-        objects = retrying.RetryingObjects(
-            http.HttpObjects(opened[1]), service, source
+        shared = (
+            service,
+            random.SystemRandom(),
+            attempts.RetrySettings(deadline=self.timeout),
         )
         try:
-            yield publishing.Publisher(table, objects)
+            yield publishing.Publisher(
+                retrying.RetryingTable(http.HttpTable(opened[0]), *shared),
+                retrying.RetryingObjects(http.HttpObjects(opened[1]), *shared),
+            )
         finally:
             for link in opened:
                 await link.close()
@@ -79,8 +81,8 @@
     )
     flags.DEFINE_float(
         'store_timeout',
-        5.0,
-        'Seconds until a request to the store counts as lost.',
+        10.0,
+        'Seconds after which no more is tried to reach the store.',
         lower_bound=0.01,
         flag_values=values,
     )
