The time line and the status were gathered from all instances.

Cause: an instance knows shards, programs and configuration version only of itself, so that a status from one of them shows dashes for the others; and there was no command for the time line. Change: status merges every instance's own row; timeline merges all rings in causal order and writes text, a page, a Chrome trace or JSON. What could not be asked is named, with exit status 4. Conclusion: an incomplete answer cannot be taken for a whole one.

--- a/libs/cli/vanillayoke/cli/management/commands/programs.py
+++ b/libs/cli/vanillayoke/cli/management/commands/programs.py
@@ -42,9 +42,7 @@
     merged = merge_programs(replies.answers.values())
     answer = {'programs': list(_select(invocation, merged))}
     shown = queries.show_answer(invocation, answer, _format)
-    for failed in replies.failed:
-        shown = max(shown, queries.report_failure(invocation, failed))
-    return shown
+    return max(shown, queries.report_failures(invocation, replies.failed))
 
 
 def merge_programs(
--- /dev/null
+++ b/libs/cli/vanillayoke/cli/management/commands/timeline.py
@@ -0,0 +1,102 @@
+"""Write the time line of events over all instances."""
+
+import json
+import typing
+
+from absl import flags
+
+from vanillayoke.cli import access
+from vanillayoke.cli import commands
+from vanillayoke.cli import exits
+from vanillayoke.cli import instances
+from vanillayoke.cli import operators
+from vanillayoke.cli import queries
+from vanillayoke.core import timeline
+from vanillayoke.core import timeline_views
+
+ARGUMENTS = ()
+_FILTERS = {
+    'program': 'Only events of this program and its sub-agents.',
+    'target': 'Only events of this target.',
+    'instance': 'Only events of this instance.',
+}
+
+Events = list[timeline.EventDump]
+
+
+def _render_trace(merged: Events) -> str:
+    trace = timeline_views.render_chrome_trace(merged)
+    return timeline_views.encode_trace(trace)
+
+
+def _render_json(merged: Events) -> str:
+    return json.dumps({'events': merged}, ensure_ascii=False, indent=2)
+
+
+_RENDERERS: dict[str, typing.Callable[[Events], str]] = {
+    'text': timeline_views.render_text,
+    'html': timeline_views.render_html,
+    'trace': _render_trace,
+    'json': _render_json,
+}
+
+
+def add_flags(values: flags.FlagValues) -> None:
+    """Define this command's flags."""
+    queries.add_flags(values)
+    for name, text in _FILTERS.items():
+        flags.DEFINE_string(name, '', text, flag_values=values)
+    flags.DEFINE_enum(
+        'format',
+        'text',
+        list(_RENDERERS),
+        'text, a self-contained html page, a Chrome trace, or json.',
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        'output',
+        '',
+        'File to write; default: the standard output.',
+        flag_values=values,
+    )
+
+
+async def run(invocation: commands.Invocation) -> int:
+    """Gather events from all instances, merge and write them."""
+    reached = access.read_access(invocation)
+    if isinstance(reached, access.BadAccess):
+        invocation.warn(reached.text)
+        return exits.Exit.BAD_INPUT
+    arguments = {name: invocation.flags[name].value for name in _FILTERS}
+    async with reached.open_client() as client:
+        replies = await instances.ask_everywhere(
+            client, reached, 'timeline', arguments
+        )
+    if not isinstance(replies, instances.Replies):
+        return queries.report_failure(invocation, replies)
+    status = _write(invocation, replies.answers.values(), arguments)
+    return max(status, queries.report_failures(invocation, replies.failed))
+
+
+def _write(
+    invocation: commands.Invocation,
+    answers: typing.Iterable[operators.Answer],
+    arguments: dict[str, str],
+) -> int:
+    chosen = 'json' if invocation.flags.json else invocation.flags.format
+    try:
+        kept = timeline.Filter(**arguments)
+        merged = timeline.merge_timelines(answers, kept)
+        text = _RENDERERS[chosen](merged)
+    except queries.SHAPE_ERRORS as error:
+        return queries.report_shape(invocation, error)
+    if not invocation.flags.output:
+        invocation.print(text.rstrip('\n'))
+        return exits.Exit.OK
+    try:
+        with open(invocation.flags.output, 'w', encoding='utf-8') as stream:
+            stream.write(text)
+    except OSError as error:
+        invocation.warn(f'--output: {error}')
+        return exits.Exit.BAD_INPUT
+    return exits.Exit.OK
--- a/libs/cli/vanillayoke/cli/queries.py
+++ b/libs/cli/vanillayoke/cli/queries.py
@@ -10,6 +10,10 @@
 from vanillayoke.cli import exits
 from vanillayoke.cli import operators
 
+# What reading an answer raises where an instance of another release gives
+# it in another shape.
+SHAPE_ERRORS = (KeyError, TypeError, AttributeError, ValueError)
+
 Render = typing.Callable[[operators.Answer], str]
 
 
@@ -88,9 +92,22 @@
         return exits.Exit.OK
     try:
         text = render(answer)
-    except (KeyError, TypeError, AttributeError) as error:
-        # An instance of another release may answer in another shape.
-        invocation.warn(f'The answer is not understood: {error!r}')
-        return exits.Exit.FAILED
+    except SHAPE_ERRORS as error:
+        return report_shape(invocation, error)
     invocation.print(text)
     return exits.Exit.OK
+
+
+def report_failures(
+    invocation: commands.Invocation,
+    failed: typing.Iterable[operators.Refused | operators.Unreachable],
+) -> int:
+    """Say what is missing from a merged answer; return the exit status."""
+    statuses = [report_failure(invocation, one) for one in failed]
+    return max(statuses, default=exits.Exit.OK)
+
+
+def report_shape(invocation: commands.Invocation, error: Exception) -> int:
+    """Say that an answer is not understood; return the exit status."""
+    invocation.warn(f'The answer is not understood: {error!r}')
+    return exits.Exit.FAILED
--- a/tests/cli/runs.py
+++ b/tests/cli/runs.py
@@ -93,18 +93,7 @@
         return _reply(self.answers[command])
 
     def _make_status(self) -> dict[str, typing.Any]:
-        rows = [
-            {
-                'instance': other.name,
-                'zone': 'a',
-                'state': 'alive',
-                'config_version': other.version,
-                'shards': 4,
-                'programs': 2,
-                'address': other.address,
-            }
-            for other in self._fleet.values()
-        ]
+        rows = [self._describe(other) for other in self._fleet.values()]
         return {
             'instances': rows,
             'targets': self.answers.get('targets', []),
@@ -112,6 +101,19 @@
             'store': {'available': True},
         }
 
+    def _describe(self, other: 'Instance') -> dict[str, typing.Any]:
+        """Return a row; as in the product, an instance counts only itself."""
+        row = {
+            'instance': other.name,
+            'zone': 'a',
+            'state': 'alive',
+            'address': other.address,
+        }
+        if other is not self:
+            return row
+        counts = {'config_version': self.version, 'shards': 4, 'programs': 2}
+        return {**row, **counts}
+
     async def _list_addresses(self, request: web.Request) -> web.Response:
         return _refuse(401, 'unauthenticated')
 
--- a/tests/cli/test_remote.py
+++ b/tests/cli/test_remote.py
@@ -38,6 +38,17 @@
     case.assertEqual(2, len(shown['instances']))
 
 
+@fixtures.on_real_loop
+async def test_status_names_instances_that_do_not_answer(
+    case, line, instances
+):
+    await instances[1].stop()
+    ran = await line.wait('status')
+    case.assertEqual(4, ran.status)
+    case.assertRegex(ran.output, r'i-2 +a +alive +- +- +-')
+    case.assertIn(instances[1].address, ran.errors)
+
+
 @fixtures.on_real_loop
 async def test_dead_entry_is_passed_over(case, line, instances):
     entries = f'127.0.0.1:1,{instances[0].address}'
@@ -127,6 +138,40 @@
     case.assertRegex(ran.output, r'engine-2 +1\.5 +0 +cold')
 
 
+def _make_event(instance, time):
+    return {
+        'time': time << 16,
+        'number': 0,
+        'name': f'event-{time}',
+        'instance': instance,
+        'program': 'prg-1',
+        'target': '',
+        'fields': {},
+    }
+
+
+@fixtures.on_real_loop
+async def test_timeline_merges_all_instances(case, line, instances):
+    for instance, times in zip(instances, ((1, 4), (2, 3)), strict=True):
+        instance.answers['timeline'] = {
+            'instance': instance.name,
+            'events': [_make_event(instance.name, time) for time in times],
+        }
+    ran = await line.wait('timeline', '--json', '--program=prg-1')
+    names = [event['name'] for event in json.loads(ran.output)['events']]
+    case.assertEqual([f'event-{time}' for time in (1, 2, 3, 4)], names)
+    for form, start in (('html', '<!DOCTYPE'), ('trace', '{"traceEvents"')):
+        file = line.folder.path / form
+        ran = await line.wait(
+            'timeline', f'--format={form}', f'--output={file}'
+        )
+        case.assertEqual((0, ''), (ran.status, ran.output))
+        case.assertTrue(file.read_text().startswith(start))
+    text = (await line.wait('timeline', '--instance=i-2')).output
+    case.assertEqual(2, text.count('i-2'))
+    case.assertNotIn('i-1', text)
+
+
 @fixtures.on_real_loop
 async def test_drain_asks_the_named_instance_only(case, line, instances):
     instances[1].answers['drain'] = {'state': 'draining'}
