--- a/libs/fakes/vanillayoke/fakes/engine_http.py
+++ b/libs/fakes/vanillayoke/fakes/engine_http.py
@@ -4,7 +4,7 @@
 as one line of JSON.
 """
 
-import typing
+import contextlib
 
 from aiohttp import web
 import msgspec
@@ -17,15 +17,6 @@
 from vanillayoke.targets import credentials
 from vanillayoke.targets import ports
 
-_CONTROLS = (
-    'cancel',
-    'report_load',
-    'list_cache_events',
-    'export_cache',
-    'import_cache',
-    'read_state',
-)
-
 
 class EngineServer:
     """Serves an engine; with ``keys``, orders have to be signed."""
@@ -33,37 +24,25 @@
     def __init__(
         self,
         engine: engine_memory.EngineMemory,
-        keys: typing.Sequence[credentials.SigningKey] = (),
+        keys: tuple[credentials.SigningKey, ...] = (),
     ) -> None:
         self.engine = engine
         self.keys = keys
 
     def build(self) -> web.Application:
         """Return the application."""
-        application = server.make_application(
-            self.engine, engine_model.EngineFaults
-        )
-        application.middlewares.append(self._break_if_dead)
-        router = application.router
-        router.add_post('/v1/chat/completions', self._stream)
-        router.add_get('/v1/calls/{call_id}', self._resume)
-        router.add_post('/v1/control/{name}', self._control)
-        return application
-
-    @web.middleware
-    async def _break_if_dead(self, request, handler) -> web.StreamResponse:
-        if self.engine.faults.dead and request.path != '/faults':
-            request.transport.abort()
-        return await handler(request)
+        routes = [
+            web.post('/v1/chat/completions', self._stream),
+            web.get('/v1/calls/{call_id}', self._resume),
+            web.post('/v1/control/{name}', self._control),
+        ]
+        faults_type = engine_model.EngineFaults
+        return server.make_application(self.engine, faults_type, routes)
 
     async def _stream(self, request: web.Request) -> web.StreamResponse:
         faults = self.engine.take_faults()
-        if faults.error:
-            return web.Response(status=faults.error)
-        if faults.refuse:
-            return server.answer(engine_memory.REFUSED)
         call = _read_call(request.headers, await request.json())
-        run = self.engine.start(call, faults.hang_after)
+        run = self.engine.start(call, faults)
         return await self._send(request, run, faults)
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
@@ -73,56 +52,46 @@
         return await self._send(request, run, engine_model.EngineFaults())
 
     async def _send(self, request, run, faults) -> web.StreamResponse:
+        if self.engine.faults.dead:
+            server.break_connection(request)
         if isinstance(run, failures.Failure):
             return server.answer(run)
         call_id = run.request.call_id
         response = web.StreamResponse(headers={'X-Request-Id': call_id})
         response.content_type = 'text/event-stream'
         await response.prepare(request)
-        async for item in self.engine.follow(run, faults):
-            await response.write(_encode(call_id, item))
-        if run.state != 'done' or faults.break_after is not None:
-            request.transport.abort()
+        with contextlib.suppress(ConnectionResetError):
+            async for item in self.engine.follow(run, faults):
+                await response.write(_encode(call_id, item))
+        if run.state != 'done' or faults.stream == 'break':
+            server.break_connection(request)
         return response
 
     async def _control(self, request: web.Request) -> web.Response:
-        name = request.match_info['name']
-        arguments = await request.json()
-        if name == 'give_order':
-            return server.answer(await self._obey(arguments, request.headers))
-        if name not in _CONTROLS:
-            return web.Response(status=404)
-        return server.answer(await getattr(self.engine, name)(**arguments))
-
-    async def _obey(self, arguments, headers) -> failures.Failure | None:
+        if self.engine.faults.dead:
+            server.break_connection(request)
+        name, arguments = request.match_info['name'], await request.json()
+        if name != 'give_order':
+            result = await getattr(self.engine, name)(**arguments)
+            return server.answer(result)
         order = ports.Order(**arguments)
-        signature = credentials.read_headers(headers) if self.keys else None
-        if isinstance(signature, credentials.Signature):
-            now = self.engine.clock.wall()
-            signature = credentials.verify_order(
-                order, self.engine.name, signature, self.keys, now
-            )
-        return signature or await self.engine.give_order(order)
+        refusal = self._check(order, request.headers) if self.keys else None
+        return server.answer(refusal or await self.engine.give_order(order))
+
+    def _check(self, order, headers) -> failures.Failure | None:
+        signature = credentials.read_headers(headers)
+        if isinstance(signature, failures.Failure):
+            return signature
+        name, now = self.engine.name, self.engine.clock.wall()
+        return credentials.verify_order(order, name, signature, self.keys, now)
 
 
 def _read_call(headers, body) -> ports.EngineRequest:
-    """Return the port's request, of which the limits stay unused."""
-    for message in body['messages']:
-        message['tool_calls'] = [
-            {'id': call['id'], **call['function']}
-            for call in message.pop('tool_calls', ())
-        ]
-    return ports.EngineRequest(
-        headers['X-Request-Id'],
-        body['prompt_cache_key'],
-        body['model'],
-        body['messages'],
-        (),
-        body['max_tokens'],
-        body['priority'],
-        0.0,
-        0.0,
-    )
+    """Return the port's request, whose time limits are the caller's."""
+    names = ('prompt_cache_key', 'model', 'messages')
+    known = [headers['X-Request-Id'], *(body[name] for name in names), ()]
+    known += [body['max_tokens'], body['priority'], 0.0, 0.0]
+    return ports.EngineRequest(*known)
 
 
 def _encode(call_id: str, item: tuple[str, ...] | ports.Completion) -> bytes:
@@ -133,8 +102,7 @@
     for i, call in enumerate(item.tool_calls):
         function = {'name': call['name'], 'arguments': ''}
         head = {'index': i, 'id': call['id'], 'function': function}
-        rest = {'arguments': call['arguments']}
-        tail = {'index': i, 'function': rest}
+        tail = {'index': i, 'function': {'arguments': call['arguments']}}
         events += [_write(call_id, {'tool_calls': [p]}) for p in (head, tail)]
     usage = {
         'prompt_tokens': item.usage.prompt,
@@ -147,19 +115,14 @@
 
 def _write(call_id, delta, finish_reason=None, usage=None) -> bytes:
     choice = {'index': 0, 'delta': delta, 'finish_reason': finish_reason}
-    chunk = {
-        'id': call_id,
-        'object': 'chat.completion.chunk',
-        'choices': [choice],
-        'usage': usage,
-    }
+    chunk = {'id': call_id, 'object': 'chat.completion.chunk'}
+    chunk |= {'choices': [choice], 'usage': usage}
     return b'data: ' + msgspec.json.encode(chunk) + b'\n\n'
 
 
-def _build_named(name: str, clock: timers.TimerService) -> web.Application:
-    engine = engine_memory.EngineMemory(name, clock)
-    return EngineServer(engine).build()
+def _build(name: str, clock: timers.TimerService) -> web.Application:
+    return EngineServer(engine_memory.EngineMemory(name, clock)).build()
 
 
 if __name__ == '__main__':
-    server.run(_build_named)
+    server.run(_build)
--- a/libs/fakes/vanillayoke/fakes/engine_memory.py
+++ b/libs/fakes/vanillayoke/fakes/engine_memory.py
@@ -2,27 +2,17 @@
 
 import asyncio
 import collections
-import functools
-import typing
 
 from vanillayoke.core import failures
 from vanillayoke.core import timers
 from vanillayoke.fakes import engine_model
 from vanillayoke.targets import ports
 
-_RUNS_KEPT = 2000
-_KEEPALIVE = 1.0
 REFUSED = failures.Failure(failures.Kind.TARGET_REFUSED, 'refused')
+_FAILED = failures.Failure(failures.Kind.TARGET_FAILED, 'failed')
 _BROKEN = failures.Failure(failures.Kind.OUTCOME_UNKNOWN, 'broken')
 _SILENT = failures.Failure(failures.Kind.OUTCOME_UNKNOWN, 'silent')
-
-
-def _unless_dead(method: typing.Callable) -> typing.Callable:
-    @functools.wraps(method)
-    async def answer(self, *arguments):
-        return REFUSED if self.faults.dead else method(self, *arguments)
-
-    return answer
+_ALIVE_INTERVAL = 1.0
 
 
 class EngineMemory(ports.Engine):
@@ -33,20 +23,21 @@
         name: str,
         clock: timers.TimerService,
         options: engine_model.EngineOptions | None = None,
-        loaded: typing.Sequence[str] = ('base',),
+        loaded: tuple[str, ...] = ('base',),
     ) -> None:
         self.name = name
         self.clock = clock
         self.options = options or engine_model.EngineOptions()
         self.batch = engine_model.Batch(clock, self.options)
+        self.batch.on_change = self._note_load
         self.faults = engine_model.EngineFaults()
         self.loaded = dict.fromkeys(loaded, '1')
         self.loading: dict[str, str] = {}
         self.role = 'both'
         self.epoch = 0
         self.runs: dict[str, engine_model.Run] = {}
-        self._reports = collections.deque([self._measure()])
-        self.batch.on_change = self._note_load
+        self._reports: collections.deque = collections.deque()
+        self._note_load()
 
     def set_faults(self, faults: engine_model.EngineFaults) -> None:
         """Replace the faults; death loses all calls and the cache."""
@@ -55,142 +46,125 @@
         if faults.dead:
             for run in self.runs.values():
                 self.batch.remove(run, 'lost')
-            for session in list(self.batch.cache):
-                self.batch.evict(session)
-        self._note_load()
+            self.runs.clear()
+            self.batch.cache.clear()
 
     def take_faults(self) -> engine_model.EngineFaults:
-        """Return the faults of the next stream."""
-        if self.faults.calls <= 0:
-            return engine_model.EngineFaults()
+        """Return the faults that the next stream meets."""
         self.faults.calls -= 1
-        return self.faults
+        if self.faults.calls >= 0:
+            return self.faults
+        return engine_model.EngineFaults()
 
-    def start(
-        self, request: ports.EngineRequest, hang: int | None
-    ) -> engine_model.Run | failures.Failure:
+    def start(self, request, faults) -> engine_model.Run | failures.Failure:
         """Queue a call; a known call id joins its run."""
-        if request.call_id in self.runs:
-            return self.runs[request.call_id]
-        if request.model not in self.loaded or self.faults.leaving:
+        if faults.stream == 'error':
+            return _FAILED
+        closed = self.faults.dead or self.faults.leaving
+        closed = closed or request.model not in self.loaded
+        if closed or faults.stream == 'refuse':
             return REFUSED
-        if len(self.runs) >= _RUNS_KEPT:
-            ended = (i for i, r in self.runs.items() if r.is_over)
-            self.runs.pop(next(ended, ''), None)
-        run = self.runs[request.call_id] = engine_model.Run(request, hang)
-        self.batch.add(run)
-        return run
-
-    async def follow(
-        self, run: engine_model.Run, faults: engine_model.EngineFaults
-    ) -> typing.AsyncIterator[tuple[str, ...] | ports.Completion]:
-        """Yield new pieces, then the completion; end early where it broke.
+        if request.call_id not in self.runs:
+            hang = faults.after if faults.stream == 'hang' else None
+            run = engine_model.Run(request, hang)
+            self.runs[request.call_id] = run
+            self.batch.add(run)
+        return self.runs[request.call_id]
+
+    async def follow(self, run, faults):
+        """Yield tuples of new pieces, then the completion, if it comes.
 
         An empty tuple is a sign of life while the run waits.
         """
         shown = 0
-        while not (run.is_over and shown == run.made):
+        cut = faults.stream in ('silence', 'break')
+        while run.state in ('waiting', 'running') or shown < run.made:
             changed = run.changed
-            stops = (faults.silent_after, faults.break_after)
-            if shown in stops:
-                break
-            end = min(n for n in (*stops, run.made) if n is not None)
-            if end > shown:
+            end = min(run.made, faults.after) if cut else run.made
+            if shown < end:
                 yield run.script.pieces[shown:end]
                 shown = end
-                continue
-            try:
-                async with asyncio.timeout(_KEEPALIVE):
-                    await changed.wait()
-            except TimeoutError:
-                if run.state == 'waiting' or run.prefill_steps:
+            elif cut and shown == faults.after:
+                break
+            elif not await self._wait(changed) and not run.made:
+                if run.hang != 0:
                     yield ()
-        if shown == faults.silent_after:
+        if faults.stream == 'silence':
             await asyncio.Event().wait()
-        if shown == faults.break_after or run.state != 'done':
+        if faults.stream == 'break' or run.state != 'done':
             return
-        await self.clock.sleep(faults.late)
+        await self.clock.sleep(faults.seconds)
         yield run.complete()
-        if faults.duplicate:
+        if faults.stream == 'twice':
             yield run.complete()
 
+    async def _wait(self, changed: asyncio.Event) -> bool:
+        try:
+            async with asyncio.timeout(_ALIVE_INTERVAL):
+                return await changed.wait()
+        except TimeoutError:
+            return False
+
     async def stream(self, request):
         faults = self.take_faults()
-        run = REFUSED
-        if not (faults.refuse or faults.dead):
-            run = self.start(request, faults.hang_after)
-        if isinstance(run, failures.Failure):
-            yield run
-        elif faults.error:
-            yield failures.Failure(failures.Kind.TARGET_FAILED, 'error')
-        else:
-            async for item in self._read(request, run, faults, 0):
-                yield item
+        run = self.start(request, faults)
+        async for item in self._read(request, run, faults, 0):
+            yield item
 
     async def resume(self, request, offset):
-        run = self.runs.get(request.call_id)
-        if self.faults.dead or run is None:
-            yield REFUSED if self.faults.dead else _BROKEN
-            return
+        run = self.runs.get(request.call_id, _BROKEN)
         faults = engine_model.EngineFaults()
         async for item in self._read(request, run, faults, offset):
             yield item
 
-    async def _read(self, request, run, faults, skip):
+    async def _read(self, request, run, faults, offset):
+        if isinstance(run, failures.Failure):
+            yield run
+            return
         items = self.follow(run, faults)
         end = self.clock.now() + request.timeout
         while True:
             limit = min(request.progress_timeout, end - self.clock.now())
             try:
                 async with asyncio.timeout(limit):
-                    item = await anext(items, _BROKEN)
-            except TimeoutError:
-                item = _SILENT
+                    item = await anext(items)
+            except (TimeoutError, StopAsyncIteration) as error:
+                silent = isinstance(error, TimeoutError)
+                item = _SILENT if silent else _BROKEN
             if isinstance(item, ports.Completion | failures.Failure):
                 yield item
                 return
             text = ''.join(item)
-            if item and (len(text) > skip or not text):
-                yield ports.Delta(text[skip:], len(item))
-            skip = max(0, skip - len(text))
+            if item and (len(text) > offset or not text):
+                yield ports.Delta(text[offset:], len(item))
+            offset = max(0, offset - len(text))
 
-    @_unless_dead
-    def cancel(self, call_id):
+    async def cancel(self, call_id):
         if call_id in self.runs:
             self.batch.remove(self.runs[call_id], 'cancelled')
 
-    def _measure(self) -> ports.LoadReport:
-        batch = self.batch
-        return ports.LoadReport(
-            self.name,
-            self.clock.now(),
-            len(batch.running),
-            len(batch.waiting),
-            batch.cached_tokens,
-            self.options.cache_tokens,
-            tuple(self.loaded),
-            self.role,
-            self.faults.leaving,
-        )
-
     def _note_load(self) -> None:
-        self._reports.append(self._measure())
-        shown = self.clock.now() - self.options.report_lag
+        now = self.clock.now()
+        running, waiting = len(self.batch.running), len(self.batch.waiting)
+        used, size = sum(self.batch.cache.values()), self.options.cache_tokens
+        load = (running, waiting, used, size)
+        state = (tuple(self.loaded), self.role, self.faults.leaving)
+        self._reports.append(ports.LoadReport(self.name, now, *load, *state))
+        shown = now - self.options.report_lag
         while len(self._reports) > 1 and self._reports[1].measured_at <= shown:
             self._reports.popleft()
 
-    @_unless_dead
-    def report_load(self):
+    async def report_load(self):
         self._note_load()
-        return self._reports[0]
+        return REFUSED if self.faults.dead else self._reports[0]
 
-    @_unless_dead
-    def list_cache_events(self, after):
-        now, gap = self.clock.now(), self.faults.event_gap
+    async def list_cache_events(self, after):
+        shown = self.clock.now() - self.options.event_delay
+        gap = self.faults.event_gap
         return [
             event
-            for shown_at, event in self.batch.events[after:]
-            if shown_at <= now and not (gap and event.number % gap == 0)
+            for made_at, event in self.batch.events[after:]
+            if made_at <= shown and not (gap and event.number % gap == 0)
         ]
 
     async def export_cache(self, session):
@@ -204,8 +178,9 @@
         self.batch.store(session, tokens)
         return self.batch.cache[session]
 
-    @_unless_dead
-    def give_order(self, order):
+    async def give_order(self, order):
+        if self.faults.dead:
+            return REFUSED
         if self.options.fencing and order.epoch < self.epoch:
             return failures.Failure(failures.Kind.CONFLICT, 'stale epoch')
         self.epoch = max(self.epoch, order.epoch)
@@ -213,10 +188,8 @@
         match order.kind:
             case 'load' if self.loaded.get(subject) != version:
                 self.loading[subject] = version
-                self.clock.call_after(
-                    self.options.load_time,
-                    functools.partial(self._end_loading, subject, version),
-                )
+                delay = self.options.load_time
+                self.clock.call_after(delay, lambda: self._load(order))
             case 'unload':
                 self.loaded.pop(subject, None)
                 self.loading.pop(subject, None)
@@ -226,17 +199,13 @@
                 self.batch.evict(subject)
         self._note_load()
 
-    def _end_loading(self, subject: str, version: str) -> None:
-        if self.loading.get(subject) == version:
-            self.loaded[subject] = self.loading.pop(subject)
-            self._note_load()
-
-    @_unless_dead
-    def read_state(self):
-        return ports.EngineState(
-            dict(self.loaded),
-            dict(self.loading),
-            self.role,
-            dict(self.batch.cache),
-            self.epoch,
-        )
+    def _load(self, order: ports.Order) -> None:
+        if self.loading.get(order.subject) == order.version:
+            self.loaded[order.subject] = self.loading.pop(order.subject)
+
+    async def read_state(self):
+        if self.faults.dead:
+            return REFUSED
+        models = (dict(self.loaded), dict(self.loading))
+        cache = dict(self.batch.cache)
+        return ports.EngineState(*models, self.role, cache, self.epoch)
--- a/libs/fakes/vanillayoke/fakes/engine_model.py
+++ b/libs/fakes/vanillayoke/fakes/engine_model.py
@@ -1,7 +1,6 @@
 """Batching and prefix cache of a stand-in engine, in the timers' time."""
 
 import asyncio
-import heapq
 import math
 import typing
 
@@ -15,22 +14,16 @@
 class EngineFaults(msgspec.Struct, kw_only=True):
     """Faults of a stand-in engine; setting new ones replaces the old.
 
-    The first group hits the next ``calls`` streams. ``hang_after``,
-    ``silent_after`` and ``break_after`` count tokens: the sequence stops,
-    or just its connection is silent or breaks. The final piece comes
-    ``late`` seconds late, or twice; ``error`` is an HTTP status and
-    ``refuse`` says not run. The rest hold always: ``dead`` loses all calls
-    and cache, ``event_gap`` loses each n-th cache event.
+    The next ``calls`` streams meet ``stream``: ``hang``, ``silence`` (of
+    the connection alone) or ``break`` after ``after`` tokens, the end
+    ``late`` by ``seconds`` or ``twice``, an ``error`` or ``refuse``.
+    ``dead`` loses all; ``event_gap`` loses each n-th cache event.
     """
 
     calls: int = 1
-    hang_after: int | None = None
-    silent_after: int | None = None
-    break_after: int | None = None
-    late: float = 0.0
-    duplicate: bool = False
-    error: int = 0
-    refuse: bool = False
+    stream: str = ''
+    after: int = 0
+    seconds: float = 0.0
     slow: float = 1.0
     dead: bool = False
     leaving: bool = False
@@ -52,9 +45,9 @@
 
 
 class Run:
-    """A sequence in the engine; ``state`` goes from waiting to ended."""
+    """A sequence in the engine: ``waiting``, ``running`` or over."""
 
-    def __init__(self, request: ports.EngineRequest, hang: int | None):
+    def __init__(self, request: ports.EngineRequest, hang: int | None) -> None:
         self.request = request
         self.hang = hang
         self.script = script.write_answer(request.messages)
@@ -64,10 +57,6 @@
         self.state = 'waiting'
         self.changed = asyncio.Event()
 
-    @property
-    def is_over(self) -> bool:
-        return self.state not in ('waiting', 'running')
-
     def move(self, state: str) -> None:
         """Set the state and wake all readers."""
         self.state = state
@@ -76,13 +65,11 @@
 
     def complete(self) -> ports.Completion:
         """Return the whole answer of a run that is done."""
-        whole = self.limit == len(self.script.pieces)
-        return ports.Completion(
-            ''.join(self.script.pieces[: self.limit]),
-            self.script.tool_calls if whole else (),
-            self.script.finish_reason if whole else 'length',
-            ports.Usage(self.prompt, self.cached, self.made),
-        )
+        usage = ports.Usage(self.prompt, self.cached, self.made)
+        text = ''.join(self.script.pieces[: self.limit])
+        if self.limit < len(self.script.pieces):
+            return ports.Completion(text, (), 'length', usage)
+        return ports.Completion(text, *self.script[1:], usage)
 
 
 class Batch:
@@ -96,57 +83,49 @@
         self.slow = 1.0
         self.on_change: typing.Callable[[], None] = lambda: None
         self.running: list[Run] = []
-        self.waiting: list[tuple[int, int, Run]] = []
+        self.waiting: list[Run] = []
         self.cache: dict[str, int] = {}
-        self.cached_tokens = 0
         self.events: list[tuple[float, ports.CacheEvent]] = []
-        self._arrivals = 0
         self._stepping = False
 
     def add(self, run: Run) -> None:
         """Queue a run; lower priority numbers go first."""
-        self._arrivals += 1
-        entry = (run.request.priority, self._arrivals, run)
-        heapq.heappush(self.waiting, entry)
+        self.waiting.append(run)
+        self.waiting.sort(key=lambda r: r.request.priority)
         self._schedule()
 
     def remove(self, run: Run, state: str) -> None:
-        """End a run that has not ended and free its place."""
-        if run in self.running:
-            self.running.remove(run)
-        self.waiting = sorted(e for e in self.waiting if e[2] is not run)
-        if run.state != 'done':
-            run.move(state)
+        """End a run that is not over and free its place."""
+        for runs in (self.running, self.waiting):
+            if run in runs:
+                runs.remove(run)
+                run.move(state)
         self._schedule()
 
     def store(self, session: str, tokens: int) -> None:
-        """Set a session's cached tokens, least recently used go first."""
+        """Cache a session's prefix; the least recently used make room."""
         before = self.cache.pop(session, 0)
         self.cache[session] = max(before, tokens)
-        self.cached_tokens += self.cache[session] - before
         if tokens > before:
             self._note('stored', session, tokens)
         busy = {run.request.session for run in self.running} | {session}
         for victim in [s for s in self.cache if s not in busy]:
-            if self.cached_tokens <= self.options.cache_tokens:
+            if sum(self.cache.values()) <= self.options.cache_tokens:
                 break
             self.evict(victim)
 
     def evict(self, session: str) -> None:
         """Drop a session's cache, if there is one."""
-        tokens = self.cache.pop(session, 0)
-        if tokens:
-            self.cached_tokens -= tokens
+        if self.cache.pop(session, 0):
             self._note('evicted', session, 0)
 
     def _note(self, kind: str, session: str, tokens: int) -> None:
         event = ports.CacheEvent(len(self.events) + 1, kind, session, tokens)
-        shown_at = self.clock.now() + self.options.event_delay
-        self.events.append((shown_at, event))
+        self.events.append((self.clock.now(), event))
 
     def _schedule(self) -> None:
         while self.waiting and len(self.running) < self.options.slots:
-            self._admit(heapq.heappop(self.waiting)[2])
+            self._admit(self.waiting.pop(0))
         if self.running and not self._stepping:
             self._stepping = True
             self.clock.call_after(self.options.step * self.slow, self._step)
@@ -170,7 +149,6 @@
                 run.made += 1
                 run.move('running')
                 if run.made >= run.limit:
-                    self.running.remove(run)
-                    run.move('done')
                     self.store(run.request.session, run.prompt + run.made)
+                    self.remove(run, 'done')
         self._schedule()
--- a/libs/fakes/vanillayoke/fakes/script.py
+++ b/libs/fakes/vanillayoke/fakes/script.py
@@ -10,12 +10,9 @@
 import re
 import typing
 
-
 from vanillayoke.targets import ports
 
-_BRACKETS = re.compile(r'\[\[|\]\]')
 _WORDS = 'oak tile sheet river swatch grid stock crew order slope'.split()
-_QUOTED = 60
 
 
 class Script(typing.NamedTuple):
@@ -33,31 +30,27 @@
 
 def write_answer(messages: typing.Sequence[ports.ChatMessage]) -> Script:
     """Return the answer to a history; equal histories give equal ones."""
-    users = [i for i, m in enumerate(messages) if m['role'] == 'user']
-    last = users[-1] if users else 0
-    directives = _split_directives(messages[last].get('content') or '')
+    texts = [(m['role'], m.get('content') or '') for m in messages]
+    last = max((i for i, t in enumerate(texts) if t[0] == 'user'), default=0)
+    directives = _split_directives(texts[last][1])
     calls = [d for d in directives if not d.startswith('say:')]
-    results = [m for m in messages[last:] if m['role'] == 'tool']
-    source = random.Random(json.dumps([_list_texts(m) for m in messages]))
+    results = [text for role, text in texts[last:] if role == 'tool']
+    source = random.Random(json.dumps(texts))
     if len(results) < len(calls):
-        call = _make_call(calls[len(results)], f'call_{source.getrandbits(64):016x}')
+        call_id = f'call_{source.getrandbits(64):016x}'
+        call = _make_call(call_id, calls[len(results)])
         return Script(('',) * 4, (call,), 'tool_calls')
     counts = [int(d[4:]) for d in directives if d.startswith('say:')]
     words = source.choices(_WORDS, k=counts[-1] if counts else 16)
     if results:
-        words += ['Result:', (results[-1].get('content') or '')[:_QUOTED]]
+        words += ['Result:', results[-1][:60]]
     return Script(tuple(f'{word} ' for word in words), (), 'stop')
 
 
-def _list_texts(message: ports.ChatMessage) -> list[str]:
-    keys = ('role', 'content', 'tool_call_id')
-    return [message.get(key) or '' for key in keys]
-
-
 def _split_directives(text: str) -> list[str]:
     """Return the insides of the outermost double brackets."""
     found, depth, begin = [], 0, 0
-    for match in _BRACKETS.finditer(text):
+    for match in re.finditer(r'\[\[|\]\]', text):
         if match.group() == '[[':
             begin = begin if depth else match.end()
             depth += 1
@@ -68,9 +61,8 @@
     return [d for d in found if d.startswith(('tool:', 'child:', 'say:'))]
 
 
-def _make_call(directive: str, call_id: str) -> ports.ToolCall:
+def _make_call(call_id: str, directive: str) -> ports.ToolCall:
     kind, _, rest = directive.partition(':')
-    name, _, arguments = rest.partition(' ')
-    if kind == 'child':
-        arguments = json.dumps({'text': arguments})
+    name, _, text = rest.partition(' ')
+    arguments = json.dumps({'text': text}) if kind == 'child' else text
     return {'id': call_id, 'name': name, 'arguments': arguments or '{}'}
--- a/libs/fakes/vanillayoke/fakes/server.py
+++ b/libs/fakes/vanillayoke/fakes/server.py
@@ -16,37 +16,43 @@
     failures.Kind.CONFLICT: 409,
     failures.Kind.UNAUTHENTICATED: 401,
 }
-_LARGEST_BODY = 16 * 1024 * 1024
 
 
 def answer(result: typing.Any) -> web.Response:
-    """Answer a control request with JSON, or with a failure's status."""
-    if not isinstance(result, failures.Failure):
-        if hasattr(result, '_asdict'):
-            result = result._asdict()
-        body = msgspec.json.encode(result)
-        return web.Response(body=body, content_type='application/json')
-    status = _STATUSES.get(result.kind, 500)
-    headers = {'X-Not-Run': 'true'} if status == 503 else {}
-    return web.Response(status=status, headers=headers)
+    """Answer with JSON, or with the status of a failure."""
+    if isinstance(result, failures.Failure):
+        status = _STATUSES.get(result.kind, 500)
+        unrun = str(status == 503).lower()
+        return web.Response(status=status, headers={'X-Not-Run': unrun})
+    if isinstance(result, list):
+        result = [item._asdict() for item in result]
+    elif isinstance(result, tuple):
+        result = result._asdict()
+    return web.Response(body=msgspec.json.encode(result))
 
 
-def make_application(target: typing.Any, faults: type) -> web.Application:
-    """Return an application that takes a target's faults."""
+def break_connection(request: web.Request) -> None:
+    """Break a request's connection; the client may have done it before."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def make_application(target, faults_type: type, routes) -> web.Application:
+    """Return an application with routes and ``POST /faults``."""
 
     async def set_faults(request: web.Request) -> web.Response:
         body = await request.read()
-        target.set_faults(msgspec.json.decode(body, type=faults))
+        target.set_faults(msgspec.json.decode(body, type=faults_type))
         return web.Response()
 
-    application = web.Application(client_max_size=_LARGEST_BODY)
-    application.router.add_post('/faults', set_faults)
+    application = web.Application(client_max_size=16 * 1024 * 1024)
+    application.add_routes([web.post('/faults', set_faults), *routes])
     return application
 
 
 async def serve(application: web.Application, address: str) -> web.AppRunner:
     """Serve at ``IP:PORT``; cleaning up the runner ends it."""
-    runner = web.AppRunner(application, shutdown_timeout=0.1)
+    runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
     host, _, port = address.rpartition(':')
     await web.TCPSite(runner, host, int(port)).start()
@@ -58,7 +64,7 @@
     return '{}:{}'.format(*runner.addresses[0][:2])
 
 
-def run(build: typing.Callable[[str, timers.TimerService], typing.Any]):
+def run(build: typing.Callable[[str, timers.TimerService], web.Application]):
     """Serve what ``build`` makes of a name until the process is stopped."""
 
     async def serve_forever() -> None:
--- a/libs/fakes/vanillayoke/fakes/service_http.py
+++ b/libs/fakes/vanillayoke/fakes/service_http.py
@@ -1,12 +1,12 @@
 """A stand-in service over HTTP.
 
 ``python -m vanillayoke.fakes.service_http --name=NAME`` prints its address
-as one line of JSON; ``GET /executions`` counts executions by idempotency
-key.
+as one line of JSON; ``GET /executions`` counts by idempotency key.
 """
 
 from aiohttp import web
 
+from vanillayoke.core import failures
 from vanillayoke.core import timers
 from vanillayoke.fakes import server
 from vanillayoke.fakes import service_memory
@@ -17,24 +17,23 @@
     """Return the application of a service."""
 
     async def call(request: web.Request) -> web.Response:
-        key = request.headers.get('Idempotency-Key', '')
+        head = (request.headers['Idempotency-Key'], request.path)
         arguments = await request.text()
         result = await service.execute(
-            ports.ServiceRequest(key, request.path, arguments, 0.0)
+            ports.ServiceRequest(*head, arguments, 0.0)
         )
-        if result is None:
-            request.transport.abort()
         if isinstance(result, ports.ServiceAnswer):
             return web.Response(text=result.body)
+        if result.kind is failures.Kind.OUTCOME_UNKNOWN:
+            server.break_connection(request)
         return server.answer(result)
 
     async def query(request: web.Request) -> web.Response:
         result = await service.query(request.match_info['key'])
-        if result is None:
-            return web.Response(status=404, headers={'X-Not-Run': 'true'})
         if isinstance(result, ports.ServiceAnswer):
             return web.Response(text=result.body)
-        return web.Response(status=404)
+        unrun = str(result is None).lower()
+        return web.Response(status=404, headers={'X-Not-Run': unrun})
 
     async def report_load(request: web.Request) -> web.Response:
         return server.answer(await service.report_load())
@@ -42,20 +41,19 @@
     async def list_executions(request: web.Request) -> web.Response:
         return server.answer(service.executions)
 
-    application = server.make_application(
-        service, service_memory.ServiceFaults
-    )
-    application.router.add_get('/executions', list_executions)
-    application.router.add_get('/v1/calls/{key}', query)
-    application.router.add_post('/v1/control/report_load', report_load)
-    application.router.add_post('/{path:.*}', call)
-    return application
+    routes = [
+        web.get('/executions', list_executions),
+        web.get('/v1/calls/{key}', query),
+        web.post('/v1/control/report_load', report_load),
+        web.post('/{path:.*}', call),
+    ]
+    faults_type = service_memory.ServiceFaults
+    return server.make_application(service, faults_type, routes)
 
 
-def _build_named(name: str, clock: timers.TimerService) -> web.Application:
-    service = service_memory.ServiceMemory(name, clock, has_query=True)
-    return build(service)
+def _build(name: str, clock: timers.TimerService) -> web.Application:
+    return build(service_memory.ServiceMemory(name, clock, has_query=True))
 
 
 if __name__ == '__main__':
-    server.run(_build_named)
+    server.run(_build)
--- a/libs/fakes/vanillayoke/fakes/service_memory.py
+++ b/libs/fakes/vanillayoke/fakes/service_memory.py
@@ -9,20 +9,21 @@
 from vanillayoke.core import timers
 from vanillayoke.targets import ports
 
+_BROKEN = failures.Failure(failures.Kind.OUTCOME_UNKNOWN, 'broken')
+_REFUSED = failures.Failure(failures.Kind.TARGET_REFUSED, 'refused')
+
 
 class ServiceFaults(msgspec.Struct, kw_only=True):
     """Faults of a stand-in service; setting new ones replaces the old.
 
-    All but ``leaving`` hit the next ``calls`` calls: ``hang`` never
-    answers, ``die`` breaks the connection ``before`` or ``after`` the
-    effect, and the answer comes ``late`` seconds late.
+    The next ``calls`` calls meet ``call``: ``refuse``, ``hang``, the
+    connection breaks (``die_before`` or ``die_after`` the effect); answers
+    come ``late`` seconds late.
     """
 
     calls: int = 1
-    hang: bool = False
-    die: str = ''
+    call: str = ''
     late: float = 0.0
-    refuse: bool = False
     leaving: bool = False
 
 
@@ -38,11 +39,11 @@
     ) -> None:
         self.name = name
         self.clock = clock
-        self.slots = slots
         self.has_query = has_query
         self.faults = ServiceFaults()
         self.executions: dict[str, int] = {}
         self.answers: dict[str, str] = {}
+        self._slots = slots
         self._inside = 0
         self._free = asyncio.Semaphore(slots)
 
@@ -50,61 +51,47 @@
         """Replace the faults."""
         self.faults = faults
 
-    async def execute(
-        self, request: ports.ServiceRequest
-    ) -> ports.ServiceAnswer | None | failures.Failure:
-        """Run a call; ``None`` stands for a broken connection."""
-        faults = self.faults if self.faults.calls > 0 else ServiceFaults()
+    async def execute(self, request):
+        """Run a call; a broken connection is ``OUTCOME_UNKNOWN``."""
         self.faults.calls -= 1
-        if faults.refuse or self.faults.leaving:
-            kind = failures.Kind.TARGET_REFUSED
-            return failures.Failure(kind, 'the service refused')
-        if faults.die == 'before':
-            return None
+        faults = self.faults if self.faults.calls >= 0 else ServiceFaults()
+        if faults.call == 'refuse' or self.faults.leaving:
+            return _REFUSED
+        if faults.call == 'die_before':
+            return _BROKEN
         self._inside += 1
         try:
             async with self._free:
-                await self._carry_out(request, faults)
+                return await self._carry_out(request, faults)
         finally:
             self._inside -= 1
-        if faults.die == 'after':
-            return None
-        return ports.ServiceAnswer(self.answers[request.key])
 
-    async def _carry_out(self, request, faults) -> None:
+    async def _carry_out(self, request, faults):
         count = self.executions.get(request.key, 0)
         self.executions[request.key] = count + 1
         body = {'path': request.path, 'echo': request.arguments}
-        self.answers[request.key] = json.dumps(body)
-        if faults.hang:
+        answer = self.answers[request.key] = json.dumps(body)
+        if faults.call == 'hang':
             await asyncio.Event().wait()
         await self.clock.sleep(faults.late)
+        died = faults.call == 'die_after'
+        return _BROKEN if died else ports.ServiceAnswer(answer)
 
     async def call(self, request):
-        unknown = failures.Kind.OUTCOME_UNKNOWN
         try:
             async with asyncio.timeout(request.timeout):
-                result = await self.execute(request)
+                return await self.execute(request)
         except TimeoutError:
-            return failures.Failure(unknown, 'silent')
-        return result or failures.Failure(unknown, 'broken')
+            return _BROKEN._replace(reason='silent')
 
     async def query(self, key):
         if not self.has_query:
-            kind = failures.Kind.OUTCOME_UNKNOWN
-            return failures.Failure(kind, 'no query')
+            return _BROKEN._replace(reason='no query')
         known = key in self.answers
         return ports.ServiceAnswer(self.answers[key]) if known else None
 
     async def report_load(self):
-        return ports.LoadReport(
-            self.name,
-            self.clock.now(),
-            min(self._inside, self.slots),
-            max(0, self._inside - self.slots),
-            0,
-            0,
-            (),
-            'service',
-            self.faults.leaving,
-        )
+        running = min(self._inside, self._slots)
+        load = (running, self._inside - running, 0, 0, (), 'service')
+        head = (self.name, self.clock.now())
+        return ports.LoadReport(*head, *load, self.faults.leaving)
--- a/libs/targets/vanillayoke/targets/chunks.py
+++ b/libs/targets/vanillayoke/targets/chunks.py
@@ -123,7 +123,6 @@
                 return fault
         text = ''.join(texts)
         self._texts.append(text)
-        self._size += len(text)
         self._tokens += tokens
         return ports.Delta(text, tokens)
 
@@ -155,6 +154,7 @@
         if delta.content is None:
             return 0
         texts.append(delta.content)
+        self._size += len(delta.content)
         return 1
 
     def _take_tool_part(self, part: _ToolPart) -> None:
--- a/libs/targets/vanillayoke/targets/engine_http.py
+++ b/libs/targets/vanillayoke/targets/engine_http.py
@@ -20,6 +20,7 @@
 from vanillayoke.targets import requests
 
 _REQUEST_ID = 'X-Request-Id'
+_NOT_FOUND = 404
 _STREAM_TYPE = 'text/event-stream'
 # Behind the end mark a stream has at most its closing chunk, which comes
 # at once; a connection that is not at its end by then is not reused.
@@ -172,6 +173,10 @@
     response: aiohttp.ClientResponse, request: ports.EngineRequest
 ) -> failures.Failure | None:
     """Return what is wrong with an answer before its first piece."""
+    if response.status == _NOT_FOUND and response.method == 'GET':
+        return failures.Failure(
+            failures.Kind.OUTCOME_UNKNOWN, 'the engine forgot the call'
+        )
     failure = answers.check_status(response)
     if failure is not None:
         return failure
