--- a/libs/core/vanillayoke/core/ids.py
+++ b/libs/core/vanillayoke/core/ids.py
@@ -26,7 +26,7 @@
 
 def hash_key(*parts: str) -> int:
     """Hash parts to 64 bits, alike on all instances and versions."""
-    return xxhash.xxh3_64_intdigest('\x00'.join(parts))
+    return xxhash.xxh3_64_intdigest('\x00'.join(parts).encode())
 
 
 def derive_program_id(client: str, key: str) -> ProgramId:
--- /dev/null
+++ b/libs/harness/vanillayoke/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Small deployments of real processes, for demos and trials."""
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -22,7 +22,7 @@
     'settings',
     'core',
 )
-BESIDE = ('fakes', 'bench', 'testing')
+BESIDE = ('fakes', 'bench', 'harness', 'testing')
 PURE = ('cluster', 'programs', 'scheduling')
 IMPURE_MODULES = frozenset(
     (
--- a/tools/make_venv.sh
+++ b/tools/make_venv.sh
@@ -9,10 +9,10 @@
     python3 -m venv .venv
     .venv/bin/pip install --quiet --quiet --disable-pip-version-check \
         --require-hashes --no-deps -r requirements/dev.txt
-    site=$(.venv/bin/python -c \
-        'import sysconfig; print(sysconfig.get_path("purelib"))')
-    for library in libs/*/; do
-        echo "$PWD/${library%/}"
-    done > "$site/vanillayoke-workspace.pth"
     cp requirements/dev.txt "$stamp"
 fi
+site=$(.venv/bin/python -c \
+    'import sysconfig; print(sysconfig.get_path("purelib"))')
+for library in libs/*/; do
+    echo "$PWD/${library%/}"
+done > "$site/vanillayoke-workspace.pth"
