--- /dev/null
+++ b/libs/node/vanillayoke/node/handovers.py
@@ -0,0 +1,162 @@
+"""Giving shards away in good order, so that the heir need not wait."""
+
+import random
+import typing
+
+from vanillayoke.cluster import takeover
+from vanillayoke.core import failures
+from vanillayoke.core import ids
+from vanillayoke.core import timers
+from vanillayoke.node import holdings
+from vanillayoke.node import journal as journals
+from vanillayoke.node import notices
+from vanillayoke.node import shardtable
+from vanillayoke.programs import program as programs
+from vanillayoke.programs import records
+from vanillayoke.programs import snapshots
+
+NOTICE_LIFETIME = 60.0
+_RETRY = 0.5
+
+ListPrograms = typing.Callable[[ids.Shard], typing.Iterable[programs.Program]]
+Heirs = dict[ids.Shard, str]
+
+
+class _Handed(typing.NamedTuple):
+    heir: str
+    shard: ids.Shard
+    until: float
+
+
+class Giver:
+    """Hands shards over to other instances."""
+
+    def __init__(
+        self,
+        journal: journals.Journal,
+        table: shardtable.ShardTable,
+        held: holdings.Holdings,
+        news: notices.Notices,
+        service: timers.TimerService,
+        source: random.Random,
+        list_programs: ListPrograms,
+    ) -> None:
+        self._journal = journal
+        self._table = table
+        self._held = held
+        self._notices = news
+        self._timers = service
+        self._random = source
+        self._list_programs = list_programs
+        self._handed: list[_Handed] = []
+        self._pinned: dict[ids.Shard, int] = {}
+
+    @property
+    def first_pinned(self) -> int | None:
+        """Return the oldest own segment that a handover may still name."""
+        return min(self._pinned.values(), default=None)
+
+    async def hand_over(self, heirs: Heirs) -> None | failures.Failure:
+        """Give shards to their heirs; '' leaves a shard to any claimant.
+
+        The shards are served no more from the call on. A handover that was
+        begun is finished even where the store fails for long: the write in
+        doubt may take effect at any later time, so that this instance could
+        never again be sure of its epoch.
+        """
+        taken = self._take_snapshots(heirs)
+        unreplayed = set(self._held.list_in(holdings.Phase.REPLAYING))
+        self._held.give_up(heirs)
+        extent = await self._store(taken)
+        if failures.is_failure(extent):
+            return extent
+        with_programs = {ids.find_shard(one.program) for one in taken}
+        changes: shardtable.Changes = {}
+        for shard, heir in heirs.items():
+            row = self._table.find(shard)
+            if shard in unreplayed:
+                changes[shard] = takeover.pass_on(row, heir)
+                continue
+            its = extent if shard in with_programs else None
+            changes[shard] = takeover.make_handover(row, heir, its)
+        return await self._write(changes)
+
+    def _take_snapshots(self, heirs: Heirs) -> list[records.ProgramSnapshot]:
+        taken = []
+        for shard in heirs:
+            epoch = self._held.find_epoch(shard)
+            if epoch is None:
+                continue
+            taken += [
+                snapshots.take_snapshot(program, epoch)
+                for program in self._list_programs(shard)
+            ]
+        return taken
+
+    async def _store(
+        self, taken: list[records.ProgramSnapshot]
+    ) -> takeover.Extent | None | failures.Failure:
+        if not taken:
+            return None
+        return await self._journal.store(taken)
+
+    async def _write(
+        self, changes: shardtable.Changes
+    ) -> None | failures.Failure:
+        self._pin(changes)
+        left = changes
+        while left:
+            if self._journal.lease.is_lost:
+                return failures.Failure(
+                    failures.Kind.LEASE_LOST, 'fenced during a handover'
+                )
+            written = await self._table.change(left)
+            if failures.is_failure(written):
+                await self._timers.sleep(_RETRY)
+                written = self._find_written(left)
+            self._held.remove(written)
+            await self._announce(written)
+            left = {
+                shard: row
+                for shard, row in left.items()
+                if shard not in written
+            }
+        return None
+
+    def _find_written(self, changes: shardtable.Changes) -> shardtable.Changes:
+        return {
+            shard: row
+            for shard, row in changes.items()
+            if self._table.find(shard) == row
+        }
+
+    def _pin(self, changes: shardtable.Changes) -> None:
+        """Keep the segments that the rows are about to name."""
+        for shard, row in changes.items():
+            for source in row.sources:
+                if source.incarnation == self._journal.incarnation:
+                    self._pinned[shard] = source.first
+
+    def unpin(self) -> None:
+        """Let go of segments that no row names, after a scan of the rows."""
+        me = self._journal.incarnation
+        giving = set(self._held.list_in(holdings.Phase.GIVING))
+        for shard in set(self._pinned) - giving:
+            row = self._table.find(shard)
+            if not any(source.incarnation == me for source in row.sources):
+                del self._pinned[shard]
+
+    async def _announce(self, written: shardtable.Changes) -> None:
+        if not written:
+            return
+        now = self._timers.now()
+        self._handed = [one for one in self._handed if one.until > now]
+        self._handed += [
+            _Handed(row.owner, shard, now + NOTICE_LIFETIME)
+            for shard, row in written.items()
+            if row.owner
+        ]
+        handed: dict[str, tuple[ids.Shard, ...]] = {}
+        for heir, shard, _ in self._handed:
+            handed[heir] = (*handed.get(heir, ()), shard)
+        await self._notices.announce_handed(handed)
--- /dev/null
+++ b/tests/node/machines.py
@@ -0,0 +1,322 @@
+"""Instances on a stand-in platform, which can die and be paused."""
+
+import asyncio
+import random
+import typing
+
+from vanillayoke.cluster import messages
+from vanillayoke.core import ids
+from vanillayoke.core import timers
+from vanillayoke.fakes import platform_memory
+from vanillayoke.node import hosted
+from vanillayoke.node import journal as journals
+from vanillayoke.node import ownership as ownerships
+from vanillayoke.programs import records
+from vanillayoke.settings import process
+
+BUDGET = records.Budget(1_000_000, 1000, 3600.0, 1_000_000)
+
+
+class Gate:
+    """Holds an instance up: while closed, none of its tasks goes on."""
+
+    def __init__(self) -> None:
+        self._open = asyncio.Event()
+        self._open.set()
+        self.passed = 0
+        self.pause_at: int | None = None
+        self.on_pause: typing.Callable[[], None] = lambda: None
+
+    def close(self) -> None:
+        self._open.clear()
+
+    def open(self) -> None:
+        self._open.set()
+
+    async def wait(self) -> None:
+        self.passed += 1
+        if self.passed == self.pause_at:
+            self.close()
+            self.on_pause()
+        await self._open.wait()
+
+
+class GatedTimers(timers.TimerService):
+    """Timers of an instance whose clock runs at a rate of its own.
+
+    The clock goes on through a pause, as a machine's does.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        gate: Gate,
+        rate: float = 1.0,
+        wall: float = 1e9,
+    ) -> None:
+        self._inner = timers.LoopTimers(loop)
+        self._gate = gate
+        self._rate = rate
+        self._wall = wall
+
+    def now(self) -> float:
+        return self._inner.now() * self._rate
+
+    def wall(self) -> float:
+        return self._wall + self._inner.now()
+
+    def call_after(self, delay, callback):
+        async def fire() -> None:
+            await self._gate.wait()
+            if not subscription.cancelled:
+                callback()
+
+        subscription = _GatedSubscription()
+        subscription.inner = self._inner.call_after(
+            delay / self._rate, lambda: asyncio.ensure_future(fire())
+        )
+        return subscription
+
+    def call_every(self, interval, callback):
+        def fire() -> None:
+            callback()
+            subscription.inner = self.call_after(interval, fire)
+
+        subscription = _GatedSubscription()
+        subscription.inner = self.call_after(interval, fire)
+        return subscription
+
+    async def sleep(self, delay: float) -> None:
+        await self._inner.sleep(delay / self._rate)
+        await self._gate.wait()
+
+
+class _GatedSubscription(timers.Subscription):
+    inner: timers.Subscription
+    cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+        self.inner.cancel()
+
+
+class GatedPort:
+    """A port of the platform whose replies wait behind the gate."""
+
+    def __init__(self, inner: typing.Any, gate: Gate) -> None:
+        self._inner = inner
+        self._gate = gate
+
+    def __getattr__(self, name: str) -> typing.Callable:
+        method = getattr(self._inner, name)
+
+        async def call(*arguments, **named):
+            await self._gate.wait()
+            result = await method(*arguments, **named)
+            await self._gate.wait()
+            return result
+
+        return call
+
+
+class Machine:
+    """One instance: journal, ownership and hosted programs."""
+
+    def __init__(
+        self,
+        cluster: 'Cluster',
+        name: str,
+        zone: str,
+        rate: float,
+        **journal_options: typing.Any,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.gate = Gate()
+        self.cluster = cluster
+        self.timers = GatedTimers(cluster.loop, self.gate, rate)
+        self.source = random.Random(f'{name} {len(cluster.started)}')
+        self.is_up = False
+        port = cluster.platform.for_caller(name)
+        self.platform = port._replace(
+            table=GatedPort(port.table, self.gate),
+            objects=GatedPort(port.objects, self.gate),
+        )
+        self.settings = process.ProcessSettings(
+            instance=process.InstanceSettings(
+                name=name,
+                zone=zone,
+                region='here',
+                entry_address=f'{name}:80',
+                peer_address=f'{name}:81',
+            ),
+            platform=process.PlatformSettings(
+                table='', objects='', weights='', instances=''
+            ),
+            lease=cluster.lease,
+            store=cluster.store,
+        )
+        self._build(journal_options)
+
+    def _build(self, journal_options: dict[str, typing.Any]) -> None:
+        self.journal = journals.Journal.from_config(
+            self.settings,
+            self.platform,
+            self.timers,
+            self.source,
+            **journal_options,
+        )
+        self.ownership = ownerships.Ownership.from_config(
+            self.settings,
+            self.journal,
+            self.platform,
+            self.timers,
+            self.source,
+        )
+        self.programs = hosted.HostedPrograms(self.journal)
+        self.gained_at: dict[str, float] = {}
+        self.ownership.provide_programs(self.programs.list_shard)
+        self.ownership.subscribe_gained(self._gain)
+        self.ownership.subscribe_lost(self.programs.drop)
+
+    def _gain(self, gained) -> None:
+        self.programs.add(gained)
+        now = self.cluster.loop.time()
+        self.gained_at.update((program.id, now) for program in gained)
+
+    @property
+    def incarnation(self) -> str:
+        return self.journal.incarnation
+
+    @property
+    def member(self) -> messages.Member:
+        return messages.Member(
+            self.name, 1, self.zone, 'here', f'{self.name}:80', ''
+        )
+
+    async def start(self) -> None:
+        self.is_up = True
+        await self.journal.start()
+        await self.ownership.start()
+
+    async def kill(self) -> None:
+        """End as a process does that is killed: nothing more is written."""
+        self.is_up = False
+        self.gate.close()
+        await self.ownership.stop()
+        await self.journal.stop()
+
+    async def leave(self):
+        """End in good order."""
+        result = await self.ownership.release()
+        self.is_up = False
+        await self.journal.stop()
+        return result
+
+    def open_program(self, program: str, key: str = 'open') -> None:
+        shard = ids.find_shard(program)
+        epoch = self.ownership.held_epoch(shard)
+        assert epoch is not None, f'{self.name} does not own {program}'
+        opened = records.ProgramOpened(
+            program,
+            epoch,
+            client='client',
+            agent='agent',
+            key=key,
+            fingerprint='',
+            budget=BUDGET,
+            deadline=2e9,
+            urgent=False,
+            opened_at=1e9,
+        )
+        self.programs.write([opened])
+
+    def hold(self, program: str, target: str) -> None:
+        """Write a small record for a program: it holds cache somewhere."""
+        epoch = self.ownership.held_epoch(ids.find_shard(program))
+        assert epoch is not None, f'{self.name} does not own {program}'
+        self.programs.write([records.CacheHeld(program, epoch, target=target)])
+
+
+class Cluster:
+    """Machines on one platform, with membership as the test says."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        lease: process.LeaseSettings | None = None,
+        store: process.StoreSettings | None = None,
+        delay: float = 0.005,
+        seed: int = 1,
+    ) -> None:
+        self.loop = loop
+        self.lease = lease or process.LeaseSettings()
+        self.store = store or process.StoreSettings()
+        self.platform = platform_memory.MemoryPlatform(
+            timers.LoopTimers(loop), random.Random(seed)
+        )
+        self.faults = self.platform.faults
+        self.faults.delay = delay
+        self.started: list[Machine] = []
+        self.states: dict[str, messages.State] = {}
+
+    @property
+    def writes(self) -> int:
+        """Return the writes that the table and the object store took."""
+        table = self.platform.table.counters.writes
+        return table + self.platform.objects.counters.writes
+
+    @property
+    def reads(self) -> int:
+        table = self.platform.table.counters.reads
+        return table + self.platform.objects.counters.reads
+
+    def build(
+        self, name: str, zone: str = 'a', rate: float = 1.0, **options
+    ) -> Machine:
+        machine = Machine(self, name, zone, rate, **options)
+        self.started.append(machine)
+        return machine
+
+    async def add(self, name: str, zone: str = 'a', **options) -> Machine:
+        """Start a machine and tell the others."""
+        machine = self.build(name, zone, **options)
+        self.states[name] = messages.State.ALIVE
+        self.spread_members()
+        await machine.start()
+        self.spread_members()
+        return machine
+
+    def set_state(self, name: str, state: messages.State) -> None:
+        self.states[name] = state
+        self.spread_members()
+
+    def spread_members(self) -> None:
+        latest = {machine.name: machine for machine in self.started}
+        members = [
+            machine.member._replace(state=self.states[name])
+            for name, machine in latest.items()
+            if name in self.states
+        ]
+        for machine in self.started:
+            machine.ownership.update_members(members)
+
+    def list_owned(self) -> dict[str, int]:
+        return {
+            machine.name: len(machine.ownership.owned_shards())
+            for machine in self.started
+            if machine.is_up
+        }
+
+    def count_actors(self, shard: int) -> int:
+        """Return how many machines may act in a shard right now."""
+        return sum(
+            machine.ownership.epoch_of(shard) is not None
+            for machine in self.started
+        )
+
+
+def make_programs(count: int, seed: int = 7) -> list[str]:
+    """Return program ids spread over the shards."""
+    source = random.Random(seed)
+    return [ids.make_id('prg', source) for _ in range(count)]
