Made a demo of a program that survives its owner's death.

Cause: the promises had not been shown together on real processes. Change: make demo starts three instances, two engines and two services, kills the program's owner while the answer streams and checks eight promises; the caller repeats its key at the other addresses. The killed instance's part of the time line is lost with it; its log still has it.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,9 @@
 	.venv/bin/flake8 libs tests tools
 	$(PYTHON) tools/check_imports.py
 
+demo: venv
+	$(PYTHON) -m vanillayoke.harness.demo
+
 format: venv
 	.venv/bin/ruff check --fix --quiet . || true
 	.venv/bin/ruff format .
--- a/libs/harness/vanillayoke/harness/site.py
+++ b/libs/harness/vanillayoke/harness/site.py
@@ -133,14 +133,20 @@
 
     def apply(self, folder: pathlib.Path) -> str:
         """Publish a folder by the command line; return what it printed."""
-        key_file = self.folder / 'operator.key'
-        key_file.write_text(OPERATOR_KEY)
-        entries = ','.join(one.address for one in self.instances.values())
-        return self.run_command(
+        return self.ask_operator(
             'apply',
             str(folder),
             f'--table=http://{self.platform}',
             f'--objects=http://{self.platform}',
+        )
+
+    def ask_operator(self, *arguments: str) -> str:
+        """Run a command that asks instances; return its output."""
+        key_file = self.folder / 'operator.key'
+        key_file.write_text(OPERATOR_KEY)
+        entries = ','.join(one.address for one in self.instances.values())
+        return self.run_command(
+            *arguments,
             f'--entry={entries}',
             f'--operator_key_file={key_file}',
         )
@@ -224,6 +230,11 @@
 }
 
 
+def decode(blob: bytes) -> typing.Any:
+    """Decode a stand-in's JSON answer."""
+    return json.loads(blob)
+
+
 def _find_free_ports(count: int) -> list[str]:
     """Return free loopback addresses.
 
