Streams came to share the loop fairly and to count their backlog.

Cause: the profile of a flooded stream showed the backlog summed anew for each token, and a long text read from its start never yielded to other streams. A passed-on request whose owner was slow before its first byte was taken for one on a dead connection. Change: the backlog is counted, a full one always yields, and its bound is 16 KiB; the owner signals progress from the first moment of a passed-on request until its answer begins.

--- a/libs/entry/vanillayoke/entry/app.py
+++ b/libs/entry/vanillayoke/entry/app.py
@@ -62,7 +62,11 @@
         self._context = context
         open_paths = {_HEALTH, _READY, *(one.path for one in extra_routes)}
         self.application = web.Application(
-            middlewares=[guards.answer_faults, guards.authenticate]
+            middlewares=[
+                guards.answer_faults,
+                guards.authenticate,
+                guards.show_progress,
+            ]
         )
         self.application[contexts.KEY] = context
         self.application[guards.FAULT_REPORT] = report_fault
--- a/libs/entry/vanillayoke/entry/calls.py
+++ b/libs/entry/vanillayoke/entry/calls.py
@@ -1,7 +1,6 @@
 """Handlers that start calls and give their answers."""
 
 import asyncio
-import contextlib
 import typing
 
 from aiohttp import web
@@ -11,16 +10,12 @@
 from vanillayoke.entry import bodies
 from vanillayoke.entry import contexts
 from vanillayoke.entry import events
-from vanillayoke.entry import forwarding
 from vanillayoke.entry import host
 from vanillayoke.entry import parsing
 from vanillayoke.entry import readers
 from vanillayoke.entry import routing
 from vanillayoke.entry import streams
 
-# Tells the instance that passed a request on that the call still runs;
-# HTTP clients skip informational answers.
-PROGRESS = b'HTTP/1.1 102 Processing\r\n\r\n'
 ENDED_EARLY = failures.Failure(
     failures.Kind.LEASE_LOST, 'the stream ended before its call', 0.0
 )
@@ -178,13 +173,7 @@
     """Wait for a call's end and give its answer whole."""
     context = contexts.find(request)
     items = stream.follow(0)
-    with contextlib.ExitStack() as stack:
-        stack.enter_context(context.readers.join())
-        if forwarding.read_hops(request):
-            beat = context.timers.call_every(
-                context.heartbeat, lambda: _send_progress(request)
-            )
-            stack.callback(beat.cancel)
+    with context.readers.join():
         try:
             final = await _find_final(items)
         except asyncio.CancelledError:
@@ -198,14 +187,6 @@
     return answers.make_answer(events.DoneData(*final))
 
 
-def _send_progress(request: web.Request) -> None:
-    # The instance that passed the request on tells a dead connection from
-    # a long call by this: without it, its read would time out.
-    transport = request.transport
-    if transport is not None and not transport.is_closing():
-        transport.write(PROGRESS)
-
-
 async def _find_final(
     items: typing.AsyncIterator[host.StreamItem],
 ) -> host.FinalAnswer | failures.Failure:
--- a/libs/entry/vanillayoke/entry/contexts.py
+++ b/libs/entry/vanillayoke/entry/contexts.py
@@ -39,6 +39,7 @@
 
 KEY = web.AppKey('context', Context)
 CLIENT = web.RequestKey('client', str)
+PROGRESS = web.RequestKey('progress', core_timers.Subscription)
 
 
 def find(request: web.Request) -> Context:
--- a/libs/entry/vanillayoke/entry/guards.py
+++ b/libs/entry/vanillayoke/entry/guards.py
@@ -1,5 +1,6 @@
 """What every request passes: authentication, errors and slow readers."""
 
+import functools
 import typing
 
 from aiohttp import web
@@ -8,6 +9,7 @@
 from vanillayoke.entry import answers
 from vanillayoke.entry import bodies
 from vanillayoke.entry import contexts
+from vanillayoke.entry import forwarding
 from vanillayoke.entry import parsing
 from vanillayoke.entry import routing
 from vanillayoke.entry import streams
@@ -15,6 +17,7 @@
 # The host checks operators' keys itself.
 OPERATOR_PREFIX = '/operator/'
 SERVER_NAME = 'vanillayoke'
+PROGRESS = b'HTTP/1.1 102 Processing\r\n\r\n'
 
 Handler = typing.Callable[[web.Request], typing.Awaitable[routing.Outcome]]
 FaultReport = typing.Callable[[Exception], None]
@@ -76,10 +79,41 @@
     return await handler(request)
 
 
+@web.middleware
+async def show_progress(
+    request: web.Request, handler: Handler
+) -> routing.Outcome:
+    """Tell an instance that passed a request on that it is worked at.
+
+    The other instance takes a connection that is silent for long for a
+    dead one. Informational answers keep it from that until the head of
+    the real one is sent; HTTP clients skip them.
+    """
+    if not forwarding.read_hops(request):
+        return await handler(request)
+    context = contexts.find(request)
+    beat = context.timers.call_every(
+        context.heartbeat, functools.partial(_send_progress, request)
+    )
+    request[contexts.PROGRESS] = beat
+    try:
+        return await handler(request)
+    finally:
+        beat.cancel()
+
+
+def _send_progress(request: web.Request) -> None:
+    transport = request.transport
+    if transport is not None and not transport.is_closing():
+        transport.write(PROGRESS)
+
+
 async def finish_head(
     request: web.Request, response: web.StreamResponse
 ) -> None:
     """Complete the head of every answer."""
+    if contexts.PROGRESS in request:
+        request[contexts.PROGRESS].cancel()
     # The library's default names its version and the interpreter's.
     response.headers['Server'] = SERVER_NAME
     if contexts.find(request).drain.is_draining:
--- a/libs/entry/vanillayoke/entry/streams.py
+++ b/libs/entry/vanillayoke/entry/streams.py
@@ -10,8 +10,8 @@
 from vanillayoke.core import timers as core_timers
 from vanillayoke.entry import events
 
-# Text beyond this waits in the call, not in the reader's buffer.
-LARGEST_BACKLOG = 64 * 1024
+# Text beyond this many bytes waits in the call, not in the reader's buffer.
+LARGEST_BACKLOG = 16 * 1024
 
 
 class BodyWriter:
@@ -36,6 +36,7 @@
         self._slow_reader_timeout = slow_reader_timeout
         self._call_soon = asyncio.get_running_loop().call_soon
         self._pending: list[bytes] = []
+        self._pending_size = 0
         self._was_written = False
 
     def add(self, data: bytes) -> None:
@@ -43,6 +44,7 @@
         if not self._pending:
             self._call_soon(self.flush)
         self._pending.append(data)
+        self._pending_size += len(data)
 
     def flush(self) -> None:
         """Send what was added without waiting."""
@@ -50,6 +52,7 @@
             return
         data = b''.join(self._pending)
         self._pending.clear()
+        self._pending_size = 0
         self._was_written = True
         if self._transport is None or self._transport.is_closing():
             return
@@ -65,7 +68,7 @@
 
     def is_full(self) -> bool:
         """Tell whether to drain before anything more is added."""
-        backlog = sum(map(len, self._pending))
+        backlog = self._pending_size
         if self._transport is not None:
             backlog += self._transport.get_write_buffer_size()
         return backlog > LARGEST_BACKLOG
@@ -80,6 +83,10 @@
         guard = self._timers.call_after(self._slow_reader_timeout, self._cut)
         try:
             await self._writer.drain()
+            # A reader that takes all at once never makes the line above
+            # wait: a long text read from its start would hold up all other
+            # streams meanwhile.
+            await self._timers.sleep(0)
         finally:
             guard.cancel()
 
--- a/tests/entry/test_faults.py
+++ b/tests/entry/test_faults.py
@@ -147,6 +147,16 @@
     await site.settle(case)
 
 
+@fixtures.on_real_loop
+async def test_announced_size_is_refused_before_the_body_comes(case, site):
+    reader, writer = await site.connect()
+    writer.write(f'{_HEAD}Content-Length: 5000\r\n\r\n'.encode())
+    case.assertIn(b'413', await reader.readline())
+    writer.close()
+    await writer.wait_closed()
+    await site.settle(case)
+
+
 @fixtures.on_real_loop
 async def test_half_sent_body_is_dropped_after_a_timeout(case, site):
     """A caller sends half of its body and then nothing, connected still.
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -95,6 +95,16 @@
         case.assertIn(b'"finish_reason":"stop"', reply.body)
 
 
+@fixtures.on_real_loop
+async def test_long_silent_open_is_not_taken_for_a_dead_one(case, site, owner):
+    site.host.place = host.Elsewhere('owner', owner.address)
+    owner.host.gate = asyncio.Event()
+    asyncio.get_running_loop().call_later(0.4, owner.host.gate.set)
+    body = {'agent': 'stylist', 'deadline': 1}
+    reply = await site.ask('POST', '/v1/programs', json=body)
+    case.assertEqual(200, reply.status)
+
+
 @fixtures.on_real_loop
 async def test_reader_that_leaves_is_gone_at_the_owner_too(case, site, owner):
     site.host.place = host.Elsewhere('owner', owner.address)
