--- a/libs/settings/vanillayoke/settings/checks.py
+++ b/libs/settings/vanillayoke/settings/checks.py
@@ -94,16 +94,17 @@
 def find_place(tree: sources.MapNode, path: faults.Path) -> faults.Place:
     """Return where a path's value stands.
 
-    For an absent value it is the place of the nearest map or list around
-    it.
+    For a map it is the place of its key, for an absent value that of the
+    nearest map or list around it.
     """
     node: sources.Node = tree
     place = tree.place
     for part in path:
         match node, part:
             case sources.MapNode(entries=entries), str() if part in entries:
-                place = entries[part].place
-                node = entries[part].node
+                place, node = entries[part]
+                if not isinstance(node, sources.MapNode):
+                    place = node.place
             case sources.ListNode(items=items), int() if part < len(items):
                 node = items[part]
                 place = node.place
--- a/libs/settings/vanillayoke/settings/decoding.py
+++ b/libs/settings/vanillayoke/settings/decoding.py
@@ -31,7 +31,7 @@
     def note_value(
         self, pattern: str, path: faults.Path, value: typing.Any
     ) -> None:
-        """Add a value that stands in the tree."""
+        """Add a value that is in force."""
         self._values.setdefault(pattern, {})[path] = value
 
     def note_name(self, section: str, name: str) -> None:
@@ -119,9 +119,24 @@
         if missing or unknown or _WRONG in given.values():
             return _WRONG
         decoded = kind(**given)
+        self._note_defaults(decoded, given, path, pattern)
         self.values.note_value(pattern, path, decoded)
         return decoded
 
+    def _note_defaults(
+        self,
+        decoded: msgspec.Struct,
+        given: dict[str, typing.Any],
+        path: faults.Path,
+        pattern: str,
+    ) -> None:
+        """Note absent structs, so that checks see the numbers in force."""
+        for name in decoded.__struct_fields__:
+            value = getattr(decoded, name)
+            if name not in given and isinstance(value, msgspec.Struct):
+                where = _extend(pattern, name)
+                self.values.note_value(where, (*path, name), value)
+
     def _decode(
         self,
         node: sources.Node,
--- a/libs/settings/vanillayoke/settings/processes.py
+++ b/libs/settings/vanillayoke/settings/processes.py
@@ -160,7 +160,7 @@
 def check_margin(
     values: decoding.Values,
 ) -> typing.Iterator[checks.Finding]:
-    """Find margins that eat up the lease; absent numbers are defaults."""
+    """Find margins that eat up the lease."""
     lease = values.find('lease', ('lease',))
     if lease is None or lease.time_to_live <= 0:
         return
@@ -181,11 +181,11 @@
 ) -> typing.Iterator[checks.Finding]:
     """Find timeouts that leave one try to renew a lease."""
     lease = values.find('lease', ('lease',))
-    timeout = values.find('platform', ('platform',))
-    if lease is None or timeout is None or lease.time_to_live <= 0:
+    platform = values.find('platform', ('platform',))
+    if lease is None or platform is None or lease.time_to_live <= 0:
         return
-    if timeout.timeout * 2 >= lease.time_to_live:
-        text = f'{timeout.timeout} s, lease {lease.time_to_live} s.'
+    if platform.timeout * 2 >= lease.time_to_live:
+        text = f'{platform.timeout} s, lease {lease.time_to_live} s.'
         yield checks.Finding(('platform', 'timeout'), text)
 
 
--- a/libs/settings/vanillayoke/settings/references.py
+++ b/libs/settings/vanillayoke/settings/references.py
@@ -17,7 +17,7 @@
     """Find values that name no entry of a section."""
     known = frozenset(values.list_names(section))
     for path, name in values.select(pattern):
-        if name not in known:
+        if name.strip() and name not in known:
             text = f'{section} has no "{name}".'
             yield checks.Finding(path, text)
 
--- a/libs/settings/vanillayoke/settings/sources.py
+++ b/libs/settings/vanillayoke/settings/sources.py
@@ -121,13 +121,17 @@
         column = offset - self._line_starts[line - 1] + 1
         return faults.Place(self._file, line, column)
 
+    def find_next(self, offset: int) -> int:
+        """Return the offset of what follows white space and comments."""
+        return _SKIPPED.match(self._text, offset).end()
+
     def scan_document(self) -> Node:
         """Return the tree of the whole text."""
         self._skip()
         return self._scan_value(())
 
     def _skip(self) -> None:
-        self._at = _SKIPPED.match(self._text, self._at).end()
+        self._at = self.find_next(self._at)
 
     def _take(self, character: str) -> bool:
         self._skip()
@@ -194,7 +198,7 @@
         if isinstance(value, int) and abs(value) >= _INTEGER_LIMIT:
             text = 'The number is too large.'
             self.faults.append(_make_fault('E013', place, path, text))
-            return 0
+            return _INTEGER_LIMIT - 1
         return value
 
     def _decode(
@@ -218,6 +222,9 @@
     near = _NEAR.search(message)
     # pyjson5 counts characters from 1, and from 0 in an empty text.
     offset = max(int(near.group(1)) - 1, 0) if near else 0
+    if isinstance(error, pyjson5.Json5ExtraData):
+        # It names the end of the document, not what comes after it.
+        offset = scanner.find_next(offset + 1)
     reason = _NEAR.sub('', message).replace("b'", "'")
     place = scanner.find_place(offset)
     return _make_fault('E003', place, (), f'{reason.rstrip(".")}.')
--- a/tests/cli/test_remote.py
+++ b/tests/cli/test_remote.py
@@ -3,6 +3,7 @@
 import json
 
 from tests.cli import runs
+from tests.settings import broken
 from vanillayoke.testing import fixtures
 
 _PROGRAM = {
@@ -214,13 +215,21 @@
 
 
 @fixtures.on_real_loop
-async def test_apply_of_a_broken_folder_changes_nothing(
-    case, line, platform, instances
-):
-    line.folder.write('20.json', '{"agents": {"b": {}}}')
-    ran = await line.wait('apply', line.folder.path)
-    case.assertEqual(2, ran.status)
-    case.assertEqual(0, platform.memory.table.counters.writes)
+async def test_broken_folders_change_nothing(case, line, platform, instances):
+    """A half-written file stops the calls of a whole night.
+
+    An operator applies a folder in which one value is wrong; what is in
+    force must stay, and the store must not even be asked.
+    """
+    for one in (*broken.list_by_hand(), *broken.generate()):
+        line.folder.write(broken.CHANGED, one.text)
+        ran = await line.wait('apply', line.folder.path)
+        where = f'{line.folder.path / one.file}:{one.line}:'
+        case.assertEqual((2, ''), (ran.status, ran.output))
+        case.assertRegex(ran.errors, f'(?m)^{where}[0-9]+: {one.id}')
+    counters = platform.memory.table.counters
+    case.assertEqual((0, 0), (counters.reads, counters.writes))
+    case.assertEqual([], instances[0].asked)
 
 
 @fixtures.on_real_loop
--- a/tests/settings/folders.py
+++ b/tests/settings/folders.py
@@ -5,6 +5,7 @@
 
 from vanillayoke.testing import fixtures
 
+BASE = '10-base.json'
 GOOD = """{
   // One agent, one engine, one service.
   "agents": {"board": {"model": "mm", "tools": ["stock"]}},
@@ -50,6 +51,6 @@
 
 @fixtures.fixture
 def good(folder):
-    """Give a folder with one sound file, ``10-base.json``."""
-    folder.write('10-base.json', GOOD)
+    """Give a folder with one sound file, ``BASE``."""
+    folder.write(BASE, GOOD)
     return folder
