Ran whole instances together in virtual time.

Cause: faults of many instances cannot be timed on real processes. Change: the real composition over stand-in ports in one loop; a gate freezes or ends one instance by holding back its timers and replies. Conclusion: the fault matrix can be built on this.

--- /dev/null
+++ b/libs/harness/vanillayoke/harness/virtual.py
@@ -0,0 +1,309 @@
+"""Instances, platform and targets in one event loop, in virtual time.
+
+The instances are the real composition; only the ports are stand-ins. It is
+for tests of what instances do together under faults.
+"""
+
+import hashlib
+import random
+import typing
+
+from vanillayoke.core import events
+from vanillayoke.core import logs
+from vanillayoke.core import metrics
+from vanillayoke.core import timers
+from vanillayoke.fakes import engine_memory
+from vanillayoke.fakes import engine_model
+from vanillayoke.fakes import peers_memory
+from vanillayoke.fakes import platform_memory
+from vanillayoke.fakes import service_memory
+from vanillayoke.harness import gates
+from vanillayoke.node import configuration as node_configuration
+from vanillayoke.node import instance
+from vanillayoke.platform import ports as platform_ports
+from vanillayoke.settings import configuration
+from vanillayoke.settings import process
+
+OPERATOR_KEY = 'operator-key'
+CLIENT = 'tkacik'
+OTHER_CLIENT = 'shiretoko'
+REGION = 'region-1'
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+_WALL_BEGIN = 1_800_000_000.0
+
+
+class VirtualTargets:
+    """The adapters of one instance: stand-ins behind its gate."""
+
+    def __init__(
+        self,
+        engines: typing.Mapping[str, engine_memory.EngineMemory],
+        services: typing.Mapping[str, service_memory.ServiceMemory],
+        gate: gates.Gate,
+    ) -> None:
+        self._engines = {
+            name: gates.GatedPort(one, gate) for name, one in engines.items()
+        }
+        self._services = {
+            name: gates.GatedPort(one, gate) for name, one in services.items()
+        }
+        self._configured: frozenset[str] = frozenset()
+
+    async def apply(self, targets: typing.Mapping[str, typing.Any]) -> None:
+        """Serve the configured targets only."""
+        self._configured = frozenset(targets)
+
+    def get_engine(self, target: str) -> typing.Any:
+        """Return an engine's stand-in if it is configured."""
+        if target not in self._configured:
+            return None
+        return self._engines.get(target)
+
+    def get_service(self, target: str) -> typing.Any:
+        """Return a service's stand-in if it is configured."""
+        if target not in self._configured:
+            return None
+        return self._services.get(target)
+
+
+class VirtualInstance(typing.NamedTuple):
+    """An instance, its settings and the gate that freezes it."""
+
+    settings: process.ProcessSettings
+    served: instance.Instance
+    gate: gates.Gate
+    clock: timers.TimerService
+
+    @property
+    def name(self) -> str:
+        """Return the instance's name."""
+        return self.settings.instance.name
+
+
+Listener = typing.Callable[[str, events.Event, dict[str, typing.Any]], None]
+
+
+class WatchedLogger(logs.Logger):
+    """A logger whose events a test can act upon as they happen."""
+
+    listeners: list[Listener]
+
+    def write(self, event: events.Event, **fields: typing.Any) -> None:
+        super().write(event, **fields)
+        for listener in list(self.listeners):
+            listener(self.timeline.instance, event, fields)
+
+
+class VirtualSite:
+    """A deployment in one loop."""
+
+    def __init__(self, loop, seed: int = 1) -> None:
+        begin = loop.time()
+        self.clock = timers.LoopTimers(
+            loop, lambda: _WALL_BEGIN + loop.time() - begin
+        )
+        self.source = random.Random(seed)
+        self.platform = platform_memory.MemoryPlatform(
+            self.clock, random.Random(seed + 1)
+        )
+        self.network = peers_memory.MemoryNetwork(
+            self.clock, random.Random(seed + 2)
+        )
+        self.engines: dict[str, engine_memory.EngineMemory] = {}
+        self.services: dict[str, service_memory.ServiceMemory] = {}
+        self.instances: dict[str, VirtualInstance] = {}
+        self.listeners: list[Listener] = []
+        self._groups: dict[str, str] = {}
+        self._version = 0
+
+    def add_engine(
+        self, name: str, options: engine_model.EngineOptions | None = None
+    ) -> engine_memory.EngineMemory:
+        """Add a stand-in engine."""
+        engine = engine_memory.EngineMemory(name, self.clock, options)
+        self.engines[name] = engine
+        return engine
+
+    def add_service(
+        self, name: str, group: str, has_query: bool = False
+    ) -> service_memory.ServiceMemory:
+        """Add a stand-in service of a group."""
+        service = service_memory.ServiceMemory(
+            name, self.clock, has_query=has_query
+        )
+        self.services[name] = service
+        self._groups[name] = group
+        return service
+
+    async def start_instance(
+        self,
+        name: str,
+        zone: str,
+        region: str = REGION,
+        rate: float = 1.0,
+        **settings: typing.Any,
+    ) -> VirtualInstance:
+        """Start an instance and list it with the platform."""
+        added = self.add_instance(name, zone, region, rate, **settings)
+        await added.served.start()
+        return added
+
+    def add_instance(
+        self,
+        name: str,
+        zone: str,
+        region: str = REGION,
+        rate: float = 1.0,
+        **settings: typing.Any,
+    ) -> VirtualInstance:
+        """Build an instance without starting it."""
+        described = process.ProcessSettings(
+            instance=process.InstanceSettings(
+                name=name,
+                zone=zone,
+                region=region,
+                entry_address=f'entry-{name}',
+                peer_address=f'peer-{name}',
+            ),
+            platform=process.PlatformSettings(
+                table='', objects='', weights='', instances=''
+            ),
+            operator_key=OPERATOR_KEY,
+            **settings,
+        )
+        gate = gates.Gate()
+        clock = gates.GatedTimers(self.clock, gate, rate)
+        served = instance.Instance(
+            described, self._surround(described.instance, gate, clock)
+        )
+        added = VirtualInstance(described, served, gate, clock)
+        self.instances[name] = added
+        self._list(described.instance)
+        return added
+
+    def kill(self, name: str) -> None:
+        """End an instance without notice."""
+        dead = self.instances.pop(name)
+        dead.gate.close()
+        self.network.close(dead.settings.instance.peer_address)
+
+    async def stop(self, name: str, grace: float = 5.0) -> None:
+        """Stop an instance in order."""
+        await self.instances[name].served.drain(grace)
+        del self.instances[name]
+
+    def freeze(self, name: str) -> None:
+        """Stop an instance from running, as a long pause does."""
+        self.instances[name].gate.close()
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen instance run again."""
+        self.instances[name].gate.open()
+
+    async def publish(
+        self, settings: configuration.Configuration | None = None
+    ) -> int:
+        """Publish a configuration, by default one that fits the site."""
+        row = await self.platform.table.read(node_configuration.ROW_KEY)
+        published = configuration.PublishedConfiguration(
+            version=self._version + 1,
+            author='test',
+            configuration=settings or self.describe(),
+        )
+        self._version += 1
+        put = platform_ports.Put(
+            node_configuration.ROW_KEY,
+            configuration.encode_published(published),
+            row.version if row else 0,
+        )
+        await self.platform.table.transact(f'publish-{self._version}', [put])
+        return self._version
+
+    def describe(self) -> configuration.Configuration:
+        """Return a configuration that fits the site."""
+        return configuration.Configuration(
+            agents=_AGENTS,
+            tools=_TOOLS,
+            targets=self._describe_targets(),
+            clients={
+                name: configuration.ClientSettings(
+                    key_hashes=(hashlib.sha256(name.encode()).hexdigest(),)
+                )
+                for name in (CLIENT, OTHER_CLIENT)
+            },
+            models={'base': configuration.ModelSettings()},
+        )
+
+    def _describe_targets(self) -> dict[str, configuration.TargetSettings]:
+        described = {}
+        for index, name in enumerate([*self.engines, *self.services]):
+            service = self.services.get(name)
+            described[name] = configuration.TargetSettings(
+                kind='service' if service else 'engine',
+                address=f'target-{name}',
+                zone=ZONES[index % len(ZONES)],
+                region=REGION,
+                group=self._groups.get(name, ''),
+                query=bool(service and service.has_query),
+            )
+        return described
+
+    def _surround(
+        self,
+        settings: process.InstanceSettings,
+        gate: gates.Gate,
+        clock: timers.TimerService,
+    ) -> instance.Surroundings:
+        ports = self.platform.for_caller(settings.name)
+        transport = self.network.open(settings.peer_address, settings.region)
+        receive = transport.receive
+        transport.receive = lambda message: gate.call(lambda: receive(message))
+        return instance.Surroundings(
+            platform=platform_ports.Platform(
+                *(gates.GatedPort(port, gate) for port in ports)
+            ),
+            transport=gates.GatedPort(transport, gate),
+            adapters=VirtualTargets(self.engines, self.services, gate),
+            operators=gates.GatedPort(None, gate),
+            clock=clock,
+            source=random.Random(self.source.getrandbits(64)),
+            logger=self._make_logger(settings.name, clock),
+            registry=metrics.Metrics(),
+        )
+
+    def _make_logger(
+        self, name: str, clock: timers.TimerService
+    ) -> WatchedLogger:
+        logger = WatchedLogger.from_settings(name, clock)
+        logger.listeners = self.listeners
+        return logger
+
+    def _list(self, settings: process.InstanceSettings) -> None:
+        self.platform.instances.register(
+            platform_ports.ListedInstance(
+                instance=settings.name,
+                peer_address=settings.peer_address,
+                entry_address=settings.entry_address,
+                zone=settings.zone,
+                region=settings.region,
+                leaving=False,
+            )
+        )
+
+
+_TOOLS = {
+    'stock': configuration.ToolSettings(
+        service='supplier', path='/stock', idempotent=True
+    ),
+    'order': configuration.ToolSettings(
+        service='orders', path='/order', idempotent=False
+    ),
+}
+_AGENTS = {
+    'board': configuration.AgentSettings(
+        model='base',
+        tools=('stock', 'order'),
+        children=('researcher',),
+    ),
+    'researcher': configuration.AgentSettings(model='base', tools=('stock',)),
+}
--- a/libs/testing/vanillayoke/testing/loops.py
+++ b/libs/testing/vanillayoke/testing/loops.py
@@ -39,10 +39,10 @@
 
     def finish(self) -> None:
         """Cancel the tasks that a test left behind and let them end."""
-        tasks = asyncio.all_tasks(self)
-        for task in tasks:
-            task.cancel()
-        if tasks:
+        # A cancelled task may start another one to clean up behind it.
+        while tasks := asyncio.all_tasks(self):
+            for task in tasks:
+                task.cancel()
             self.run_until_complete(
                 asyncio.gather(*tasks, return_exceptions=True)
             )
