Logged durable intents, durable answers and replayed programs.

Cause: faults have to be timed against steps that no event told of. Change: events for a durable intent, a durable answer and a replayed program. Conclusion: each step of a call can now be met by a fault.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -354,6 +354,14 @@
     'target',
     'reason',
 )
+CALL_COMMITTED = _define(
+    411,
+    'call_committed',
+    _DEBUG,
+    'All up to the answer is durable.',
+    'program',
+    'call',
+)
 
 ORDER_GIVEN = _define(
     500,
--- a/libs/harness/vanillayoke/harness/virtual.py
+++ b/libs/harness/vanillayoke/harness/virtual.py
@@ -189,7 +189,7 @@
 
     async def stop(self, name: str, grace: float = 5.0) -> None:
         """Stop an instance in order."""
-        await self.instances[name].served.drain(grace)
+        await self.instances[name].served.drain(grace, 'test')
         del self.instances[name]
 
     def freeze(self, name: str) -> None:
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -168,13 +168,14 @@
         self.ownership.update_members(self.members.members())
         return await self.ownership.start() or failure
 
-    async def drain(self, grace: float) -> None:
+    async def drain(self, grace: float, reason: str) -> None:
         """Stop in order: be named no more, finish, hand over, close.
 
         What still runs at the end of the grace goes on at the instance
         that takes the programs over.
         """
         began = self._outside.clock.now()
+        self._outside.logger.write(events.DRAIN_STARTED, reason=reason)
         self.host.begin_drain()
         self.members.leave()
         await self._wait_for_runs(grace)
--- a/libs/node/vanillayoke/node/process.py
+++ b/libs/node/vanillayoke/node/process.py
@@ -165,12 +165,11 @@
         starting = asyncio.ensure_future(served.start())
         reason = await self._stop_reason
         starting.cancel()
-        logger.write(events.DRAIN_STARTED, reason=reason)
         if reason == instance.LEASE_LOST:
             await served.stop()
             await entry.finish()
         else:
-            await _drain(served, entry, settings.entry.drain_grace)
+            await _drain(served, entry, settings.entry.drain_grace, reason)
         await adapters.close()
         await operators.close()
         await platform.close()
@@ -178,14 +177,14 @@
 
 
 async def _drain(
-    served: instance.Instance, entry: app.EntryApp, grace: float
+    served: instance.Instance, entry: app.EntryApp, grace: float, reason: str
 ) -> None:
     """Stop in order; the entry goes on answering until all is handed over.
 
     Callers that come meanwhile are passed on to the new owners.
     """
     entry.begin_drain()
-    await served.drain(grace)
+    await served.drain(grace, reason)
     await entry.finish()
 
 
--- a/libs/node/vanillayoke/node/recovery.py
+++ b/libs/node/vanillayoke/node/recovery.py
@@ -32,6 +32,11 @@
         """Host programs rebuilt from a journal."""
         self._parts.programs.add(gained)
         for program in gained:
+            self._parts.logger.write(
+                events.PROGRAM_REPLAYED,
+                program=program.id,
+                records=program.sequence,
+            )
             self._remember_caches(program)
             if program.running is not None or program.open_run:
                 self._parts.start_task(self._recover(program))
--- a/libs/node/vanillayoke/node/runs.py
+++ b/libs/node/vanillayoke/node/runs.py
@@ -182,6 +182,7 @@
             if failure is None:
                 failure = await self._commit(run)
             if failure is None:
+                self._log_committed(run)
                 first = run.program.find_call(run.first)
                 final = results.make_final(run.program, first)
             else:
@@ -198,6 +199,13 @@
                 del self._runs[run.program.id]
         run.stream.finish(final)
 
+    def _log_committed(self, run: Run) -> None:
+        self._parts.logger.write(
+            events.CALL_COMMITTED,
+            program=run.program.id,
+            call=len(run.program.calls),
+        )
+
     async def _run_steps(self, run: Run) -> None | failures.Failure:
         """Drive step after step; a failure where the program moved away."""
         program = run.program
--- a/libs/node/vanillayoke/node/services.py
+++ b/libs/node/vanillayoke/node/services.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from vanillayoke.core import events
 from vanillayoke.core import failures
 from vanillayoke.node import attempts as call_attempts
 from vanillayoke.node import parts
@@ -162,6 +163,12 @@
                 return failure
         if not self._settler.may_act(attempts.program):
             return call_attempts.make_lost()
+        self._parts.logger.write(
+            events.CALL_INTENDED,
+            program=attempts.program.id,
+            call=attempts.call.number,
+            target=attempts.call.target,
+        )
         return None
 
     async def _may_wait_for_store(
