Settings, command line and operators' pages were documented and checked.

Cause: the fields, faults, commands and exit statuses stood only in code. Change: reference pages generated from types, checks and commands; topics, how-tos, glossary and two decisions; example folders; descriptions of all fields, also in the JSON Schema. The policy names that settings allow are now those that the scheduler knows.

--- a/libs/cli/vanillayoke/cli/management/commands/check.py
+++ b/libs/cli/vanillayoke/cli/management/commands/check.py
@@ -27,7 +27,7 @@
     reports.warn_of_faults(invocation, loaded.faults)
     warnings = sum(fault.is_warning for fault in loaded.faults)
     errors = len(loaded.faults) - warnings
-    invocation.print(f'{errors} faults, {warnings} warnings.')
+    invocation.print(f'Faults: {errors}. Warnings: {warnings}.')
     strict = invocation.flags.strict
     if faults.has_errors(loaded.faults) or (strict and warnings):
         return exits.Exit.BAD_INPUT
--- a/libs/settings/vanillayoke/settings/configuration.py
+++ b/libs/settings/vanillayoke/settings/configuration.py
@@ -9,10 +9,10 @@
 
 TARGET_KINDS = ('engine', 'service')
 FENCING = ('checks', 'ignores')
-PLACEMENTS = ('expected_completion',)
-ORDERS = ('attained_service',)
-ADMISSIONS = ('working_set',)
-CACHE_LIFETIMES = ('learned_return',)
+PLACEMENTS = ('expected_completion', 'least_load')
+ORDERS = ('attained_service', 'first_come')
+ADMISSIONS = ('working_set', 'open')
+CACHE_LIFETIMES = ('learned_return', 'release', 'keep')
 
 
 class ToolSettings(
--- a/libs/settings/vanillayoke/settings/ranges.py
+++ b/libs/settings/vanillayoke/settings/ranges.py
@@ -220,8 +220,8 @@
     _VALUES,
     'E108',
     'A client key hash is not a SHA-256 in hex.',
-    "Give the output of: printf %s KEY | sha256sum (64 hex digits, small "
-    'letters), never the key itself.',
+    'Give 64 hex digits in small letters, as sha256sum prints them, never '
+    'the key itself.',
 )
 def check_key_hashes(
     values: decoding.Values,
--- a/libs/settings/vanillayoke/settings/schema.py
+++ b/libs/settings/vanillayoke/settings/schema.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from vanillayoke.settings import configuration
+from vanillayoke.settings import descriptions
 from vanillayoke.settings import folder
 from vanillayoke.settings import process
 from vanillayoke.settings import processes
@@ -47,6 +48,8 @@
     schema['$schema'] = DIALECT
     properties = _find_properties(schema, kind.__name__)
     properties[folder.SCHEMA_KEY] = {'type': 'string'}
+    for owner, meanings in descriptions.FIELDS.items():
+        _describe_fields(schema, owner, meanings)
     for pattern, allowed in choices.items():
         owner, name = _find_field(kind, pattern)
         field = _find_properties(schema, owner.__name__)[name]
@@ -54,6 +57,16 @@
     return schema
 
 
+def _describe_fields(
+    schema: Schema, owner: type, meanings: dict[str, str]
+) -> None:
+    if owner.__name__ not in schema['$defs']:
+        return
+    fields = _find_properties(schema, owner.__name__)
+    for name, meaning in meanings.items():
+        fields[name]['description'] = meaning
+
+
 def _find_properties(schema: Schema, name: str) -> Schema:
     return schema['$defs'][name]['properties']
 
@@ -69,11 +82,12 @@
 
 
 def _allow_null(value: Schema) -> Schema:
-    default = value.pop('default', None)
-    allowed: Schema = {'anyOf': [value, _NULL]}
-    if default is not None:
-        allowed['default'] = default
-    return allowed
+    notes = {
+        name: value.pop(name)
+        for name in ('default', 'description')
+        if name in value
+    }
+    return {**notes, 'anyOf': [value, _NULL]}
 
 
 def _allow_null_entries(section: Schema) -> None:
