Tests of the interface stopped depending on short times where they need none.

Cause: two tests failed now and then while the machine was loaded, since every test's instance had timeouts of some tenths of a second. Change: only tests that wait for a timeout use an instance with short ones; the transport's own bound is that of the backlog; the last buffer of a stalled reader has a test.

--- a/libs/entry/vanillayoke/entry/streams.py
+++ b/libs/entry/vanillayoke/entry/streams.py
@@ -30,6 +30,8 @@
         slow_reader_timeout: float,
     ) -> None:
         self._transport = request.transport
+        if self._transport is not None:
+            self._transport.set_write_buffer_limits(high=LARGEST_BACKLOG)
         self._is_chunked = request.version >= aiohttp.HttpVersion11
         self._writer = writer
         self._timers = timers
--- a/tests/entry/hosts.py
+++ b/tests/entry/hosts.py
@@ -140,7 +140,7 @@
 class Site:
     """One running interface, with a client that has its key."""
 
-    def __init__(self, loop, **settings) -> None:
+    def __init__(self, loop, heartbeat=3.0, **settings) -> None:
         self.loop = loop
         self.host = ScriptedHost()
         self.faults: list[Exception] = []
@@ -149,7 +149,7 @@
             self.host,
             timers.LoopTimers(loop),
             report_fault=self.faults.append,
-            heartbeat=0.05,
+            heartbeat=heartbeat,
         )
         self.address = ''
         self.session: aiohttp.ClientSession | None = None
@@ -224,21 +224,26 @@
         return self.data['error']
 
 
-def _serve(loop):
-    made = Site(
+def _serve(loop, **options):
+    made = Site(loop, largest_body=2000, **options)
+    loop.run_until_complete(made.start())
+    yield made
+    loop.run_until_complete(made.finish())
+
+
+def _serve_hastily(loop):
+    return _serve(
         loop,
-        largest_body=2000,
+        heartbeat=0.1,
         body_timeout=0.2,
         slow_reader_timeout=0.3,
         drain_grace=0.3,
     )
-    loop.run_until_complete(made.start())
-    yield made
-    loop.run_until_complete(made.finish())
 
 
 @fixtures.fixture
 def site(loop):
+    """One instance with the usual times."""
     yield from _serve(loop)
 
 
@@ -248,6 +253,18 @@
     yield from _serve(loop)
 
 
+@fixtures.fixture
+def hasty_site(loop):
+    """One instance with short times, for tests that wait for them."""
+    yield from _serve_hastily(loop)
+
+
+@fixtures.fixture
+def hasty_owner(loop):
+    """Another instance with short times."""
+    yield from _serve_hastily(loop)
+
+
 def split_events(body: bytes) -> list[tuple[str, str, str]]:
     """Return the name, id and data of each event of a body."""
     found = []
--- a/tests/entry/test_draining.py
+++ b/tests/entry/test_draining.py
@@ -42,24 +42,26 @@
 
 
 @fixtures.on_real_loop
-async def test_stream_beyond_the_grace_is_told_to_resume(case, site, owner):
+async def test_stream_beyond_the_grace_is_told_to_resume(
+    case, hasty_site, hasty_owner
+):
     """An instance stops while a long call still streams through it.
 
     When the grace is over the caller gets an error event that tells it to
     resume at another instance, not a connection that just closes.
     """
-    site.host.stream = hosts.ScriptedStream([host.TextPiece(0, 'a')])
-    owner.host.place = host.Elsewhere('site', site.address)
+    hasty_site.host.stream = hosts.ScriptedStream([host.TextPiece(0, 'a')])
+    hasty_owner.host.place = host.Elsewhere('site', hasty_site.address)
     path = f'{_CALLS}/7/stream'
-    direct = await site.session.get(path)
-    passed = await owner.session.get(path)
-    finishing = asyncio.ensure_future(site.app.finish())
+    direct = await hasty_site.session.get(path)
+    passed = await hasty_owner.session.get(path)
+    finishing = asyncio.ensure_future(hasty_site.app.finish())
     for answer in (direct, passed):
         error = hosts.split_events(await answer.read())[-1]
         case.assertEqual('error', error[0])
         case.assertIn('"kind":"lease_lost"', error[2])
     await finishing
-    case.assertEqual(0, site.app.reader_count)
+    case.assertEqual(0, hasty_site.app.reader_count)
 
 
 load_tests = fixtures.adapt(__name__, [hosts])
--- a/tests/entry/test_faults.py
+++ b/tests/entry/test_faults.py
@@ -158,13 +158,13 @@
 
 
 @fixtures.on_real_loop
-async def test_half_sent_body_is_dropped_after_a_timeout(case, site):
+async def test_half_sent_body_is_dropped_after_a_timeout(case, hasty_site):
     """A caller sends half of its body and then nothing, connected still.
 
     Without a timeout the request would wait for the rest for ever, and
     each such caller would hold a task and a connection.
     """
-    reader, writer = await site.connect()
+    reader, writer = await hasty_site.connect()
     writer.write(f'{_HEAD}Content-Length: 100\r\n\r\n{{"agent"'.encode())
     answer = await reader.read()
     head, _, body = answer.partition(b'\r\n\r\n')
@@ -172,8 +172,8 @@
     case.assertIn('0.2 s', json.loads(body)['error']['reason'])
     writer.close()
     await writer.wait_closed()
-    await site.settle(case)
-    case.assertEqual([], site.faults)
+    await hasty_site.settle(case)
+    case.assertEqual([], hasty_site.faults)
 
 
 @fixtures.on_real_loop
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -77,31 +77,35 @@
 
 
 @fixtures.on_real_loop
-async def test_long_silent_call_is_not_taken_for_a_dead_one(case, site, owner):
+async def test_long_silent_call_is_not_taken_for_a_dead_one(
+    case, hasty_site, hasty_owner
+):
     """A passed-on call takes longer than a connection may be silent.
 
     The owner signals progress while it works, streamed or not, so that
     only a dead connection is silent for so long.
     """
-    site.host.place = host.Elsewhere('owner', owner.address)
+    hasty_site.host.place = host.Elsewhere('owner', hasty_owner.address)
     for stream in (True, False):
         body = {**_CALL, 'stream': stream}
-        owner.host.stream = hosts.ScriptedStream([])
+        hasty_owner.host.stream = hosts.ScriptedStream([])
         asyncio.get_running_loop().call_later(
-            0.4, owner.host.stream.put, hosts.ANSWER
+            0.8, hasty_owner.host.stream.put, hosts.ANSWER
         )
-        reply = await site.ask('POST', _CALLS, json=body)
+        reply = await hasty_site.ask('POST', _CALLS, json=body)
         case.assertEqual(200, reply.status)
         case.assertIn(b'"finish_reason":"stop"', reply.body)
 
 
 @fixtures.on_real_loop
-async def test_long_silent_open_is_not_taken_for_a_dead_one(case, site, owner):
-    site.host.place = host.Elsewhere('owner', owner.address)
-    owner.host.gate = asyncio.Event()
-    asyncio.get_running_loop().call_later(0.4, owner.host.gate.set)
+async def test_long_silent_open_is_not_taken_for_a_dead_one(
+    case, hasty_site, hasty_owner
+):
+    hasty_site.host.place = host.Elsewhere('owner', hasty_owner.address)
+    hasty_owner.host.gate = asyncio.Event()
+    asyncio.get_running_loop().call_later(0.8, hasty_owner.host.gate.set)
     body = {'agent': 'stylist', 'deadline': 1}
-    reply = await site.ask('POST', '/v1/programs', json=body)
+    reply = await hasty_site.ask('POST', '/v1/programs', json=body)
     case.assertEqual(200, reply.status)
 
 
@@ -161,7 +165,7 @@
 
 
 @fixtures.on_real_loop
-async def test_break_after_sending_is_answered_as_unknown(case, site):
+async def test_break_after_sending_is_answered_as_unknown(case, hasty_site):
     """The owner's connection breaks, or goes silent, behind the request.
 
     The owner may have begun the work, so "not run" would be a guess. The
@@ -169,8 +173,8 @@
     """
     for answer in (b'', None):
         async with _serve_raw(answer) as place:
-            site.host.place = place
-            reply = await site.ask('POST', _CALLS, json=_CALL)
+            hasty_site.host.place = place
+            reply = await hasty_site.ask('POST', _CALLS, json=_CALL)
         case.assertEqual('lease_lost', reply.error['kind'])
         case.assertEqual('unknown', reply.error['ran'])
         case.assertTrue(reply.error['may_retry'])
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -6,7 +6,9 @@
 
 from tests.entry import hosts
 from vanillayoke.core import failures
+from vanillayoke.core import timers
 from vanillayoke.entry import host
+from vanillayoke.entry import streams
 from vanillayoke.testing import fixtures
 
 _CALLS = f'/v1/programs/{hosts.PROGRAM}/calls'
@@ -61,11 +63,11 @@
 
 
 @fixtures.on_real_loop
-async def test_waiting_stream_carries_heartbeats(case, site):
-    site.host.stream = hosts.ScriptedStream([])
-    async with site.session.get(_STREAM) as answer:
+async def test_waiting_stream_carries_heartbeats(case, hasty_site):
+    hasty_site.host.stream = hosts.ScriptedStream([])
+    async with hasty_site.session.get(_STREAM) as answer:
         case.assertEqual(b':\n\n', await answer.content.readany())
-        site.host.stream.put(hosts.ANSWER)
+        hasty_site.host.stream.put(hosts.ANSWER)
         rest = await answer.content.read()
     case.assertEqual('done', hosts.split_events(rest)[0][0])
 
@@ -110,7 +112,7 @@
 
 
 @fixtures.on_real_loop
-async def test_slow_reader_has_a_bounded_buffer_and_is_cut(case, site):
+async def test_slow_reader_has_a_bounded_buffer_and_is_cut(case, hasty_site):
     """A caller stops reading its stream but stays connected.
 
     Without a bound the whole answer would pile up in memory, once for each
@@ -118,25 +120,27 @@
     resume by offset.
     """
     piece = 'x' * 65536
-    site.host.stream = hosts.ScriptedStream(
+    hasty_site.host.stream = hosts.ScriptedStream(
         [host.TextPiece(0, piece) for _ in range(1000)]
     )
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     sock.setblocking(False)
-    address, _, port = site.address.partition(':')
+    address, _, port = hasty_site.address.partition(':')
     loop = asyncio.get_running_loop()
     await loop.sock_connect(sock, (address, int(port)))
     await loop.sock_sendall(sock, _GET)
-    await hosts.wait_until(case, lambda: site.host.stream.open_readers)
-    await hosts.wait_until(case, lambda: not site.host.stream.open_readers)
-    case.assertLess(site.host.stream.taken, 500)
-    await site.settle(case)
+    await hosts.wait_until(case, lambda: hasty_site.host.stream.open_readers)
+    await hosts.wait_until(
+        case, lambda: not hasty_site.host.stream.open_readers
+    )
+    case.assertLess(hasty_site.host.stream.taken, 500)
+    await hasty_site.settle(case)
     sock.close()
 
 
 @fixtures.on_real_loop
-async def test_unread_whole_answer_is_cut(case, site):
+async def test_unread_whole_answer_is_cut(case, hasty_site):
     """A caller asks for a page of history and never reads the answer.
 
     The answer fits no socket buffer, so that sending it would wait for
@@ -146,17 +150,60 @@
     async def read_much(client, program, after, limit):
         return [host.HistoryEntry(content='x' * 30_000_000)]
 
-    site.host.read_history = read_much
-    reader, writer = await site.connect()
+    hasty_site.host.read_history = read_much
+    reader, writer = await hasty_site.connect()
     writer.write(_GET.replace(b'calls/7/stream', b'history'))
     await reader.readuntil(b'\r\n\r\n')
     writer.transport.pause_reading()
     await asyncio.sleep(0.5)
-    await site.settle(case)
+    await hasty_site.settle(case)
     writer.transport.resume_reading()
     case.assertLess(len(await reader.read()), 30_000_000)
     writer.close()
     await writer.wait_closed()
 
 
+class _StalledPeer:
+    """Request, response, transport and writer of a reader that stalls.
+
+    What is left to send fits the transport's buffer.
+    """
+
+    _LEFT = 1000
+
+    def __init__(self):
+        self.transport = self
+        self._bound = 64 * 1024
+        self._lost = asyncio.Event()
+
+    def set_write_buffer_limits(self, high=64 * 1024):
+        self._bound = high
+
+    def abort(self):
+        self._lost.set()
+
+    async def prepare(self, request):
+        return self
+
+    async def write_eof(self):
+        pass
+
+    async def drain(self):
+        if self._LEFT > self._bound:
+            await self._lost.wait()
+
+
+async def test_last_buffer_of_a_stalled_reader_is_freed(case, loop):
+    """A reader stalls when all but the last few bytes have been sent.
+
+    They fit the transport's buffer, so nothing waits for room; unless
+    sending waits for an empty buffer, connection and buffer stay for as
+    long as the reader likes.
+    """
+    peer = _StalledPeer()
+    begin = loop.time()
+    await streams.send_whole(peer, peer, timers.LoopTimers(loop), 30.0)
+    case.assertEqual(30.0, loop.time() - begin)
+
+
 load_tests = fixtures.adapt(__name__, [hosts])
