Requests in flight got one place that drains and cuts them.

Cause: a caller that waited for an open or for a call to start was cut without an answer at the end of the grace, three handlers caught that cut alike, and a cut at the very end of a passed-on stream could begin a second answer. The kernel took a quarter of an hour to give up the connection of a reader that was cut off. Change: inflight.Requests runs, detaches, waits for and cuts all work; the owner's answer is fetched before the caller's begins; every connection has TCP_USER_TIMEOUT. EntryApp.reader_count is in_flight now. Conclusion: every caller is told why its request ended.

--- a/libs/entry/vanillayoke/entry/app.py
+++ b/libs/entry/vanillayoke/entry/app.py
@@ -12,9 +12,9 @@
 from vanillayoke.entry import guards
 from vanillayoke.entry import health
 from vanillayoke.entry import host as entry_host
+from vanillayoke.entry import inflight
 from vanillayoke.entry import operators
 from vanillayoke.entry import programs
-from vanillayoke.entry import readers
 from vanillayoke.settings import process
 
 # Time for callers to read an error answer before their connection closes.
@@ -91,16 +91,15 @@
         ``extra_routes`` are served without a key. ``report_fault`` gets
         each unforeseen exception; ``heartbeat`` is in seconds.
         """
-        open_readers = readers.Readers()
+        requests = inflight.Requests()
         context = contexts.Context(
             host=host,
             settings=settings,
             timers=timers,
             forwarder=forwarding.Forwarder(
-                timers, settings.slow_reader_timeout, heartbeat, open_readers
+                timers, settings.slow_reader_timeout, heartbeat, requests
             ),
-            readers=open_readers,
-            effects=readers.Effects(),
+            requests=requests,
             drain=contexts.DrainState(),
             heartbeat=heartbeat,
         )
@@ -126,9 +125,9 @@
         return self._runner.addresses[0][:2]
 
     @property
-    def reader_count(self) -> int:
+    def in_flight(self) -> int:
         """Return how many callers wait for an answer or read a stream."""
-        return len(self._context.readers)
+        return len(self._context.requests)
 
     def begin_drain(self) -> None:
         """Refuse new work and close connections after their answer."""
@@ -138,11 +137,10 @@
         """Let streams end within the grace, then close everything."""
         self.begin_drain()
         context = self._context
-        await context.readers.wait(
+        await context.requests.wait(
             context.timers, context.settings.drain_grace
         )
-        context.readers.cut()
-        await context.effects.finish()
+        context.requests.cut()
         if self._runner is not None:
             await self._runner.cleanup()
         await context.forwarder.finish()
--- a/libs/entry/vanillayoke/entry/calls.py
+++ b/libs/entry/vanillayoke/entry/calls.py
@@ -1,6 +1,5 @@
 """Handlers that start calls and give their answers."""
 
-import asyncio
 import typing
 
 from aiohttp import web
@@ -12,7 +11,6 @@
 from vanillayoke.entry import events
 from vanillayoke.entry import host
 from vanillayoke.entry import parsing
-from vanillayoke.entry import readers
 from vanillayoke.entry import routing
 from vanillayoke.entry import streams
 
@@ -37,7 +35,7 @@
 
     async def work() -> routing.Outcome:
         starting = context.host.start_call(client, program, wanted)
-        stream = await context.effects.run(starting)
+        stream = await context.requests.run_detached(starting)
         if failures.is_failure(stream):
             return stream
         if parsed.body.stream:
@@ -137,27 +135,24 @@
     writer: streams.BodyWriter,
 ) -> None:
     items = stream.follow(offset)
-    with context.readers.join():
-        try:
-            await _copy_items(items, writer)
-        except asyncio.CancelledError:
-            if not context.readers.take_cut():
-                raise
-            writer.add(events.encode(readers.STOPPED))
-        finally:
-            await _close(items)
+    try:
+        failure = await context.requests.run(_copy_items(items, writer))
+    finally:
+        await _close(items)
+    if failure:
+        writer.add(events.encode(failure))
 
 
 async def _copy_items(
     items: typing.AsyncIterator[host.StreamItem], writer: streams.BodyWriter
-) -> None:
+) -> failures.Failure | None:
     async for item in items:
         writer.add(events.encode(item))
         if events.is_final(item):
-            return
+            return None
         if writer.is_full():
             await writer.drain()
-    writer.add(events.encode(ENDED_EARLY))
+    return ENDED_EARLY
 
 
 async def _close(items: typing.AsyncIterator[host.StreamItem]) -> None:
@@ -173,15 +168,10 @@
     """Wait for a call's end and give its answer whole."""
     context = contexts.find(request)
     items = stream.follow(0)
-    with context.readers.join():
-        try:
-            final = await _find_final(items)
-        except asyncio.CancelledError:
-            if not context.readers.take_cut():
-                raise
-            final = readers.STOPPED
-        finally:
-            await _close(items)
+    try:
+        final = await context.requests.run(_find_final(items))
+    finally:
+        await _close(items)
     if failures.is_failure(final):
         return final
     return answers.make_answer(events.DoneData(*final))
--- a/libs/entry/vanillayoke/entry/contexts.py
+++ b/libs/entry/vanillayoke/entry/contexts.py
@@ -8,7 +8,7 @@
 from vanillayoke.core import timers as core_timers
 from vanillayoke.entry import forwarding
 from vanillayoke.entry import host as entry_host
-from vanillayoke.entry import readers as entry_readers
+from vanillayoke.entry import inflight
 from vanillayoke.settings import process
 
 HEARTBEAT_INTERVAL = 3.0
@@ -31,8 +31,7 @@
     settings: process.EntrySettings
     timers: core_timers.TimerService
     forwarder: forwarding.Forwarder
-    readers: entry_readers.Readers
-    effects: entry_readers.Effects
+    requests: inflight.Requests
     drain: DrainState
     heartbeat: float
 
--- a/libs/entry/vanillayoke/entry/forwarding.py
+++ b/libs/entry/vanillayoke/entry/forwarding.py
@@ -1,6 +1,5 @@
 """Passing requests on to the instance that owns their program."""
 
-import asyncio
 import typing
 
 import aiohttp
@@ -10,7 +9,7 @@
 from vanillayoke.core import timers as core_timers
 from vanillayoke.entry import events
 from vanillayoke.entry import host
-from vanillayoke.entry import readers as entry_readers
+from vanillayoke.entry import inflight
 from vanillayoke.entry import streams
 
 HOPS = 'X-Vanillayoke-Forwarded'
@@ -30,7 +29,12 @@
     'Idempotency-Key',
     'Last-Event-ID',
 )
-_ANSWER_HEADERS = ('Content-Location', 'Retry-After', 'WWW-Authenticate')
+_ANSWER_HEADERS = (
+    'Cache-Control',
+    'Content-Location',
+    'Retry-After',
+    'WWW-Authenticate',
+)
 _EVENT_END = b'\n\n'
 
 BROKEN = failures.Failure(
@@ -52,10 +56,10 @@
         timers: core_timers.TimerService,
         slow_reader_timeout: float,
         heartbeat: float,
-        readers: entry_readers.Readers,
+        requests: inflight.Requests,
     ) -> None:
         self._timers = timers
-        self._readers = readers
+        self._requests = requests
         self._slow_reader_timeout = slow_reader_timeout
         self._timeout = aiohttp.ClientTimeout(
             total=None,
@@ -94,25 +98,35 @@
             )
         headers = _pick(request.headers, _REQUEST_HEADERS)
         headers[HOPS] = str(hops + 1)
-        with self._readers.join():
-            return await self._exchange(request, owner, headers, data)
+        answer = await self._requests.run(
+            self._fetch(request, owner, headers, data)
+        )
+        if not isinstance(answer, aiohttp.ClientResponse):
+            return answer
+        try:
+            return await self._pass_back(request, answer)
+        finally:
+            answer.release()
 
-    async def _exchange(
+    async def _fetch(
         self,
         request: web.Request,
         owner: host.Elsewhere,
         headers: dict[str, str],
         data: bytes,
-    ) -> web.StreamResponse | Unsent | failures.Failure:
+    ) -> aiohttp.ClientResponse | Unsent | failures.Failure:
+        """Return the owner's answer, with its body unless it is a stream."""
         try:
-            async with self._session.request(
+            answer = await self._session.request(
                 request.method,
                 f'http://{owner.address}{request.path_qs}',
                 headers=headers,
                 data=data or None,
                 allow_redirects=False,
-            ) as answer:
-                return await self._pass_back(request, answer)
+            )
+            if answer.content_type != events.CONTENT_TYPE:
+                await answer.read()
+            return answer
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Unsent(owner.instance)
         except (aiohttp.ClientError, TimeoutError):
@@ -120,10 +134,6 @@
             # broke. It answers a repeat from its journal, so the caller may
             # send the same request again.
             return BROKEN
-        except asyncio.CancelledError:
-            if not self._readers.take_cut():
-                raise
-            return entry_readers.STOPPED
 
     async def _pass_back(
         self, request: web.Request, answer: aiohttp.ClientResponse
@@ -137,34 +147,34 @@
                 content_type=answer.content_type,
             )
         headers['Content-Type'] = events.CONTENT_TYPE
-        headers['Cache-Control'] = 'no-store'
         response = web.StreamResponse(headers=headers)
         writer = await streams.start_body(
             request, response, self._timers, self._slow_reader_timeout
         )
-        await self._copy_events(answer, writer)
+        failure = await self._requests.run(_copy_events(answer, writer))
+        if failure:
+            writer.add(events.encode(failure))
         writer.flush()
         return response
 
-    async def _copy_events(
-        self, answer: aiohttp.ClientResponse, writer: streams.BodyWriter
-    ) -> None:
-        rest = b''
-        try:
-            async for data in answer.content.iter_any():
-                # Only whole events go out: behind half of one, the error
-                # event below would be taken for its second half.
-                whole, end, rest = (rest + data).rpartition(_EVENT_END)
-                if end:
-                    writer.add(whole + end)
-                if writer.is_full():
-                    await writer.drain()
-        except (aiohttp.ClientError, TimeoutError):
-            writer.add(events.encode(BROKEN))
-        except asyncio.CancelledError:
-            if not self._readers.take_cut():
-                raise
-            writer.add(events.encode(entry_readers.STOPPED))
+
+async def _copy_events(
+    answer: aiohttp.ClientResponse, writer: streams.BodyWriter
+) -> failures.Failure | None:
+    rest = b''
+    try:
+        async for data in answer.content.iter_any():
+            # Only whole events go out: behind half of one, the error
+            # event that ends a broken stream would be taken for its
+            # second half.
+            whole, end, rest = (rest + data).rpartition(_EVENT_END)
+            if end:
+                writer.add(whole + end)
+            if writer.is_full():
+                await writer.drain()
+    except (aiohttp.ClientError, TimeoutError):
+        return BROKEN
+    return None
 
 
 def read_hops(request: web.Request) -> int:
--- a/libs/entry/vanillayoke/entry/guards.py
+++ b/libs/entry/vanillayoke/entry/guards.py
@@ -32,6 +32,10 @@
     request: web.Request, handler: Handler
 ) -> web.StreamResponse:
     """Turn failures and exceptions into answers, and send these."""
+    context = contexts.find(request)
+    timeout = context.settings.slow_reader_timeout
+    if request.transport is not None:
+        streams.watch_peer(request.transport, timeout)
     try:
         outcome = await handler(request)
     except web.HTTPException as error:
@@ -43,10 +47,7 @@
         outcome = _INTERNAL
     if isinstance(outcome, (failures.Failure, bodies.BadField)):
         outcome = answers.make_error(outcome)
-    context = contexts.find(request)
-    await streams.send_whole(
-        request, outcome, context.timers, context.settings.slow_reader_timeout
-    )
+    await streams.send_whole(request, outcome, context.timers, timeout)
     if context.drain.is_draining:
         outcome.force_close()
     return outcome
--- a/libs/entry/vanillayoke/entry/operators.py
+++ b/libs/entry/vanillayoke/entry/operators.py
@@ -22,4 +22,4 @@
     running = context.host.run_operator_command(
         key, request.match_info['command'], parsed.body.arguments
     )
-    return answers.make_outcome(await context.effects.run(running))
+    return answers.make_outcome(await context.requests.run_detached(running))
--- a/libs/entry/vanillayoke/entry/programs.py
+++ b/libs/entry/vanillayoke/entry/programs.py
@@ -55,7 +55,9 @@
 
     async def work() -> routing.Outcome:
         opening = context.host.open_program(client, wanted)
-        return answers.make_outcome(await context.effects.run(opening))
+        return answers.make_outcome(
+            await context.requests.run_detached(opening)
+        )
 
     program = parent or ids.derive_program_id(client, key)
     return await routing.route(request, program, parsed.data, work)
@@ -130,7 +132,9 @@
 
     async def work() -> routing.Outcome:
         cancelling = context.host.cancel_call(client, program)
-        return answers.make_outcome(await context.effects.run(cancelling))
+        return answers.make_outcome(
+            await context.requests.run_detached(cancelling)
+        )
 
     return await routing.route(request, program, parsed.data, work)
 
@@ -149,6 +153,8 @@
 
     async def work() -> routing.Outcome:
         ending = context.host.end_program(client, program, key)
-        return answers.make_outcome(await context.effects.run(ending))
+        return answers.make_outcome(
+            await context.requests.run_detached(ending)
+        )
 
     return await routing.route(request, program, parsed.data, work)
--- a/libs/entry/vanillayoke/entry/routing.py
+++ b/libs/entry/vanillayoke/entry/routing.py
@@ -24,7 +24,7 @@
     """Do the work here, or pass the request on to the program's owner.
 
     ``data`` is the request's body; ``work`` is repeated only after a
-    ``NOT_OWNER``, which says that nothing was done.
+    ``NOT_OWNER``, which says that this request did nothing.
     """
     # A malformed id is refused here, behind all other checks, so that its
     # answer is that of an absent program whatever else is wrong.
--- a/libs/entry/vanillayoke/entry/streams.py
+++ b/libs/entry/vanillayoke/entry/streams.py
@@ -1,6 +1,7 @@
 """Writing of streamed bodies: batches, heartbeats and slow readers."""
 
 import asyncio
+import socket
 import typing
 
 import aiohttp
@@ -97,6 +98,19 @@
             self._transport.abort()
 
 
+def watch_peer(transport: asyncio.Transport, timeout: float) -> None:
+    """Have the connection closed once its peer is silent for too long.
+
+    A peer that is cut off acknowledges nothing, yet heartbeats still fit
+    the kernel's buffer for a quarter of an hour; the task that sends them
+    would last as long.
+    """
+    sock = transport.get_extra_info('socket')
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout * 1000)
+    )
+
+
 async def send_whole(
     request: web.Request,
     response: web.StreamResponse,
--- a/tests/entry/test_faults.py
+++ b/tests/entry/test_faults.py
@@ -1,8 +1,10 @@
 """Tests of malformed, oversized and half-sent requests."""
 
 import json
+from unittest import mock
 
 from tests.entry import hosts
+from vanillayoke.entry import app
 from vanillayoke.testing import fixtures
 
 _HEAD = (
@@ -176,6 +178,18 @@
     case.assertEqual([], hasty_site.faults)
 
 
+@fixtures.on_real_loop
+async def test_half_sent_head_is_dropped_after_a_timeout(case, loop):
+    with mock.patch.object(app, 'KEEP_ALIVE', 0.1):
+        site = hosts.Site(loop)
+        await site.start()
+    reader, writer = await site.connect()
+    writer.write(_HEAD.encode())
+    case.assertEqual(b'', await reader.read())
+    writer.close()
+    await site.finish()
+
+
 @fixtures.on_real_loop
 async def test_broken_off_body_leaves_nothing_behind(case, site):
     reader, writer = await site.connect()
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -4,6 +4,8 @@
 import json
 import socket
 
+from aiohttp import web
+
 from tests.entry import hosts
 from vanillayoke.core import failures
 from vanillayoke.core import timers
@@ -163,6 +165,30 @@
     await writer.wait_closed()
 
 
+@fixtures.on_real_loop
+async def test_connection_to_a_cut_off_reader_is_given_up(case, loop):
+    """Something between caller and instance loses their connection.
+
+    Nothing tells either end. The instance's heartbeats are never
+    acknowledged, and unless the kernel gives the connection up the stream
+    goes on for a quarter of an hour.
+    """
+    limits = []
+
+    async def note_limit(request):
+        sock = request.transport.get_extra_info('socket')
+        limits.append(
+            sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        )
+        return web.Response()
+
+    site = hosts.Site(loop, extra_routes=[web.get('/limit', note_limit)])
+    await site.start()
+    await site.ask('GET', '/limit')
+    await site.finish()
+    case.assertEqual([30_000], limits)
+
+
 class _StalledPeer:
     """Request, response, transport and writer of a reader that stalls.
 
