--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,9 @@
 demo: venv
 	$(PYTHON) -m vanillayoke.harness.demo
 
+faults: venv
+	$(PYTHON) -m vanillayoke.harness.matrix --pairs=60
+
 format: venv
 	.venv/bin/ruff check --fix --quiet . || true
 	.venv/bin/ruff format .
--- a/libs/core/vanillayoke/core/failures.py
+++ b/libs/core/vanillayoke/core/failures.py
@@ -121,7 +121,7 @@
         503, Ran.UNKNOWN, True, 'The answer could not be made durable.'
     ),
     Kind.NOT_OWNER: Answer(
-        503, Ran.NO, True, 'The program is moving between instances.'
+        503, Ran.UNKNOWN, True, 'The program is moving between instances.'
     ),
     Kind.LEASE_LOST: Answer(
         503, Ran.UNKNOWN, True, 'The instance lost its lease meanwhile.'
--- a/libs/harness/vanillayoke/harness/virtual_caller.py
+++ b/libs/harness/vanillayoke/harness/virtual_caller.py
@@ -20,6 +20,9 @@
     failed: tuple[failures.Failure, ...]
 
 
+OnRefusal = typing.Callable[[str, str, failures.Failure], None]
+
+
 class VirtualCaller:
     """Opens programs and runs them as a client's application would.
 
@@ -32,10 +35,12 @@
         site: virtual.VirtualSite,
         patience: float,
         client: str = virtual.CLIENT,
+        on_refusal: OnRefusal = lambda program, text, failure: None,
     ) -> None:
         self._site = site
         self._patience = patience
         self._client = client
+        self._on_refusal = on_refusal
         self._turn = 0
 
     async def open(
@@ -104,6 +109,7 @@
             if isinstance(final, host.FinalAnswer):
                 return Told(read, final, tuple(failed))
             failed.append(final)
+            self._on_refusal(program, text, final)
             late = self._site.clock.now() > deadline
             if late or not final.answer.may_retry:
                 return Told(read, final, tuple(failed))
--- a/libs/node/vanillayoke/node/attempts.py
+++ b/libs/node/vanillayoke/node/attempts.py
@@ -54,7 +54,13 @@
         """Return the attempts of a call, with its deadline."""
         clock = self._parts.clock
         left = program.deadline - clock.wall()
-        return Attempts(program, call, clock.now() + left)
+        # Of attempts that another instance made before it was lost, nobody
+        # here can prove that they did not run: an order that it sent would
+        # be sent again.
+        unsent = call.attempts == 0
+        return Attempts(
+            program, call, clock.now() + left, proven_not_run=unsent
+        )
 
     def find_epoch(self, program: programs.Program) -> int | None:
         """Return the epoch held for a program, whether it may act or not."""
--- a/libs/node/vanillayoke/node/caches.py
+++ b/libs/node/vanillayoke/node/caches.py
@@ -52,6 +52,24 @@
         self._tasks[key] = task
         task.add_done_callback(lambda _: self._tasks.pop(key, None))
 
+    def reconcile(self, target: str, session: str) -> None:
+        """Take in that a target holds memory for a session.
+
+        An owner can die between sending a model call and making that
+        durable; its successor then knows of no memory to free, and it
+        would stay with a program that has ended. What an engine itself
+        reports closes the gap. Only the program's owner acts upon it.
+        """
+        epoch = self._ownership.held_epoch(ids.find_shard(session))
+        if epoch is None:
+            return
+        program = self._programs.find(session)
+        if program is None or not program.is_active:
+            self.release(target, session)
+        elif target not in program.held:
+            self._programs.write(caches.hold_cache(program, target, epoch))
+            self._scheduler.hold(target, session)
+
     def export(self, target: str, program: str) -> None:
         """Start exporting a program's cache, then freeing it."""
         task = asyncio.ensure_future(self._export(target, program))
--- a/libs/node/vanillayoke/node/feeds.py
+++ b/libs/node/vanillayoke/node/feeds.py
@@ -17,10 +17,12 @@
 from vanillayoke.targets import ports
 
 INTERVAL = 0.5
+STATE_INTERVAL = 3.0
 _SPREAD = 0.2
 _FAILURES_TO_DOUBT = 2
 
 LeavingCallback = typing.Callable[[str], None]
+Reconcile = typing.Callable[[str, str], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +31,7 @@
 
     task: asyncio.Task | None = None
     last_event: int = 0
+    state_due: float = 0.0
     failed: int = 0
     leaving: bool = False
     healthy: bool = True
@@ -51,6 +54,7 @@
         logger: logs.Logger,
         source: random.Random,
         pump: typing.Callable[[], None],
+        reconcile: Reconcile,
     ) -> None:
         self._holder = holder
         self._adapters = adapters
@@ -59,6 +63,7 @@
         self._logger = logger
         self._source = source
         self._pump = pump
+        self._reconcile = reconcile
         self._feeds: dict[str, _Feed] = {}
         self._listeners: list[LeavingCallback] = []
 
@@ -180,3 +185,18 @@
             self._scheduler.observe_cache(
                 name, event.session, event.tokens, event.kind
             )
+        now = self._clock.now()
+        if now >= feed.state_due:
+            feed.state_due = now + STATE_INTERVAL
+            await self._read_sessions(name, engine)
+
+    async def _read_sessions(self, name: str, engine: ports.Engine) -> None:
+        """Compare what an engine holds with what it should.
+
+        Events can be lost; the engine's own state cannot.
+        """
+        state = await engine.read_state()
+        if failures.is_failure(state):
+            return
+        for session in state.sessions:
+            self._reconcile(name, session)
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -131,6 +131,7 @@
             outside.logger,
             outside.source,
             self.dispatcher.pump,
+            self.releaser.reconcile,
         )
         self._stop_request: StopRequest = lambda reason: None
         self.operations = operations.Operations(
--- a/libs/node/vanillayoke/node/recovery.py
+++ b/libs/node/vanillayoke/node/recovery.py
@@ -3,20 +3,14 @@
 import typing
 
 from vanillayoke.core import events
-from vanillayoke.core import ids
 from vanillayoke.node import parts
 from vanillayoke.node import runs
-from vanillayoke.programs import endings
 from vanillayoke.programs import program as programs
 from vanillayoke.scheduling import scheduler
 
 
 class Recovery:
-    """Settles what a takeover cannot know, then goes on.
-
-    A non-idempotent call that may have been sent is never sent again: its
-    target is asked where it can answer, else its outcome is unknown.
-    """
+    """Hosts programs rebuilt from a journal and goes on with them."""
 
     def __init__(
         self,
@@ -38,8 +32,7 @@
                 records=program.sequence,
             )
             self._remember_caches(program)
-            if program.running is not None or program.open_run:
-                self._parts.start_task(self._recover(program))
+            self._runner.take_up(program)
         if gained:
             self._parts.dispatcher.pump()
 
@@ -49,21 +42,3 @@
             self._scheduler.hold(target, program.id)
         if not program.is_active:
             self._parts.dispatcher.end(program.id)
-
-    async def _recover(self, program: programs.Program) -> None:
-        await self._runner.ask_outcome(program)
-        shard = ids.find_shard(program.id)
-        epoch = self._parts.ownership.held_epoch(shard)
-        if epoch is None or self._parts.programs.find(program.id) is None:
-            return
-        above = self._parts.programs.list_ancestors(program)
-        settled = endings.recover_program(program, above, epoch)
-        self._parts.programs.write(settled)
-        if settled:
-            self._parts.logger.write(
-                events.CALL_OUTCOME_UNKNOWN,
-                program=program.id,
-                call=len(program.calls),
-                target=program.calls[-1].target,
-            )
-        self._runner.take_up(program)
--- a/libs/node/vanillayoke/node/runs.py
+++ b/libs/node/vanillayoke/node/runs.py
@@ -57,6 +57,7 @@
         )
         self._children = children.ChildCalls(shared, self._settler, self)
         self._runs: dict[str, Run] = {}
+        self._unsettled: set[str] = set()
 
     @property
     def count(self) -> int:
@@ -114,20 +115,16 @@
         call = program.running or (
             program.calls[-1] if program.open_run else None
         )
-        if call is not None and program.id not in self._runs:
-            self._drive_soon(program, results.find_first(program, call))
-
-    async def ask_outcome(self, program: programs.Program) -> None:
-        """Ask a target about a call whose outcome a takeover left open."""
-        call = program.running
-        if call is None or call.idempotent or not call.may_have_run:
+        if call is None or program.id in self._runs:
             return
-        await self._services.ask_outcome(program, call)
+        self._unsettled.add(program.id)
+        self._drive_soon(program, results.find_first(program, call))
 
     def cancel(
         self, program: programs.Program, failure: failures.Failure
     ) -> None:
         """Stop driving a program; its stream ends with the failure."""
+        self._unsettled.discard(program.id)
         run = self._runs.pop(program.id, None)
         if run is None:
             return
@@ -188,17 +185,29 @@
             else:
                 final = failure
         except Exception:
-            run.stream.finish(
-                failures.Failure(
-                    failures.Kind.INTERNAL, 'driving the call failed'
-                )
-            )
+            self._give_up(run)
             raise
         finally:
             if self._runs.get(run.program.id) is run:
                 del self._runs[run.program.id]
         run.stream.finish(final)
 
+    def _give_up(self, run: Run) -> None:
+        """End what an unforeseen error stopped.
+
+        The call would else stay running for ever and block the program.
+        """
+        failure = failures.Failure(
+            failures.Kind.INTERNAL, 'driving the call failed'
+        )
+        program = run.program
+        epoch = self._settler.find_epoch(program)
+        if epoch is not None:
+            above = self._parts.programs.list_ancestors(program)
+            stopped = endings.cancel_call(program, above, failure, epoch)
+            self._parts.programs.write(stopped)
+        run.stream.finish(failure)
+
     def _log_committed(self, run: Run) -> None:
         self._parts.logger.write(
             events.CALL_COMMITTED,
@@ -209,6 +218,9 @@
     async def _run_steps(self, run: Run) -> None | failures.Failure:
         """Drive step after step; a failure where the program moved away."""
         program = run.program
+        failure = await self._settle_taken_over(program)
+        if failure is not None:
+            return failure
         while True:
             call = program.running
             if call is not None:
@@ -222,6 +234,37 @@
             if failure is not None:
                 return failure
 
+    async def _settle_taken_over(
+        self, program: programs.Program
+    ) -> None | failures.Failure:
+        """Settle what a takeover cannot know before anything goes on.
+
+        A non-idempotent call that the lost owner may have sent is never
+        sent again: its target is asked where it can answer, else its
+        outcome is unknown. A caller that repeats its key the moment the
+        program is here joins this run, and so waits for it as well.
+        """
+        if program.id not in self._unsettled:
+            return None
+        call = program.running
+        if call is not None and call.is_intended and not call.idempotent:
+            await self._services.ask_outcome(program, call)
+        epoch = self._settler.find_epoch(program)
+        if epoch is None:
+            return call_attempts.make_lost()
+        above = self._parts.programs.list_ancestors(program)
+        settled = endings.recover_program(program, above, epoch)
+        self._parts.programs.write(settled)
+        self._unsettled.discard(program.id)
+        if settled:
+            self._parts.logger.write(
+                events.CALL_OUTCOME_UNKNOWN,
+                program=program.id,
+                call=call.number,
+                target=call.target,
+            )
+        return None
+
     async def _execute(
         self, run: Run, call: program_calls.Call
     ) -> None | failures.Failure:
