--- a/libs/targets/vanillayoke/targets/engine_http.py
+++ b/libs/targets/vanillayoke/targets/engine_http.py
@@ -18,12 +18,17 @@
 from vanillayoke.targets import credentials
 from vanillayoke.targets import ports
 from vanillayoke.targets import requests
+from vanillayoke.targets import silence
 
 _REQUEST_ID = 'X-Request-Id'
+# The time of a whole call is bounded by its own watch.
+_LIMITS = aiohttp.ClientTimeout(
+    total=None, sock_connect=control.CONNECT_TIMEOUT
+)
 _NOT_FOUND = 404
 _STREAM_TYPE = 'text/event-stream'
-# Behind the end mark a stream has at most its closing chunk, which comes
-# at once; a connection that is not at its end by then is not reused.
+# Behind the end mark comes at most the body's own end, and at once; a
+# connection that is not there by then (seconds) is not reused.
 _CLOSING_TIME = 1.0
 
 _Items = typing.AsyncIterator[
@@ -60,13 +65,10 @@
         held = connections.TargetConnections(settings.address, clock, tls)
         return cls(name, held, clock, key if settings.signed_orders else None)
 
-    async def stream(self, request: ports.EngineRequest) -> _Items:
+    def stream(self, request: ports.EngineRequest) -> _Items:
         """Run a model call; see the port."""
         body = requests.encode_request(request)
-        items = self._run('POST', '/v1/chat/completions', request, body)
-        async with contextlib.aclosing(items):
-            async for item in items:
-                yield item
+        return self._run('POST', '/v1/chat/completions', request, body)
 
     async def resume(
         self, request: ports.EngineRequest, offset: int
@@ -97,32 +99,30 @@
         body: bytes | None,
     ) -> _Items:
         """Yield an answer's pieces, then its completion or a failure."""
-        limits = aiohttp.ClientTimeout(
-            total=request.timeout,
-            sock_connect=control.CONNECT_TIMEOUT,
-            sock_read=request.progress_timeout,
-        )
+        deadline = self._clock.now() + request.timeout
+        parser = chunks.AnswerParser()
         try:
             async with (
                 self._connections.borrow() as session,
-                session.request(
-                    method,
-                    path,
-                    data=body,
-                    headers={
-                        _REQUEST_ID: request.call_id,
-                        'Content-Type': 'application/json',
-                    },
-                    timeout=limits,
-                    allow_redirects=False,
-                ) as response,
+                await _open(session, method, path, request, body) as response,
             ):
                 failure = _check_head(response, request)
                 if failure is not None:
                     yield failure
                     return
-                async for item in _read_stream(response, request):
-                    yield item
+                watch = silence.StreamWatch(
+                    self._clock, response, request.progress_timeout, deadline
+                )
+                with contextlib.closing(watch):
+                    while not parser.is_done:
+                        piece = await _read_piece(watch, parser)
+                        if isinstance(piece, failures.Failure):
+                            yield piece
+                            return
+                        if piece.tokens:
+                            yield piece
+                yield parser.complete(requests.estimate_prompt(request))
+                await _finish_response(response)
         except (aiohttp.ClientError, OSError) as error:
             yield await self._connections.explain_error(error)
 
@@ -169,6 +169,32 @@
         await self._connections.close()
 
 
+async def _open(
+    session: aiohttp.ClientSession,
+    method: str,
+    path: str,
+    request: ports.EngineRequest,
+    body: bytes | None,
+) -> aiohttp.ClientResponse:
+    """Return the answer's head; it comes before the first piece.
+
+    So its absence is a silence, too.
+    """
+    limit = min(request.progress_timeout, request.timeout)
+    async with asyncio.timeout(limit):
+        return await session.request(
+            method,
+            path,
+            data=body,
+            headers={
+                _REQUEST_ID: request.call_id,
+                'Content-Type': 'application/json',
+            },
+            timeout=_LIMITS,
+            allow_redirects=False,
+        )
+
+
 def _check_head(
     response: aiohttp.ClientResponse, request: ports.EngineRequest
 ) -> failures.Failure | None:
@@ -189,32 +215,21 @@
     return None
 
 
-async def _read_stream(
-    response: aiohttp.ClientResponse, request: ports.EngineRequest
-) -> _Items:
-    parser = chunks.AnswerParser()
-    while not parser.is_done:
-        data = await response.content.readany()
-        if not data:
-            yield failures.Failure(
-                failures.Kind.OUTCOME_UNKNOWN, 'the stream ended half-way'
-            )
-            return
-        piece = parser.feed(data)
-        if isinstance(piece, failures.Failure):
-            yield piece
-            return
-        if piece.tokens:
-            yield piece
-    yield parser.complete(requests.estimate_prompt(request))
-    await _finish_response(response)
+async def _read_piece(
+    watch: silence.StreamWatch, parser: chunks.AnswerParser
+) -> ports.Delta | failures.Failure:
+    data = await watch.read()
+    if data:
+        return parser.feed(data)
+    return failures.Failure(
+        failures.Kind.OUTCOME_UNKNOWN, 'the stream ended half-way'
+    )
 
 
 async def _finish_response(response: aiohttp.ClientResponse) -> None:
     """Let a stream's connection be reused where it is at its end.
 
-    Anything but the end, such as a second copy of the answer, would be
-    taken for the answer to the next request; it closes the connection.
+    Anything but the end, such as a second copy of the answer, closes it.
     The answer is whole by now, so errors change nothing.
     """
     with contextlib.suppress(aiohttp.ClientError, OSError):
--- a/tests/targets/test_engine_http.py
+++ b/tests/targets/test_engine_http.py
@@ -76,26 +76,27 @@
 async def test_silent_connection_is_left_for_a_new_one(case, stage):
     """A caller waits on text that never comes though the engine is well.
 
-    A connection tracker forgets the connection half-way through a stream:
-    no more bytes and no reset. The silence ends the stream with a failure
-    and the next request goes over another connection.
+    A connection tracker forgets all idle connections to a target: the next
+    request over one gets no bytes and no reset. After that silence no other
+    idle connection may be tried.
     """
-    ports_seen = []
+    used = []
 
     async def answer(request):
-        ports_seen.append(request.transport.get_extra_info('peername')[1])
-        if len(ports_seen) == 2:
+        used.append(request.transport.get_extra_info('peername'))
+        if len(used) == 3:
             await asyncio.Event().wait()
+        await asyncio.sleep(0.01)
         return web.json_response(None)
 
     adapter = stage.connect_engine(await stage.serve_handler(answer))
-    await adapter.cancel('c0')
-    request = samples.make_request(progress_timeout=0.05)
+    await asyncio.gather(adapter.cancel('c0'), adapter.cancel('c1'))
+    request = samples.make_request(timeout=3600.0, progress_timeout=0.05)
     items = await samples.collect(adapter.stream(request))
     case.assertEqual(failures.Kind.OUTCOME_UNKNOWN, items[-1].kind)
     case.assertIsNone(await adapter.cancel('c1'))
-    case.assertEqual(ports_seen[0], ports_seen[1])
-    case.assertNotEqual(ports_seen[1], ports_seen[2])
+    case.assertEqual(2, len(set(used[:3])))
+    case.assertNotIn(used[3], used[:3])
 
 
 @fixtures.on_real_loop
@@ -107,7 +108,7 @@
     """
     adapter = await stage.start_engine()
     set_faults(stage, 'silence', after=10)
-    request = samples.make_request(progress_timeout=0.1)
+    request = samples.make_request(timeout=3600.0, progress_timeout=0.1)
     first = await samples.collect(adapter.stream(request))
     case.assertEqual(failures.Kind.OUTCOME_UNKNOWN, first[-1].kind)
     got = samples.join_text(first)
@@ -115,6 +116,22 @@
     case.assertEqual(write_text(request), got + samples.join_text(rest))
 
 
+@fixtures.on_real_loop
+async def test_slow_reader_is_not_taken_for_a_silent_target(case, stage):
+    """A caller on a bad line loses an answer that the engine had ready.
+
+    The reader takes longer than the bound on silence between two reads,
+    while the bytes wait on this side of the connection.
+    """
+    adapter = await stage.start_engine()
+    items = adapter.stream(samples.make_request(progress_timeout=0.05))
+    first = await anext(items)
+    await asyncio.sleep(0.2)
+    rest = await samples.collect(items)
+    case.assertIsInstance(rest[-1], ports.Completion)
+    case.assertEqual(rest[-1].text, samples.join_text([first, *rest]))
+
+
 @fixtures.on_real_loop
 async def test_call_timeout_ends_a_stream_that_makes_progress(case, stage):
     adapter = await stage.start_engine()
@@ -152,7 +169,8 @@
 
     async def answer(request):
         headers = {'X-Request-Id': 'c9'}
-        text = 'data: [DONE]\n\n'
+        choice = '{"delta": {"content": "no"}, "finish_reason": "stop"}'
+        text = f'data: {{"choices": [{choice}]}}\n\ndata: [DONE]\n\n'
         return web.Response(
             text=text, headers=headers, content_type='text/event-stream'
         )
@@ -189,8 +207,10 @@
         (307, {'Location': '/elsewhere'}),
     ]
     left = iter(answers)
+    paths = set()
 
     async def answer(request):
+        paths.add(request.path)
         status, headers = next(left)
         return web.Response(status=status, headers=headers)
 
@@ -201,6 +221,7 @@
     case.assertEqual(
         [refused, refused, failed, failed, unknown, failed], kinds
     )
+    case.assertEqual({'/v1/chat/completions'}, paths)
 
 
 @fixtures.on_real_loop
