Let a call wait while no target takes it for the moment.

Cause: in the column "target hangs" a model call that had failed on each engine once found all of them excluded, and its whole run ended at once. Change: for ten seconds a call without a target tries again, and targets that failed it are then as good as others. The stand-in engines now answer differently each, so that an answer told twice differently would show; a stand-in service that says "never ran" refuses the key from then on.

--- a/libs/fakes/vanillayoke/fakes/engine_memory.py
+++ b/libs/fakes/vanillayoke/fakes/engine_memory.py
@@ -66,7 +66,7 @@
             return REFUSED
         if request.call_id not in self.runs:
             hang = faults.after if faults.stream == 'hang' else None
-            run = engine_model.Run(request, hang)
+            run = engine_model.Run(request, hang, self.options.salt)
             self.runs[request.call_id] = run
             self.batch.add(run)
         return self.runs[request.call_id]
--- a/libs/fakes/vanillayoke/fakes/engine_model.py
+++ b/libs/fakes/vanillayoke/fakes/engine_model.py
@@ -31,7 +31,10 @@
 
 
 class EngineOptions(typing.NamedTuple):
-    """Sizes and speeds; times in seconds, ``*_cost`` per token."""
+    """Sizes and speeds; times in seconds, ``*_cost`` per token.
+
+    Engines with another ``salt`` answer equal histories otherwise.
+    """
 
     slots: int = 16
     cache_tokens: int = 200_000
@@ -42,15 +45,16 @@
     report_lag: float = 0.5
     event_delay: float = 0.2
     fencing: bool = False
+    salt: str = ''
 
 
 class Run:
     """A sequence in the engine: ``waiting``, ``running`` or over."""
 
-    def __init__(self, request: ports.EngineRequest, hang: int | None) -> None:
+    def __init__(self, request, hang: int | None, salt: str) -> None:
         self.request = request
         self.hang = hang
-        self.script = script.write_answer(request.messages)
+        self.script = script.write_answer(request.messages, salt)
         self.prompt = script.count_tokens(request.messages)
         self.limit = min(len(self.script.pieces), request.max_tokens)
         self.cached = self.prefill_steps = self.made = 0
--- a/libs/fakes/vanillayoke/fakes/script.py
+++ b/libs/fakes/vanillayoke/fakes/script.py
@@ -28,14 +28,16 @@
     return sum(4 + len(m.get('content') or '') // 4 for m in messages)
 
 
-def write_answer(messages: typing.Sequence[ports.ChatMessage]) -> Script:
+def write_answer(
+    messages: typing.Sequence[ports.ChatMessage], salt: str = ''
+) -> Script:
     """Return the answer to a history; equal histories give equal ones."""
     texts = [(m['role'], m.get('content') or '') for m in messages]
     last = max((i for i, t in enumerate(texts) if t[0] == 'user'), default=0)
     directives = _split_directives(texts[last][1])
     calls = [d for d in directives if not d.startswith('say:')]
     results = [text for role, text in texts[last:] if role == 'tool']
-    source = random.Random(json.dumps(texts))
+    source = random.Random(salt + json.dumps(texts))
     if len(results) < len(calls):
         call_id = f'call_{source.getrandbits(64):016x}'
         call = _make_call(call_id, calls[len(results)])
--- a/libs/fakes/vanillayoke/fakes/service_memory.py
+++ b/libs/fakes/vanillayoke/fakes/service_memory.py
@@ -43,6 +43,7 @@
         self.faults = ServiceFaults()
         self.executions: dict[str, int] = {}
         self.answers: dict[str, str] = {}
+        self.refused: set[str] = set()
         self._slots = slots
         self._inside = 0
         self._free = asyncio.Semaphore(slots)
@@ -55,7 +56,8 @@
         """Run a call; a broken connection is ``OUTCOME_UNKNOWN``."""
         self.faults.calls -= 1
         faults = self.faults if self.faults.calls >= 0 else ServiceFaults()
-        if faults.call == 'refuse' or self.faults.leaving:
+        closed = self.faults.leaving or request.key in self.refused
+        if faults.call == 'refuse' or closed:
             return _REFUSED
         if faults.call == 'die_before':
             return _BROKEN
@@ -87,8 +89,10 @@
     async def query(self, key):
         if not self.has_query:
             return _BROKEN._replace(reason='no query')
-        known = key in self.answers
-        return ports.ServiceAnswer(self.answers[key]) if known else None
+        if key in self.answers:
+            return ports.ServiceAnswer(self.answers[key])
+        # Having said "never ran", it must not run a request still under way.
+        self.refused.add(key)
 
     async def report_load(self):
         running = min(self._inside, self._slots)
--- a/libs/harness/vanillayoke/harness/matrix/world.py
+++ b/libs/harness/vanillayoke/harness/matrix/world.py
@@ -66,7 +66,10 @@
         self.site = virtual.VirtualSite(loop, seed)
         for name in ('engine-1', 'engine-2', 'engine-3'):
             self.site.add_engine(
-                name, engine_model.EngineOptions(cache_tokens=_CACHE_TOKENS)
+                name,
+                engine_model.EngineOptions(
+                    cache_tokens=_CACHE_TOKENS, salt=name
+                ),
             )
         for name in ('supplier-1', 'supplier-2'):
             service = self.site.add_service(name, 'supplier')
--- a/libs/node/vanillayoke/node/attempts.py
+++ b/libs/node/vanillayoke/node/attempts.py
@@ -16,6 +16,8 @@
 MOST_ATTEMPTS = 4
 FIRST_DELAY = 0.05
 LONGEST_DELAY = 2.0
+NO_TARGET_PAUSE = 0.5
+NO_TARGET_PATIENCE = 10.0
 _TOKENS_PER_CHARACTER = 0.3
 
 
@@ -75,18 +77,47 @@
     async def place(
         self, attempts: Attempts, demand: calls.CallDemand
     ) -> calls.Placement | failures.Failure:
-        """Wait for a target."""
-        began = self._parts.clock.now()
-        placed = await self._parts.dispatcher.place(demand)
-        if isinstance(placed, calls.Placement):
-            self._parts.logger.write(
-                events.CALL_PLACED,
-                program=attempts.program.id,
-                call=attempts.call.number,
-                target=placed.target,
-                waited=round(self._parts.clock.now() - began, 4),
-            )
-        return placed
+        """Wait for a target; for a while also where none takes the call.
+
+        All engines can fail one call in turn, or all their circuit
+        breakers be open for a moment: a program of many turns must not end
+        by that. Targets that failed the call are then as good as others.
+        """
+        clock = self._parts.clock
+        began = clock.now()
+        while True:
+            placed = await self._parts.dispatcher.place(demand)
+            if isinstance(placed, calls.Placement):
+                self._log_placed(attempts, placed, clock.now() - began)
+                return placed
+            if not self._may_wait(placed, demand, began):
+                return placed
+            attempts.avoid = frozenset()
+            demand = demand._replace(avoid=attempts.avoid)
+            await clock.sleep(NO_TARGET_PAUSE)
+
+    def _may_wait(
+        self,
+        failure: failures.Failure,
+        demand: calls.CallDemand,
+        began: float,
+    ) -> bool:
+        if failure.kind is not failures.Kind.NO_TARGET:
+            return False
+        next_try = self._parts.clock.now() + NO_TARGET_PAUSE
+        end = min(began + NO_TARGET_PATIENCE, demand.deadline)
+        return next_try < end
+
+    def _log_placed(
+        self, attempts: Attempts, placed: calls.Placement, waited: float
+    ) -> None:
+        self._parts.logger.write(
+            events.CALL_PLACED,
+            program=attempts.program.id,
+            call=attempts.call.number,
+            target=placed.target,
+            waited=round(waited, 4),
+        )
 
     def intend(
         self, attempts: Attempts, target: str
