Stopped claims that took a live owner's shards, and tested leases and takeover.

Cause: a claim planned on rows as they were before a scan was written with the versions that the scan brought, so that an instance which started in an outage took shards from live owners.

Change: changes keep the versions they were planned on; nothing is claimed before the rows have been read once.

Conclusion: conditional writes protect only what they were planned on.

--- a/libs/node/vanillayoke/node/ownership.py
+++ b/libs/node/vanillayoke/node/ownership.py
@@ -307,6 +307,8 @@
         # one by an instance that is dead and cleared away.
         if not self._journal.lease.may_act(self._timers.now()):
             return _make_not_held()
+        if not self._table.is_known:
+            return None
         wanted = self._map.list_shards(self._journal.row.name)
         unknown = {
             owner
--- a/libs/node/vanillayoke/node/shardtable.py
+++ b/libs/node/vanillayoke/node/shardtable.py
@@ -11,7 +11,7 @@
 from vanillayoke.core import timers
 from vanillayoke.platform import ports
 
-ROWS_PER_TRANSACTION = _BATCH = 64
+_BATCH = 64
 TRANSACTIONS_AT_ONCE = 4
 _PAGE = 1000
 _TRIES = 5
@@ -20,11 +20,21 @@
 Changes = dict[ids.Shard, rows.ShardRow]
 
 
+class _Change(typing.NamedTuple):
+    """A row to write and the version that it replaces."""
+
+    row: rows.ShardRow
+    expected: int
+
+
+_Batch = dict[ids.Shard, _Change]
+
+
 class _Outcome(typing.NamedTuple):
     """What of a batch is written and what is still to be written."""
 
     written: Changes
-    left: Changes
+    left: _Batch
 
 
 class ShardTable:
@@ -46,6 +56,7 @@
         self._random = source
         self._spend = spend
         self._entries = [takeover.ABSENT] * ids.SHARD_COUNT
+        self._is_known = False
         self._at_once = asyncio.Semaphore(TRANSACTIONS_AT_ONCE)
 
     def find(self, shard: ids.Shard) -> rows.ShardRow:
@@ -56,6 +67,11 @@
         """Return all rows by shard number, as last known."""
         return [entry.row for entry in self._entries]
 
+    @property
+    def is_known(self) -> bool:
+        """Tell whether all rows have been read at least once."""
+        return self._is_known
+
     async def scan(self) -> None | failures.Failure:
         """Read all rows again."""
         after = ''
@@ -66,6 +82,7 @@
             for row in page:
                 self._take(row)
             if len(page) < _PAGE:
+                self._is_known = True
                 return None
             after = page[-1].key
 
@@ -86,18 +103,19 @@
             self._entries[shard] = takeover.VersionedRow(value, row.version)
 
     async def change(self, changes: Changes) -> Changes | failures.Failure:
-        """Write rows on condition that they are as known here.
+        """Write rows on condition that they are as known here now.
 
         Return those that were written; the others have been read again. A
         failure leaves some written perhaps, which a later read shows.
         """
-        shards = sorted(changes)
-        batches = [
-            {shard: changes[shard] for shard in shards[at : at + _BATCH]}
-            for at in range(0, len(shards), _BATCH)
-        ]
+        # The versions are taken now: a scan that ends while the batch
+        # waits its turn would else lend a new version to an old decision.
+        planned = {
+            shard: _Change(changes[shard], self._entries[shard].version)
+            for shard in sorted(changes)
+        }
         results = await asyncio.gather(
-            *(self._change_batch(batch) for batch in batches)
+            *(self._write_batch(batch) for batch in _split(planned))
         )
         written: Changes = {}
         for result in results:
@@ -106,39 +124,39 @@
             written.update(result)
         return written
 
-    async def _change_batch(
-        self, batch: Changes
-    ) -> Changes | failures.Failure:
-        async with self._at_once:
-            return await self._write_batch(dict(batch))
-
-    async def _write_batch(self, batch: Changes) -> Changes | failures.Failure:
+    async def _write_batch(self, batch: _Batch) -> Changes | failures.Failure:
         written: Changes = {}
         left = batch
         failure: failures.Failure | None = None
         for _ in range(_TRIES):
-            if not left:
-                return written
-            outcome = await self._try_writing(left)
-            if failures.is_failure(outcome):
+            async with self._at_once:
+                outcome = await self._try_writing(left)
+            if not failures.is_failure(outcome):
+                written.update(outcome.written)
+                left = outcome.left
+                if not left:
+                    return written
+            else:
                 failure = outcome
                 await self._timers.sleep(_RETRY * self._random.random())
-                continue
-            written.update(outcome.written)
-            left = outcome.left
         return failure or written
 
-    async def _try_writing(
-        self, batch: Changes
-    ) -> _Outcome | failures.Failure:
+    async def _try_writing(self, batch: _Batch) -> _Outcome | failures.Failure:
         self._spend(1)
         result = await self._table.transact(
-            ids.make_id('shards', self._random), self._make_puts(batch)
+            ids.make_id('shards', self._random),
+            [
+                ports.Put(
+                    rows.name_shard_row(shard),
+                    rows.encode_row(change.row),
+                    change.expected,
+                )
+                for shard, change in batch.items()
+            ],
         )
         match result:
             case ports.Committed(versions):
-                self._note_written(batch, versions)
-                return _Outcome(batch, {})
+                return self._note_written(batch, versions)
             case ports.Conflict():
                 return await self._sort_out(batch)
             case failures.Failure(kind=failures.Kind.STORE_UNCERTAIN):
@@ -146,7 +164,7 @@
             case _:
                 return result
 
-    async def _sort_out(self, batch: Changes) -> _Outcome | failures.Failure:
+    async def _sort_out(self, batch: _Batch) -> _Outcome | failures.Failure:
         """Read a batch's rows again after a conflict or a lost reply.
 
         A write whose reply was lost may take effect at any later time and
@@ -154,37 +172,38 @@
         write: a row that this instance writes names it and an epoch that
         nobody else writes, so an equal row is its own.
         """
-        before = {shard: self._entries[shard].version for shard in batch}
         results = await asyncio.gather(*map(self.refresh, batch))
         for result in results:
             if failures.is_failure(result):
                 return result
         written = {
-            shard: row
-            for shard, row in batch.items()
-            if self.find(shard) == row
+            shard: change.row
+            for shard, change in batch.items()
+            if self.find(shard) == change.row
         }
         left = {
-            shard: row
-            for shard, row in batch.items()
+            shard: change
+            for shard, change in batch.items()
             if shard not in written
-            and self._entries[shard].version == before[shard]
+            and self._entries[shard].version == change.expected
         }
         return _Outcome(written, left)
 
-    def _make_puts(self, batch: Changes) -> list[ports.Put]:
-        return [
-            ports.Put(
-                rows.name_shard_row(shard),
-                rows.encode_row(row),
-                self._entries[shard].version,
-            )
-            for shard, row in batch.items()
-        ]
-
     def _note_written(
-        self, batch: Changes, versions: typing.Mapping[str, int]
-    ) -> None:
-        for shard, row in batch.items():
+        self, batch: _Batch, versions: typing.Mapping[str, int]
+    ) -> _Outcome:
+        written = {shard: change.row for shard, change in batch.items()}
+        for shard, row in written.items():
             version = versions[rows.name_shard_row(shard)]
-            self._entries[shard] = takeover.VersionedRow(row, version)
+            if version > self._entries[shard].version:
+                entry = takeover.VersionedRow(row, version)
+                self._entries[shard] = entry
+        return _Outcome(written, {})
+
+
+def _split(planned: _Batch) -> list[_Batch]:
+    shards = list(planned)
+    return [
+        {shard: planned[shard] for shard in shards[at : at + _BATCH]}
+        for at in range(0, len(shards), _BATCH)
+    ]
--- a/libs/node/vanillayoke/node/watcher.py
+++ b/libs/node/vanillayoke/node/watcher.py
@@ -54,9 +54,9 @@
         self._spend = spend
         self._evidence = leases.StoreEvidence.from_config(settings)
         self._known: dict[str, KnownInstance] = {}
+        self._by_name: dict[str, set[str]] = {}
         self._absent: set[str] = set()
         self._watches: dict[str, leases.LeaseWatch] = {}
-        self._polled_at: dict[str, float] = {}
         self._callbacks: list[FinalCallback] = []
 
     @property
@@ -86,13 +86,11 @@
         The latest one counts where an earlier one is not fenced yet.
         """
         live = [
-            known
-            for known in self._known.values()
-            if known.row.name == name
-            and known.row.state is rows.InstanceState.LIVE
+            self._known[incarnation].row
+            for incarnation in self._by_name.get(name, ())
+            if self._known[incarnation].row.state is rows.InstanceState.LIVE
         ]
-        newest = max(live, key=lambda known: known.row.started, default=None)
-        return newest.row if newest else None
+        return max(live, key=lambda row: row.started, default=None)
 
     async def scan(self) -> None | failures.Failure:
         """Read the rows of all incarnations."""
@@ -154,9 +152,10 @@
 
     def forget(self, incarnation: str) -> None:
         """Drop an incarnation whose row has been deleted."""
-        self._known.pop(incarnation, None)
+        known = self._known.pop(incarnation, None)
+        if known is not None:
+            self._by_name[known.row.name].discard(incarnation)
         self._watches.pop(incarnation, None)
-        self._polled_at.pop(incarnation, None)
 
     def _note_absent(self, incarnation: str) -> None:
         self.forget(incarnation)
@@ -171,6 +170,7 @@
             return before
         known = KnownInstance(value, row.version)
         self._known[value.incarnation] = known
+        self._by_name.setdefault(value.name, set()).add(value.incarnation)
         was_final = before is not None and before.row.state.is_final
         if value.state.is_final and not was_final:
             self._announce(value.incarnation)
--- a/tests/node/machines.py
+++ b/tests/node/machines.py
@@ -23,6 +23,7 @@
     def __init__(self) -> None:
         self._open = asyncio.Event()
         self._open.set()
+        self.is_dead = False
         self.passed = 0
         self.pause_at: int | None = None
         self.on_pause: typing.Callable[[], None] = lambda: None
@@ -31,7 +32,12 @@
         self._open.clear()
 
     def open(self) -> None:
-        self._open.set()
+        if not self.is_dead:
+            self._open.set()
+
+    def die(self) -> None:
+        self.is_dead = True
+        self._open.clear()
 
     async def wait(self) -> None:
         self.passed += 1
@@ -202,7 +208,7 @@
     async def kill(self) -> None:
         """End as a process does that is killed: nothing more is written."""
         self.is_up = False
-        self.gate.close()
+        self.gate.die()
         await self.ownership.stop()
         await self.journal.stop()
 
@@ -320,3 +326,86 @@
     """Return program ids spread over the shards."""
     source = random.Random(seed)
     return [ids.make_id('prg', source) for _ in range(count)]
+
+
+class Act(typing.NamedTuple):
+    """Something that cannot be taken back, done for a program."""
+
+    at: float
+    machine: str
+    program: str
+    epoch: int
+    target: str
+
+
+class Workload:
+    """Programs that are worked on wherever they are owned.
+
+    Each step journals a record, waits until it is durable, asks whether it
+    may act, and acts. So it checks what the whole system promises: acts
+    come in the order of their epochs, and no acknowledged record is lost.
+    """
+
+    def __init__(self, cluster: Cluster, count: int, pace: float = 0.2):
+        self._cluster = cluster
+        self._pace = pace
+        self.programs = make_programs(count)
+        self.opened: set[str] = set()
+        self.acts: list[Act] = []
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self, machine: Machine) -> None:
+        task = asyncio.ensure_future(self._run(machine))
+        self._tasks.append(task)
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _run(self, machine: Machine) -> None:
+        source = random.Random(machine.name)
+        while machine.is_up:
+            program = source.choice(self.programs)
+            if machine.ownership.epoch_of(ids.find_shard(program)):
+                await self._step(machine, program)
+            await machine.timers.sleep(self._pace)
+
+    async def _step(self, machine: Machine, program: str) -> None:
+        shard = ids.find_shard(program)
+        epoch = machine.ownership.epoch_of(shard)
+        if machine.programs.find(program) is None:
+            if program in self.opened:
+                raise AssertionError(f'{machine.name} has lost {program}')
+            machine.open_program(program)
+        target = f'{machine.incarnation} {len(self.acts)}'
+        machine.hold(program, target)
+        if await machine.journal.flush() is not None:
+            return
+        self.opened.add(program)
+        await machine.gate.wait()
+        if machine.ownership.epoch_of(shard) == epoch:
+            now = self._cluster.loop.time()
+            act = Act(now, machine.name, program, epoch, target)
+            self.acts.append(act)
+
+    def check_order(self, case) -> None:
+        """Check that no act comes behind one of a later epoch."""
+        latest: dict[str, int] = {}
+        for act in self.acts:
+            case.assertGreaterEqual(act.epoch, latest.get(act.program, 0), act)
+            latest[act.program] = act.epoch
+
+    def check_kept(self, case, *owners: Machine) -> None:
+        """Check that the owners have every record that was acted upon."""
+        for act in self.acts:
+            shard = ids.find_shard(act.program)
+            holders = [
+                owner
+                for owner in owners
+                if owner.ownership.epoch_of(shard) is not None
+            ]
+            case.assertEqual(1, len(holders), f'owners of shard {shard}')
+            found = holders[0].programs.find(act.program)
+            case.assertIsNotNone(found, act)
+            case.assertIn(act.target, found.held)
