Repeats were taken out of checks and commands, and odd files refused.

Cause: the search for repeats found the same lines for reading access in seven commands, and for number checks and their registration. Reading on, a named pipe given to serve would have hung it, a line of a byte that is no UTF-8 was counted by other line ends than editors', and a file name with a line end broke the line that names a fault. Change: access and stores say themselves what is missing; number checks share one walk; one function registers a check by its number. Files are opened without waiting and must be regular; names must be printable.

--- a/libs/cli/vanillayoke/cli/access.py
+++ b/libs/cli/vanillayoke/cli/access.py
@@ -28,7 +28,7 @@
         return operators.OperatorClient(self.key, self.timeout)
 
 
-class BadAccess(typing.NamedTuple):
+class _BadAccess(typing.NamedTuple):
     """The flags do not say how to reach an instance."""
 
     text: str
@@ -59,34 +59,45 @@
     )
 
 
-def read_access(invocation: commands.Invocation) -> Access | BadAccess:
-    """Return how to reach instances, from flags and environment."""
+def read_access(invocation: commands.Invocation) -> Access | None:
+    """Return how to reach instances, from flags and environment.
+
+    Where these do not tell, say so and return ``None``.
+    """
+    found = _find_access(invocation)
+    if isinstance(found, Access):
+        return found
+    invocation.warn(found.text)
+    return None
+
+
+def _find_access(invocation: commands.Invocation) -> Access | _BadAccess:
     given = invocation.flags.entry
     if not given:
         given = invocation.environ.get(ENTRY_VARIABLE, '').split(',')
     entries = tuple(entry.strip() for entry in given if entry.strip())
     if not entries:
-        return BadAccess(f'Give --entry=IP:PORT or set {ENTRY_VARIABLE}.')
+        return _BadAccess(f'Give --entry=IP:PORT or set {ENTRY_VARIABLE}.')
     for entry in entries:
         problem = ranges.find_address_problem(entry)
         if problem:
-            return BadAccess(f'--entry: {problem}')
+            return _BadAccess(f'--entry: {problem}')
     key = _read_key(invocation)
-    if isinstance(key, BadAccess):
+    if isinstance(key, _BadAccess):
         return key
     return Access(entries, key, invocation.flags.request_timeout)
 
 
-def _read_key(invocation: commands.Invocation) -> str | BadAccess:
+def _read_key(invocation: commands.Invocation) -> str | _BadAccess:
     file = invocation.flags.operator_key_file
     if not file:
         key = invocation.environ.get(KEY_VARIABLE, '').strip()
         if key:
             return key
-        return BadAccess(f'Give --operator_key_file or set {KEY_VARIABLE}.')
+        return _BadAccess(f'Give --operator_key_file or set {KEY_VARIABLE}.')
     try:
         with open(file, encoding='utf-8') as stream:
             key = stream.read().strip()
     except (OSError, UnicodeDecodeError) as error:
-        return BadAccess(f'--operator_key_file {file}: {error}')
-    return key or BadAccess(f'--operator_key_file {file} is empty.')
+        return _BadAccess(f'--operator_key_file {file}: {error}')
+    return key or _BadAccess(f'--operator_key_file {file} is empty.')
--- a/libs/cli/vanillayoke/cli/lookups.py
+++ b/libs/cli/vanillayoke/cli/lookups.py
@@ -20,8 +20,7 @@
 ) -> int:
     """Ask the entry, then all instances, about a program; show it."""
     reached = access.read_access(invocation)
-    if isinstance(reached, access.BadAccess):
-        invocation.warn(reached.text)
+    if reached is None:
         return exits.Exit.BAD_INPUT
     arguments = {'program': invocation.arguments[0]}
     async with reached.open_client() as client:
--- a/libs/cli/vanillayoke/cli/management/commands/apply.py
+++ b/libs/cli/vanillayoke/cli/management/commands/apply.py
@@ -88,15 +88,11 @@
     loaded = loading.load_configuration(invocation.arguments[0])
     reports.warn_of_faults(invocation, loaded.faults)
     found = stores.read_stores(invocation)
-    reached = access.read_access(invocation) if invocation.flags.wait else None
-    bad = [
-        part.text
-        for part in (found, reached)
-        if isinstance(part, (stores.BadStores, access.BadAccess))
-    ]
-    for text in bad:
-        invocation.warn(text)
-    if bad or loaded.configuration is None:
+    wait = invocation.flags.wait
+    reached = access.read_access(invocation) if wait else None
+    if found is None or loaded.configuration is None:
+        return None
+    if wait and reached is None:
         return None
     return _Plan(loaded.configuration, found, reached)
 
--- a/libs/cli/vanillayoke/cli/management/commands/diff.py
+++ b/libs/cli/vanillayoke/cli/management/commands/diff.py
@@ -29,9 +29,7 @@
     loaded = loading.load_configuration(invocation.arguments[0])
     reports.warn_of_faults(invocation, loaded.faults)
     reached = stores.read_stores(invocation)
-    if isinstance(reached, stores.BadStores):
-        invocation.warn(reached.text)
-    if loaded.configuration is None or isinstance(reached, stores.BadStores):
+    if loaded.configuration is None or reached is None:
         return exits.Exit.BAD_INPUT
     async with reached.open_publisher() as publisher:
         current = await publisher.read_current()
--- a/libs/cli/vanillayoke/cli/management/commands/drain.py
+++ b/libs/cli/vanillayoke/cli/management/commands/drain.py
@@ -21,8 +21,7 @@
 async def run(invocation: commands.Invocation) -> int:
     """Find the instance's address and ask it to drain."""
     reached = access.read_access(invocation)
-    if isinstance(reached, access.BadAccess):
-        invocation.warn(reached.text)
+    if reached is None:
         return exits.Exit.BAD_INPUT
     name = invocation.arguments[0]
     async with reached.open_client() as client:
--- a/libs/cli/vanillayoke/cli/management/commands/programs.py
+++ b/libs/cli/vanillayoke/cli/management/commands/programs.py
@@ -30,8 +30,7 @@
 async def run(invocation: commands.Invocation) -> int:
     """Ask all instances for programs and merge what they say."""
     reached = access.read_access(invocation)
-    if isinstance(reached, access.BadAccess):
-        invocation.warn(reached.text)
+    if reached is None:
         return exits.Exit.BAD_INPUT
     async with reached.open_client() as client:
         replies = await instances.ask_everywhere(
--- a/libs/cli/vanillayoke/cli/management/commands/status.py
+++ b/libs/cli/vanillayoke/cli/management/commands/status.py
@@ -32,8 +32,7 @@
 async def run(invocation: commands.Invocation) -> int:
     """Ask an instance for the whole, and each for what only it knows."""
     reached = access.read_access(invocation)
-    if isinstance(reached, access.BadAccess):
-        invocation.warn(reached.text)
+    if reached is None:
         return exits.Exit.BAD_INPUT
     async with reached.open_client() as client:
         first = await queries.ask_first(client, reached.entries, 'status', {})
--- a/libs/cli/vanillayoke/cli/management/commands/timeline.py
+++ b/libs/cli/vanillayoke/cli/management/commands/timeline.py
@@ -64,8 +64,7 @@
 async def run(invocation: commands.Invocation) -> int:
     """Gather events from all instances, merge and write them."""
     reached = access.read_access(invocation)
-    if isinstance(reached, access.BadAccess):
-        invocation.warn(reached.text)
+    if reached is None:
         return exits.Exit.BAD_INPUT
     arguments = {name: invocation.flags[name].value for name in _FILTERS}
     async with reached.open_client() as client:
--- a/libs/cli/vanillayoke/cli/queries.py
+++ b/libs/cli/vanillayoke/cli/queries.py
@@ -41,8 +41,7 @@
 async def run_query(invocation: commands.Invocation, query: Query) -> int:
     """Ask the first instance that answers and show what it says."""
     reached = access.read_access(invocation)
-    if isinstance(reached, access.BadAccess):
-        invocation.warn(reached.text)
+    if reached is None:
         return exits.Exit.BAD_INPUT
     async with reached.open_client() as client:
         answer = await ask_first(
--- a/libs/cli/vanillayoke/cli/stores.py
+++ b/libs/cli/vanillayoke/cli/stores.py
@@ -24,7 +24,7 @@
 }
 
 
-class BadStores(typing.NamedTuple):
+class _BadStores(typing.NamedTuple):
     """The flags do not say where the services are."""
 
     text: str
@@ -88,15 +88,26 @@
     )
 
 
-def read_stores(invocation: commands.Invocation) -> Stores | BadStores:
-    """Return where the services are."""
+def read_stores(invocation: commands.Invocation) -> Stores | None:
+    """Return where the services are, from flags and environment.
+
+    Where these do not tell, say so and return ``None``.
+    """
+    found = _find_stores(invocation)
+    if isinstance(found, Stores):
+        return found
+    invocation.warn(found.text)
+    return None
+
+
+def _find_stores(invocation: commands.Invocation) -> Stores | _BadStores:
     urls = {}
     for name, variable in VARIABLES.items():
         url = invocation.flags[name].value
         urls[name] = url or invocation.environ.get(variable, '')
         if not urls[name]:
-            return BadStores(f'Give --{name}=URL or set {variable}.')
+            return _BadStores(f'Give --{name}=URL or set {variable}.')
         problem = processes.find_url_problem(urls[name])
         if problem:
-            return BadStores(f'--{name}: {problem}')
+            return _BadStores(f'--{name}: {problem}')
     return Stores(**urls, timeout=invocation.flags.store_timeout)
--- a/libs/settings/vanillayoke/settings/checks.py
+++ b/libs/settings/vanillayoke/settings/checks.py
@@ -47,9 +47,14 @@
 
 
 def add_check(
-    scope: Scope, rule: faults.Rule, function: CheckFunction
+    scope: Scope,
+    number: str,
+    summary: str,
+    hint: str,
+    function: CheckFunction,
 ) -> None:
-    """Register a check under its rule's id, which must be new."""
+    """Register a check; ``number``, such as ``E101``, must be new."""
+    rule = faults.Rule(f'settings.{number}', summary, hint)
     if rule.id in _CHECKS or rule.id in faults.FILE_RULES:
         raise ValueError(f'{rule.id} is registered twice')
     _CHECKS[rule.id] = Check(scope, rule, function)
@@ -59,10 +64,9 @@
     scope: Scope, number: str, summary: str, hint: str
 ) -> typing.Callable[[CheckFunction], CheckFunction]:
     """Return a decorator that registers a check function."""
-    rule = faults.Rule(f'settings.{number}', summary, hint)
 
     def decorate(function: CheckFunction) -> CheckFunction:
-        add_check(scope, rule, function)
+        add_check(scope, number, summary, hint, function)
         return function
 
     return decorate
--- a/libs/settings/vanillayoke/settings/folder.py
+++ b/libs/settings/vanillayoke/settings/folder.py
@@ -53,16 +53,32 @@
     """Read and parse one file."""
     whole = faults.Place(str(file), 0, 0)
     try:
-        with open(file, 'rb') as stream:
-            blob = stream.read(LARGEST_FILE + 1)
+        blob = _read_regular(file)
     except OSError as error:
         return _refuse_file('E001', whole, f'{error.strerror}.')
+    if blob is None:
+        return _refuse_file('E008', whole, 'It is no regular file.')
     if len(blob) > LARGEST_FILE:
         text = f'The file has more than {LARGEST_FILE} bytes.'
         return _refuse_file('E014', whole, text)
     return _decode_blob(blob, whole)
 
 
+def _read_regular(file: pathlib.Path) -> bytes | None:
+    """Return what a file begins with; ``None`` if it is not a file."""
+    # Without O_NONBLOCK opening a named pipe waits for a writer, for ever:
+    # a check or a start would hang without a word. The kind of file is
+    # asked of what was opened, so that it cannot be exchanged in between.
+    descriptor = os.open(file, os.O_RDONLY | os.O_NONBLOCK)
+    try:
+        if not stat.S_ISREG(os.fstat(descriptor).st_mode):
+            return None
+        with open(descriptor, 'rb', closefd=False) as stream:
+            return stream.read(LARGEST_FILE + 1)
+    finally:
+        os.close(descriptor)
+
+
 def drop_schema_key(tree: sources.MapNode) -> sources.MapNode:
     """Return a file's tree without the key by which editors find a schema."""
     entries = dict(tree.entries)
@@ -78,10 +94,7 @@
         text = blob.decode('utf-8')
     except UnicodeDecodeError as error:
         before = blob[: error.start].decode('utf-8')
-        lines = before.splitlines() if before else ['']
-        if before.endswith(('\n', '\r')):
-            lines.append('')
-        place = whole._replace(line=len(lines), column=len(lines[-1]) + 1)
+        place = sources.find_end(whole.file, before)
         return _refuse_file('E002', place, 'This byte is not UTF-8.')
     return sources.parse_source(whole.file, text)
 
@@ -106,11 +119,12 @@
     for name in names:
         if _is_ignored(name):
             continue
-        refused = _check_file(folder / name)
-        if refused is None:
+        problem = _find_name_problem(name)
+        if problem is None:
             files.append(folder / name)
-        else:
-            found.extend(refused.faults)
+            continue
+        shown = faults.Place(str(folder / ascii(name)[1:-1]), 0, 0)
+        found.extend(_refuse_file('E008', shown, problem).faults)
     if not files and not found:
         refused = _refuse_file('E007', whole, 'There is no settings file.')
         found.extend(refused.faults)
@@ -121,18 +135,12 @@
     return name.startswith(('.', '#')) or name.endswith(IGNORED_ENDINGS)
 
 
-def _check_file(file: pathlib.Path) -> sources.Source | None:
-    whole = faults.Place(str(file), 0, 0)
-    if not file.name.endswith(ENDINGS):
-        return _refuse_file('E008', whole, 'Its name has another ending.')
-    try:
-        mode = file.stat().st_mode
-    except OSError as error:
-        return _refuse_file('E001', whole, f'{error.strerror}.')
-    # Opening a named pipe would wait for a writer for ever, so only
-    # regular files and links to them are opened.
-    if not stat.S_ISREG(mode):
-        return _refuse_file('E008', whole, 'It is not a regular file.')
+def _find_name_problem(name: str) -> str | None:
+    if not name.isprintable():
+        # A line end in a name would break the line that names a fault.
+        return 'Its name has characters that cannot be shown.'
+    if not name.endswith(ENDINGS):
+        return 'Its name has another ending.'
     return None
 
 
--- a/libs/settings/vanillayoke/settings/processes.py
+++ b/libs/settings/vanillayoke/settings/processes.py
@@ -6,7 +6,6 @@
 
 from vanillayoke.settings import checks
 from vanillayoke.settings import decoding
-from vanillayoke.settings import faults
 from vanillayoke.settings import process
 from vanillayoke.settings import ranges
 
@@ -38,13 +37,7 @@
 )
 
 
-def _add(
-    number: str, summary: str, hint: str, function: checks.CheckFunction
-) -> None:
-    rule = faults.Rule(f'settings.{number}', summary, hint)
-    checks.add_check(_PROCESS, rule, function)
-
-
+_add = functools.partial(checks.add_check, _PROCESS)
 _add(
     'E301',
     'A number of the process settings must be above 0.',
--- a/libs/settings/vanillayoke/settings/ranges.py
+++ b/libs/settings/vanillayoke/settings/ranges.py
@@ -8,7 +8,6 @@
 from vanillayoke.settings import checks
 from vanillayoke.settings import configuration
 from vanillayoke.settings import decoding
-from vanillayoke.settings import faults
 
 _POSITIVE = (
     'agents.*.max_tokens',
@@ -32,6 +31,13 @@
     'models.*.money_per_million_tokens',
 )
 _FRACTIONS = ('policy.urgent_reserve', 'policy.retry_fraction')
+_NAMES = (
+    'agents.*.model',
+    'targets.*.zone',
+    'targets.*.region',
+    'tools.*.service',
+    'models.*.version',
+)
 CHOICES = {
     'targets.*.kind': configuration.TARGET_KINDS,
     'targets.*.fencing': configuration.FENCING,
@@ -53,20 +59,39 @@
     patterns: typing.Iterable[str], values: decoding.Values
 ) -> typing.Iterator[checks.Finding]:
     """Find numbers that are zero or below."""
-    for pattern in patterns:
-        for path, value in values.select(pattern):
-            if value <= 0:
-                yield checks.Finding(path, f'{value} is not above 0.')
+    return _check_numbers(
+        patterns, lambda number: number > 0, 'is not above 0', values
+    )
 
 
 def check_not_negative(
     patterns: typing.Iterable[str], values: decoding.Values
 ) -> typing.Iterator[checks.Finding]:
     """Find numbers below zero."""
+    return _check_numbers(
+        patterns, lambda number: number >= 0, 'is below 0', values
+    )
+
+
+def check_fractions(
+    patterns: typing.Iterable[str], values: decoding.Values
+) -> typing.Iterator[checks.Finding]:
+    """Find fractions outside 0 to 1."""
+    return _check_numbers(
+        patterns, lambda number: 0 <= number <= 1, 'is not in 0 to 1', values
+    )
+
+
+def _check_numbers(
+    patterns: typing.Iterable[str],
+    fits: typing.Callable[[float], bool],
+    complaint: str,
+    values: decoding.Values,
+) -> typing.Iterator[checks.Finding]:
     for pattern in patterns:
         for path, value in values.select(pattern):
-            if value < 0:
-                yield checks.Finding(path, f'{value} is below 0.')
+            if not fits(value):
+                yield checks.Finding(path, f'{value} {complaint}.')
 
 
 def check_choices(
@@ -123,77 +148,44 @@
     return None
 
 
-checks.add_check(
-    _VALUES,
-    faults.Rule(
-        'settings.E101',
-        'A number must be above 0.',
-        'Give a number above 0.',
-    ),
+_add = functools.partial(checks.add_check, _VALUES)
+_add(
+    'E101',
+    'A number must be above 0.',
+    'Give a number above 0.',
     functools.partial(check_positive, _POSITIVE),
 )
-checks.add_check(
-    _VALUES,
-    faults.Rule(
-        'settings.E102',
-        'A number must not be below 0.',
-        'Give 0 or more.',
-    ),
+_add(
+    'E102',
+    'A number must not be below 0.',
+    'Give 0 or more.',
     functools.partial(check_not_negative, _NOT_NEGATIVE),
 )
-checks.add_check(
-    _VALUES,
-    faults.Rule(
-        'settings.E103',
-        'A text is not on the list of allowed ones.',
-        'Take one of the names listed in docs/reference/settings.md.',
-    ),
+_add(
+    'E103',
+    'A text is not on the list of allowed ones.',
+    'Take one of the names listed in docs/reference/settings.md.',
     functools.partial(check_choices, CHOICES),
 )
-checks.add_check(
-    _VALUES,
-    faults.Rule(
-        'settings.E104',
-        'A target address is not IP:PORT.',
-        'Write it like 10.0.0.7:8000 or [fd00::7]:8000; host names are not '
-        'looked up.',
-    ),
+_add(
+    'E104',
+    'A target address is not IP:PORT.',
+    'Write it like 10.0.0.7:8000 or [fd00::7]:8000; host names are not '
+    'looked up.',
     functools.partial(check_addresses, ('targets.*.address',)),
 )
-checks.add_check(
-    _VALUES,
-    faults.Rule(
-        'settings.E105',
-        'A required text is empty.',
-        'Give the name.',
-    ),
-    functools.partial(
-        check_present,
-        (
-            'agents.*.model',
-            'targets.*.zone',
-            'targets.*.region',
-            'tools.*.service',
-            'models.*.version',
-        ),
-    ),
+_add(
+    'E105',
+    'A required text is empty.',
+    'Give the name.',
+    functools.partial(check_present, _NAMES),
 )
-
-
-@checks.register(
-    _VALUES,
+_add(
     'E106',
     'A fraction is not from 0 to 1.',
     'Give a number such as 0.1.',
+    functools.partial(check_fractions, _FRACTIONS),
 )
-def check_fractions(
-    values: decoding.Values,
-) -> typing.Iterator[checks.Finding]:
-    """Find fractions outside 0 to 1."""
-    for pattern in _FRACTIONS:
-        for path, value in values.select(pattern):
-            if not 0 <= value <= 1:
-                yield checks.Finding(path, f'{value} is not in 0 to 1.')
 
 
 @checks.register(
--- a/libs/settings/vanillayoke/settings/references.py
+++ b/libs/settings/vanillayoke/settings/references.py
@@ -26,9 +26,8 @@
     number: str, pattern: str, section: str, summary: str
 ) -> None:
     hint = f'Add it to {section}, or correct the name.'
-    rule = faults.Rule(f'settings.{number}', summary, hint)
     function = functools.partial(check_reference, pattern, section)
-    checks.add_check(_FOLDER, rule, function)
+    checks.add_check(_FOLDER, number, summary, hint, function)
 
 
 _add_reference(
--- a/libs/settings/vanillayoke/settings/sources.py
+++ b/libs/settings/vanillayoke/settings/sources.py
@@ -96,6 +96,12 @@
             }
 
 
+def find_end(file: str, text: str) -> faults.Place:
+    """Return the place behind the end of a text."""
+    lines = _LINE_END.split(text)
+    return faults.Place(file, len(lines), len(lines[-1]) + 1)
+
+
 class _ScanError(Exception):
     """Scanning cannot go on; leaves this module only as a fault."""
 
--- a/tests/settings/test_folder.py
+++ b/tests/settings/test_folder.py
@@ -3,6 +3,7 @@
 import os
 
 from tests.settings import folders
+from vanillayoke.settings import folder as settings_folder
 from vanillayoke.settings import loading
 from vanillayoke.testing import fixtures
 
@@ -72,17 +73,26 @@
     os.mkfifo(good.path / '30.json')
     os.mkdir(good.path / '40.json')
     good.write('50.jsn', '{}')
+    good.write('60\n.json', '{}')
+    good.write('70.json', b' ' * (settings_folder.LARGEST_FILE + 1))
     case.assertEqual(
         [
             ('settings.E001', '20.json', 0),
             ('settings.E008', '30.json', 0),
             ('settings.E008', '40.json', 0),
             ('settings.E008', '50.jsn', 0),
+            ('settings.E008', '60\\n.json', 0),
+            ('settings.E014', '70.json', 0),
         ],
         _list_faults(good),
     )
 
 
+def test_byte_that_is_not_utf_8_is_found_by_lines_of_editors(case, good):
+    good.write('20.json', '{\r\n// \u2028 \x85\r"a'.encode() + b'\xff')
+    case.assertEqual([('settings.E002', '20.json', 3)], _list_faults(good))
+
+
 def test_empty_and_absent_folders_are_faults(case, folder):
     name = os.path.basename(folder.path)
     case.assertEqual([('settings.E007', name, 0)], _list_faults(folder))
@@ -100,4 +110,18 @@
     )
 
 
+def test_broken_file_makes_no_name_unknown(case, good):
+    """One missing comma is buried under a page of faults.
+
+    The broken file held what the others refer to or override; each such
+    name would be called unknown, missing or not there to be removed.
+    """
+    good.write('20.json', '{"models": {"second": {}}} oops')
+    good.write(
+        '30.json',
+        '{"agents": {"n": {"model": "second"}, "later": {}, "gone": null}}',
+    )
+    case.assertEqual([('settings.E003', '20.json', 1)], _list_faults(good))
+
+
 load_tests = fixtures.adapt(__name__, [folders])
