--- a/libs/fakes/vanillayoke/fakes/engine_model.py
+++ b/libs/fakes/vanillayoke/fakes/engine_model.py
@@ -16,7 +16,7 @@
 
     The next ``calls`` streams meet ``stream``: ``hang``, ``silence`` (of
     the connection alone) or ``break`` after ``after`` tokens, the end
-    ``late`` by ``seconds`` or ``twice``, an ``error`` or ``refuse``.
+    ``twice``, an ``error`` or ``refuse``; their end is ``seconds`` late.
     ``dead`` loses all; ``event_gap`` loses each n-th cache event.
     """
 
