Tested membership under faults and hardened it by what the tests showed.

A member that heard nothing got others failed within seconds, so the word of a failed member on third ones is passed over, and a suspicion lasts as many intervals as it and its refutation need to go round. Members that lack much get larger answers while they join. A stopping member waits for its last messages to go out.

--- a/libs/cluster/vanillayoke/cluster/membership.py
+++ b/libs/cluster/vanillayoke/cluster/membership.py
@@ -9,7 +9,6 @@
 
 import math
 import random
-import typing
 
 from vanillayoke.cluster import membership_events
 from vanillayoke.cluster import membership_news
@@ -19,31 +18,11 @@
 from vanillayoke.cluster import messages
 from vanillayoke.settings import process
 
-KNOWN_SHARE = 0.9
-MAX_RELAYS = 64
+MUCH_SHARE = 0.1
 DEPARTURE_NOTICES = 4
 FORGET_INTERVAL = 30.0
 
 
-class _Probe:
-    """The probe that now waits for its ack."""
-
-    def __init__(
-        self, member: messages.Member, sequence: int, retry_at: float
-    ) -> None:
-        self.member = member
-        self.sequence = sequence
-        self.retry_at: float | None = retry_at
-
-
-class _Relay(typing.NamedTuple):
-    """A ping sent for another instance."""
-
-    reply_to: str
-    sequence: int
-    expires: float
-
-
 class Membership:
     """The view that one instance has of all."""
 
@@ -65,8 +44,8 @@
             self._table, self._known, self._queue
         )
         self._sequence = 0
-        self._probe: _Probe | None = None
-        self._relays: dict[int, _Relay] = {}
+        self._probe: membership_probes.Probe | None = None
+        self._relays = membership_probes.Relays()
         self._listed: frozenset[str] = frozenset()
         # Instances started together must not probe in step.
         self._next_probe = now + source.random() * settings.interval
@@ -147,21 +126,21 @@
 
     def _begin_probe(self, now: float) -> None:
         self._next_probe += self._settings.interval
-        self._relays = {
-            sequence: relay
-            for sequence, relay in self._relays.items()
-            if relay.expires > now
-        }
+        self._relays.expire(now)
         name = self._plan.choose()
         entry = self._table.find(name) if name else None
         if entry is None:
             return
         self._sequence += 1
         retry_at = now + self._settings.timeout
-        self._probe = _Probe(entry.member, self._sequence, retry_at)
+        self._probe = membership_probes.Probe(
+            entry.member, self._sequence, retry_at
+        )
         self._send_ping(entry.member, self._sequence, attempt=0)
 
-    def _probe_indirectly(self, probe: _Probe, now: float) -> None:
+    def _probe_indirectly(
+        self, probe: membership_probes.Probe, now: float
+    ) -> None:
         probe.retry_at = None
         member = probe.member
         # Open connections can go silent for good while new ones work: pings
@@ -201,10 +180,7 @@
         entry = self._table.find(probe.member.instance)
         if entry is None or entry.member != probe.member:
             return
-        if entry.member.state in (
-            messages.State.ALIVE,
-            messages.State.LEAVING,
-        ):
+        if entry.is_alive:
             suspected = messages.State.SUSPECTED
             self._merge_member(entry.member._replace(state=suspected), now)
         elif not entry.is_heard:
@@ -216,25 +192,32 @@
     ) -> None:
         entry = self._table.find(member.instance)
         introduce = entry is not None and not entry.is_heard
-        ping = messages.Ping(
+        ping = self._make_ping(sequence, member.instance, attempt, introduce)
+        self._act(membership_events.Send(member.peer_address, ping))
+
+    def _make_ping(
+        self,
+        sequence: int,
+        receiver: str,
+        attempt: int = 0,
+        introduce: bool = False,
+    ) -> messages.Ping:
+        return messages.Ping(
             sequence,
             self.me.instance,
             self.me.peer_address,
             attempt,
             introduce,
             self._table.heard,
-            self._composer.compose(
-                member.instance, self.me if introduce else None
-            ),
+            self._table.live - self._table.heard,
+            self._composer.compose(receiver, self.me if introduce else None),
         )
-        self._act(membership_events.Send(member.peer_address, ping))
 
     # Receiving
 
     def _receive(self, message: messages.Message, now: float) -> None:
         incarnation = self.me.incarnation
-        for news in messages.decode_news(message.news):
-            self._learn(news, now)
+        self._take_news(message, now)
         refuted = self.me.incarnation != incarnation
         match message:
             case messages.Ping():
@@ -244,62 +227,74 @@
             case messages.PingRequest():
                 self._relay(message, now)
 
+    def _take_news(self, message: messages.Message, now: float) -> None:
+        """Take news over, what the sender says of itself first.
+
+        A member that hears nothing suspects everybody, and says so. Once it
+        is held for failed itself, its word on third members is passed over,
+        so that its suspicions come to an end.
+        """
+        heard = messages.decode_news(message.news)
+        heard.sort(key=lambda news: not _is_of(news, message.sender))
+        for news in heard:
+            if self._is_believed(message.sender, news):
+                self._learn(news, now)
+
+    def _is_believed(self, sender: str, news: messages.News) -> bool:
+        if not isinstance(news, messages.MemberNews):
+            return True
+        if news.member.instance in (sender, self.me.instance):
+            return True
+        entry = self._table.find(sender)
+        return entry is None or entry.member.state is not messages.State.FAILED
+
     def _answer(self, ping: messages.Ping, refuted: bool) -> None:
         if ping.attempt > 0:
             self._act(membership_events.Reconnect(ping.reply_to))
         introduce = ping.introduce or refuted
-        joining = ping.known < self._table.heard * KNOWN_SHARE
         news = self._composer.compose(
             ping.sender,
             self.me if introduce else None,
-            membership_packets.JOIN_FILLER
-            if joining
-            else membership_packets.IDLE_FILLER,
+            self._judge_need(ping),
         )
         ack = messages.Ack(ping.sequence, self.me.instance, news)
         self._act(membership_events.Send(ping.reply_to, ack))
         if self._table.find(ping.sender) is None:
             self._ask_to_introduce(ping)
 
+    def _judge_need(self, ping: messages.Ping) -> membership_packets.Need:
+        heard = self._table.heard
+        missing = max(ping.unheard, heard - ping.known)
+        if missing > heard * MUCH_SHARE:
+            return membership_packets.Need.MUCH
+        if missing > 0:
+            return membership_packets.Need.SOMETHING
+        return membership_packets.Need.NOTHING
+
     def _ask_to_introduce(self, ping: messages.Ping) -> None:
         self._sequence += 1
-        question = messages.Ping(
-            self._sequence,
-            self.me.instance,
-            self.me.peer_address,
-            attempt=0,
-            introduce=True,
-            known=self._table.heard,
-            news=self._composer.compose(ping.sender, self.me),
-        )
+        question = self._make_ping(self._sequence, ping.sender, introduce=True)
         self._act(membership_events.Send(ping.reply_to, question))
 
     def _take_ack(self, ack: messages.Ack) -> None:
         if self._probe and self._probe.sequence == ack.sequence:
             self._probe = None
             return
-        relay = self._relays.pop(ack.sequence, None)
+        relay = self._relays.take(ack.sequence)
         if relay is None:
             return
         answer = messages.Ack(relay.sequence, ack.sender, ack.news)
         self._act(membership_events.Send(relay.reply_to, answer))
 
     def _relay(self, request: messages.PingRequest, now: float) -> None:
-        if len(self._relays) >= MAX_RELAYS:
-            return
         self._sequence += 1
-        self._relays[self._sequence] = _Relay(
-            request.reply_to, request.sequence, now + self._settings.interval
-        )
-        ping = messages.Ping(
-            self._sequence,
-            self.me.instance,
-            self.me.peer_address,
-            0,
-            False,
-            self._table.heard,
-            self._composer.compose(request.instance),
+        expires = now + self._settings.interval
+        relay = membership_probes.Relay(
+            request.reply_to, request.sequence, expires
         )
+        if not self._relays.add(self._sequence, relay):
+            return
+        ping = self._make_ping(self._sequence, request.instance)
         self._act(membership_events.Send(request.address, ping))
 
     # News
@@ -316,7 +311,7 @@
             self._refute(news)
             return
         entry = self._table.find(news.instance)
-        if news.state is messages.State.FAILED and _holds_alive(entry):
+        if news.state is messages.State.FAILED and entry and entry.is_alive:
             # Word from behind a healing partition calls members failed that
             # this side has been talking to all the time. They get the time
             # to refute it, as after a failed probe of our own.
@@ -336,10 +331,10 @@
         self._act(membership_events.MemberChanged(change.before, change.after))
 
     def _suspicion_time(self) -> float:
-        # A suspicion and its refutation each need a number of intervals that
-        # grows with the logarithm of the members to reach everybody.
+        # The suspicion has to reach the member and its refutation everybody,
+        # each in a number of intervals that grows with the logarithm.
         members = len(self._table) + 1
-        return self._settings.suspicion * max(1.0, math.log10(members))
+        return self._settings.suspicion * max(1.0, math.log2(members) / 2)
 
     def _place(self, member: messages.Member) -> None:
         if member.state is messages.State.LEFT:
@@ -396,6 +391,8 @@
         self._actions.append(action)
 
 
-def _holds_alive(entry: membership_table.Entry | None) -> bool:
-    states = (messages.State.ALIVE, messages.State.LEAVING)
-    return entry is not None and entry.member.state in states
+def _is_of(news: messages.News, instance: str) -> bool:
+    return (
+        isinstance(news, messages.MemberNews)
+        and news.member.instance == instance
+    )
--- a/libs/cluster/vanillayoke/cluster/membership_news.py
+++ b/libs/cluster/vanillayoke/cluster/membership_news.py
@@ -10,16 +10,10 @@
 REPEAT_FACTOR = 3
 TARGET_NEWS_LIFETIME_MS = 30_000
 MAX_TARGETS = 2000
+MAX_FENCED = 1000
 
 
-class _Queued:
-    """News waiting to be sent some more times."""
-
-    def __init__(self, encoded: msgspec.Raw, order: int) -> None:
-        self.encoded = encoded
-        self.size = len(bytes(encoded))
-        self.order = order
-        self.sent = 0
+Subject = tuple[str, str]
 
 
 class NewsQueue:
@@ -31,38 +25,51 @@
     """
 
     def __init__(self) -> None:
-        self._queued: dict[tuple[str, str], _Queued] = {}
-        self._order = 0
+        # One dictionary per number of times sent, in the order of arrival:
+        # picking costs what is picked, also while hundreds join at once.
+        self._rounds: list[dict[Subject, msgspec.Raw]] = [{}]
 
     def __len__(self) -> int:
-        return len(self._queued)
+        return sum(len(waiting) for waiting in self._rounds)
 
     def put(self, news: messages.News) -> None:
         """Queue news in place of older news of its subject."""
-        self._order += 1
-        encoded = messages.encode_news(news)
-        self._queued[get_subject(news)] = _Queued(encoded, self._order)
+        subject = get_subject(news)
+        for waiting in self._rounds:
+            waiting.pop(subject, None)
+        self._rounds[0][subject] = messages.encode_news(news)
 
     def take(self, budget: int, members: int) -> list[msgspec.Raw]:
         """Return the news that were sent least, newest first."""
+        self._limit_rounds(members)
+        taken: list[tuple[int, Subject]] = []
+        for place, subject, size in self._walk():
+            if size <= budget:
+                budget -= size
+                taken.append((place, subject))
+            elif taken:
+                break
+        return [self._advance(place, subject) for place, subject in taken]
+
+    def _walk(self) -> typing.Iterator[tuple[int, Subject, int]]:
+        for place, waiting in enumerate(self._rounds):
+            for subject in reversed(waiting):
+                yield place, subject, len(bytes(waiting[subject]))
+
+    def _limit_rounds(self, members: int) -> None:
         limit = REPEAT_FACTOR * math.ceil(math.log2(members + 1))
-        ranked = sorted(
-            self._queued.items(),
-            key=lambda item: (item[1].sent, -item[1].order),
-        )
-        taken = []
-        for subject, queued in ranked:
-            if queued.size > budget:
-                continue
-            budget -= queued.size
-            taken.append(queued.encoded)
-            queued.sent += 1
-            if queued.sent >= limit:
-                del self._queued[subject]
-        return taken
-
-
-def get_subject(news: messages.News) -> tuple[str, str]:
+        del self._rounds[limit:]
+        while len(self._rounds) < limit:
+            self._rounds.append({})
+
+    def _advance(self, place: int, subject: Subject) -> msgspec.Raw:
+        encoded = self._rounds[place].pop(subject)
+        if place + 1 < len(self._rounds):
+            self._rounds[place + 1][subject] = encoded
+        return encoded
+
+
+def get_subject(news: messages.News) -> Subject:
     """Return what news is about; later news of it replaces earlier."""
     match news:
         case messages.MemberNews(member):
@@ -71,8 +78,8 @@
             return ('configuration', '')
         case messages.TargetNews(target):
             return ('target', target)
-        case messages.FencedNews(instance):
-            return ('fenced', instance)
+        case messages.FencedNews(_, incarnation):
+            return ('fenced', incarnation)
     typing.assert_never(news)
 
 
@@ -96,8 +103,11 @@
         return False
 
     def find_fenced(self, instance: str) -> messages.FencedNews | None:
-        """Return what is known of an instance having been fenced."""
-        return self._fenced.get(instance)
+        """Return the last news that an instance's lease was taken."""
+        for news in reversed(self._fenced.values()):
+            if news.instance == instance:
+                return news
+        return None
 
     def _learn_configuration(self, version: int) -> bool:
         if version <= self.configuration:
@@ -116,10 +126,11 @@
         return True
 
     def _learn_fenced(self, news: messages.FencedNews) -> bool:
-        known = self._fenced.get(news.instance)
-        if known is not None and known.incarnation >= news.incarnation:
+        if news.incarnation in self._fenced:
             return False
-        self._fenced[news.instance] = news
+        self._fenced[news.incarnation] = news
+        if len(self._fenced) > MAX_FENCED:
+            del self._fenced[next(iter(self._fenced))]
         return True
 
 
--- a/libs/cluster/vanillayoke/cluster/membership_packets.py
+++ b/libs/cluster/vanillayoke/cluster/membership_packets.py
@@ -1,5 +1,7 @@
 """Which news a message carries."""
 
+import enum
+
 import msgspec
 
 from vanillayoke.cluster import membership_news
@@ -7,8 +9,24 @@
 from vanillayoke.cluster import messages
 
 NEWS_BUDGET = 700
-IDLE_FILLER = 2
-JOIN_FILLER = 12
+REPAIR_BUDGET = 1500
+JOIN_BUDGET = 4000
+
+
+class Need(enum.Enum):
+    """How much of the table the receiver of a message lacks."""
+
+    NOTHING = 0
+    SOMETHING = 1
+    MUCH = 2
+
+
+_FILLER = {Need.NOTHING: 2, Need.SOMETHING: 12, Need.MUCH: 80}
+_BUDGETS = {
+    Need.NOTHING: NEWS_BUDGET,
+    Need.SOMETHING: REPAIR_BUDGET,
+    Need.MUCH: JOIN_BUDGET,
+}
 
 
 class Composer:
@@ -28,17 +46,17 @@
         self,
         receiver: str,
         me: messages.Member | None = None,
-        filler: int = IDLE_FILLER,
+        need: Need = Need.NOTHING,
     ) -> list[msgspec.Raw]:
-        """Return the news for a receiver, within ``NEWS_BUDGET`` bytes.
+        """Return the news for a receiver, within a number of bytes.
 
         ``me`` is this instance's own record where the receiver needs it.
         """
         news = self._list_needed(receiver, me)
-        budget = NEWS_BUDGET - _measure(news)
+        budget = _BUDGETS[need] - _measure(news)
         queued = self._queue.take(budget, self._table.live + 1)
         budget -= _measure(queued)
-        return news + queued + self._fill(budget, filler)
+        return news + queued + self._fill(budget, _FILLER[need])
 
     def _list_needed(
         self, receiver: str, me: messages.Member | None
--- a/libs/cluster/vanillayoke/cluster/membership_probes.py
+++ b/libs/cluster/vanillayoke/cluster/membership_probes.py
@@ -1,9 +1,13 @@
-"""Whom to probe next: shuffled rings by region."""
+"""Whom to probe next, and which probes wait for an ack."""
 
 import random
+import typing
+
+from vanillayoke.cluster import messages
 
 FAR_TURNS = 4
 LOST_TURNS = 8
+MAX_RELAYS = 64
 
 
 class Ring:
@@ -96,3 +100,51 @@
         if self._turn % FAR_TURNS == 1:
             return (self._far, self._near, self._lost)
         return (self._near, self._far, self._lost)
+
+
+class Probe:
+    """The probe that now waits for its ack.
+
+    ``retry_at`` is ``None`` once it was repeated.
+    """
+
+    def __init__(
+        self, member: messages.Member, sequence: int, retry_at: float
+    ) -> None:
+        self.member = member
+        self.sequence = sequence
+        self.retry_at: float | None = retry_at
+
+
+class Relay(typing.NamedTuple):
+    """A ping sent for another instance, which waits for the answer."""
+
+    reply_to: str
+    sequence: int
+    expires: float
+
+
+class Relays:
+    """The pings sent for others, a bounded number of them."""
+
+    def __init__(self) -> None:
+        self._relays: dict[int, Relay] = {}
+
+    def add(self, sequence: int, relay: Relay) -> bool:
+        """Keep a relay unless there are too many."""
+        if len(self._relays) >= MAX_RELAYS:
+            return False
+        self._relays[sequence] = relay
+        return True
+
+    def take(self, sequence: int) -> Relay | None:
+        """Return and drop the relay of a ping."""
+        return self._relays.pop(sequence, None)
+
+    def expire(self, now: float) -> None:
+        """Drop the relays whose answers nobody waits for any more."""
+        self._relays = {
+            sequence: relay
+            for sequence, relay in self._relays.items()
+            if relay.expires > now
+        }
--- a/libs/cluster/vanillayoke/cluster/membership_table.py
+++ b/libs/cluster/vanillayoke/cluster/membership_table.py
@@ -29,6 +29,12 @@
         """Whether any instance ever heard of it."""
         return self.member.incarnation > LISTED_INCARNATION
 
+    @property
+    def is_alive(self) -> bool:
+        """Whether it is held for alive, be it on the point of leaving."""
+        states = (messages.State.ALIVE, messages.State.LEAVING)
+        return self.member.state in states
+
 
 class Change(typing.NamedTuple):
     """A member's record changed; ``before`` is ``None`` for a new one."""
@@ -149,16 +155,11 @@
             if not self._cycle:
                 self._cycle = list(self._entries)
             entry = self._entries.get(self._cycle.pop())
-            if entry is not None and _is_passed_on(entry):
+            if entry is not None and entry.is_heard and entry.is_alive:
                 chosen.append(entry.member)
         return chosen
 
 
-def _is_passed_on(entry: Entry) -> bool:
-    states = (messages.State.ALIVE, messages.State.LEAVING)
-    return entry.is_heard and entry.member.state in states
-
-
 def _is_forgettable(entry: Entry, now: float, listed: bool) -> bool:
     age = now - entry.since
     match entry.member.state:
--- a/libs/cluster/vanillayoke/cluster/messages.py
+++ b/libs/cluster/vanillayoke/cluster/messages.py
@@ -69,13 +69,10 @@
 
 
 class FencedNews(msgspec.Struct, frozen=True, array_like=True, tag='f'):
-    """Another instance took over from this holder of a lease.
-
-    ``incarnation`` is that of the fenced lease; a later one is not meant.
-    """
+    """An instance's lease was taken; ``incarnation`` is that of the lease."""
 
     instance: str
-    incarnation: int
+    incarnation: str
 
 
 News = MemberNews | ConfigurationNews | TargetNews | FencedNews
@@ -86,8 +83,8 @@
 
     ``reply_to`` is the address that the ``Ack`` goes to. ``attempt`` 1 says
     that the answer to attempt 0 did not come. ``introduce`` asks for news of
-    the answering member itself, ``known`` is the count of members that the
-    sender knows.
+    the answering member itself. ``known`` counts the members that the sender
+    has heard of, ``unheard`` those that it knows from the list only.
     """
 
     sequence: int
@@ -96,6 +93,7 @@
     attempt: int
     introduce: bool
     known: int
+    unheard: int
     news: list[msgspec.Raw] = []
 
 
--- a/libs/fakes/vanillayoke/fakes/peers_memory.py
+++ b/libs/fakes/vanillayoke/fakes/peers_memory.py
@@ -72,9 +72,11 @@
 
     def _is_lost(self, sender: str, receiver: str) -> bool:
         one, other = self._ports.get(sender), self._ports.get(receiver)
-        if other is None or (sender, receiver) in self._silent:
+        if one is None or other is None:
             return True
-        regions = frozenset((one.region if one else '', other.region))
+        if (sender, receiver) in self._silent:
+            return True
+        regions = frozenset((one.region, other.region))
         return bool(self._cut & {frozenset((sender, receiver)), regions})
 
 
--- a/libs/node/vanillayoke/node/members.py
+++ b/libs/node/vanillayoke/node/members.py
@@ -20,6 +20,7 @@
 LIST_INTERVAL = 15.0
 LIST_RETRY_INTERVAL = 2.0
 MAX_UNSENT = 1000
+DEPARTURE_TIME = 0.1
 
 _STATE_EVENTS = {
     messages.State.ALIVE: events.MEMBER_JOINED,
@@ -133,6 +134,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._decide(membership_events.Departed())
         await self._flush()
+        # Closing a connection drops what has not gone out yet, and a new
+        # one takes a moment to open.
+        await self._timers.sleep(DEPARTURE_TIME)
         await self._transport.close()
 
     def members(self) -> list[messages.Member]:
@@ -177,8 +181,12 @@
 
     def _decide(self, event: membership_events.Event) -> None:
         now = self._timers.now()
-        for action in self._machine.decide(event, now):
+        actions = self._machine.decide(event, now)
+        for action in actions:
             self._carry_out(action)
+        kinds = {type(action) for action in actions}
+        if membership_events.MemberChanged in kinds:
+            self._notify(self.members())
         if self._running:
             self._schedule()
 
@@ -194,7 +202,7 @@
                 self._unsent.append(action)
                 self._has_unsent.set()
             case membership_events.MemberChanged(before, after):
-                self._take_change(before, after)
+                self._log_change(before, after)
             case membership_events.Heard(news):
                 for callback in self._news_subscribers:
                     callback(news)
@@ -203,7 +211,7 @@
                     events.SUSPICION_REFUTED, incarnation=incarnation
                 )
 
-    def _take_change(
+    def _log_change(
         self, before: messages.Member | None, after: messages.Member
     ) -> None:
         if before is None or before.state is not after.state:
@@ -212,7 +220,6 @@
                 member=after.instance,
                 incarnation=after.incarnation,
             )
-        self._notify(self.members())
 
     def _notify(self, members: list[messages.Member]) -> None:
         states = [member.state for member in members]
