Malformed requests stopped reaching the log with their bytes.

Cause: aiohttp logs what it cannot parse, which may be a client's text. Conclusion: no client text reaches the log through the server library.

--- a/libs/entry/vanillayoke/entry/app.py
+++ b/libs/entry/vanillayoke/entry/app.py
@@ -50,6 +50,11 @@
 )
 
 
+# aiohttp logs malformed requests with their bytes, which may hold a client's
+# text; handlers' faults are reported apart from it.
+_SILENT = logging.Logger('silent', logging.CRITICAL + 1)
+
+
 def _log_fault(error: Exception) -> None:
     logging.getLogger(__name__).error('a request failed', exc_info=error)
 
@@ -122,6 +127,7 @@
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE,
             lingering_time=LINGERING_TIME,
+            logger=_SILENT,
             shutdown_timeout=CLOSING_TIMEOUT,
         )
         await self._runner.setup()
--- a/tests/entry/test_faults.py
+++ b/tests/entry/test_faults.py
@@ -178,6 +178,16 @@
     case.assertEqual([], hasty_site.faults)
 
 
+@fixtures.on_real_loop
+async def test_malformed_request_is_not_logged(case, site):
+    with case.assertNoLogs():
+        reader, writer = await site.connect()
+        writer.write(b'GET / HTTP/1.1\r\nMy Text: x\r\n\r\n')
+        case.assertIn(b'400', await reader.readline())
+    writer.close()
+    await writer.wait_closed()
+
+
 @fixtures.on_real_loop
 async def test_half_sent_head_is_dropped_after_a_timeout(case, loop):
     with mock.patch.object(app, 'KEEP_ALIVE', 0.1):
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -4,6 +4,7 @@
 import json
 import socket
 
+import aiohttp
 from aiohttp import web
 
 from tests.entry import hosts
@@ -190,21 +191,25 @@
 
 
 class _StalledPeer:
-    """Request, response, transport and writer of a reader that stalls.
+    """Request, response, transport and writer of a reader that stalls."""
 
-    What is left to send fits the transport's buffer.
-    """
-
-    _LEFT = 1000
+    version = aiohttp.HttpVersion11
 
-    def __init__(self):
+    def __init__(self, unsent):
         self.transport = self
+        self._unsent = unsent
         self._bound = 64 * 1024
         self._lost = asyncio.Event()
 
     def set_write_buffer_limits(self, high=64 * 1024):
         self._bound = high
 
+    def is_closing(self):
+        return False
+
+    def write(self, data):
+        self._unsent += len(data)
+
     def abort(self):
         self._lost.set()
 
@@ -215,7 +220,7 @@
         pass
 
     async def drain(self):
-        if self._LEFT > self._bound:
+        if self._unsent > self._bound:
             await self._lost.wait()
 
 
@@ -226,10 +231,19 @@
     sending waits for an empty buffer, connection and buffer stay for as
     long as the reader likes.
     """
-    peer = _StalledPeer()
+    peer = _StalledPeer(1000)
     begin = loop.time()
     await streams.send_whole(peer, peer, timers.LoopTimers(loop), 30.0)
     case.assertEqual(30.0, loop.time() - begin)
 
 
+async def test_stalled_stream_is_cut_where_the_kernel_does_not(case, loop):
+    peer = _StalledPeer(0)
+    writer = streams.BodyWriter(peer, peer, timers.LoopTimers(loop), 30.0)
+    writer.add(b'x' * streams.LARGEST_BACKLOG)
+    begin = loop.time()
+    await writer.drain()
+    case.assertEqual(30.0, loop.time() - begin)
+
+
 load_tests = fixtures.adapt(__name__, [hosts])
