Tested the programs' decisions and stopped a false "not run" of a successor.

Cause: the decisions had no tests in the tree, since shards could not be hashed until core was mended.

Change: a call keeps the epoch of its acceptance; a holder with a later epoch does not claim that an idempotent call was never sent. Runaway detection: repeated cycles of tool or model steps in a run, and budget burn.

Conclusion: the state machine still has to find more by itself.

--- a/libs/programs/vanillayoke/programs/calls.py
+++ b/libs/programs/vanillayoke/programs/calls.py
@@ -31,10 +31,12 @@
 class Call:
     """One call of a program; the fields are those of its records.
 
-    ``message`` is the answer, ``spent`` what was settled. ``in_doubt``
-    tells that an attempt before the last one may have run.
+    ``epoch`` is that of its acceptance, ``message`` the answer and
+    ``spent`` what was settled. ``in_doubt`` tells that an attempt before
+    the last one may have run.
     """
 
+    epoch: int
     number: int
     kind: records.CallKind
     name: str
@@ -61,6 +63,7 @@
     def from_accepted(cls, record: records.CallAccepted) -> 'Call':
         """Make a call from the record that accepted it."""
         return cls(
+            epoch=record.epoch,
             number=record.number,
             kind=record.kind,
             name=record.name,
@@ -81,9 +84,27 @@
         return self.state in FINAL
 
     @property
-    def may_have_run(self) -> bool:
-        """Tell whether the call was, or was about to be, sent."""
-        return self.state is not CallState.ACCEPTED
+    def is_intended(self) -> bool:
+        """Tell whether the call has an intent and no outcome."""
+        return self.state is CallState.INTENDED
+
+    def is_unsent(self, epoch: int) -> bool:
+        """Tell whether no attempt at a running call was ever made.
+
+        ``epoch`` is the present holder's.
+        """
+        if self.state is not CallState.ACCEPTED:
+            return False
+        return not self.may_have_lost_intent(epoch)
+
+    def may_have_lost_intent(self, epoch: int) -> bool:
+        """Tell whether an earlier holder may have sent the call unseen.
+
+        The intent of an idempotent call does not wait for the journal. The
+        holder sends the call and is lost before its next segment: to its
+        successor, the call looks as if it was never sent.
+        """
+        return self.idempotent and self.epoch < epoch
 
     def list_result(self) -> tuple[records.Message, ...]:
         """Return the messages that a final call adds to the history.
--- a/libs/programs/vanillayoke/programs/decisions.py
+++ b/libs/programs/vanillayoke/programs/decisions.py
@@ -166,7 +166,7 @@
     # A reply can be lost after the target did the work. Sending a
     # non-idempotent call again would do it twice, so an intent without
     # proof that it did not run is the last one.
-    if call.may_have_run and not call.idempotent and not earlier_not_run:
+    if call.is_intended and not call.idempotent and not earlier_not_run:
         return failures.Failure(
             failures.Kind.OUTCOME_UNKNOWN, f'attempt {attempt - 1} may run'
         )
@@ -233,7 +233,8 @@
     call = program.find_call(number)
     if call is None or call.is_final:
         return []
-    proven = _is_proven_not_run(call, failure, not_run)
+    refused = not_run or failure.kind is failures.Kind.TARGET_REFUSED
+    proven = _is_proven_not_run(call, refused, epoch)
     told = failure if proven else _admit_doubt(failure)
     if spent is None:
         spent = records.Spend() if proven else call.reserved
@@ -250,13 +251,11 @@
     return [failed, *draws]
 
 
-def _is_proven_not_run(
-    call: calls.Call, failure: failures.Failure, not_run: bool
-) -> bool:
-    if not call.may_have_run:
+def _is_proven_not_run(call: calls.Call, refused: bool, epoch: int) -> bool:
+    if call.is_unsent(epoch):
         return True
-    refused = failure.kind is failures.Kind.TARGET_REFUSED
-    return (not_run or refused) and not call.in_doubt
+    is_certain = not call.in_doubt and not call.may_have_lost_intent(epoch)
+    return refused and call.is_intended and is_certain
 
 
 def _admit_doubt(failure: failures.Failure) -> failures.Failure:
--- a/libs/programs/vanillayoke/programs/endings.py
+++ b/libs/programs/vanillayoke/programs/endings.py
@@ -33,7 +33,7 @@
     failure: failures.Failure,
     epoch: int,
 ) -> list[records.AnyRecord]:
-    if running.may_have_run and not running.idempotent:
+    if running.is_intended and not running.idempotent:
         failure = failures.Failure(
             failures.Kind.OUTCOME_UNKNOWN, failure.reason
         )
@@ -75,7 +75,9 @@
     found = []
     running = program.running
     if running is not None:
-        failure = _explain_end(running, reason)
+        failure = failures.Failure(
+            _find_end_kind(running, epoch), f'the program ended: {reason}'
+        )
         found += _stop_call(program, ancestors, running, failure, epoch)
     ended = records.ProgramEnded(
         program.id, epoch, reason=reason, ended_at=now_wall
@@ -83,13 +85,10 @@
     return [*found, ended]
 
 
-def _explain_end(running: calls.Call, reason: str) -> failures.Failure:
-    kind = (
-        failures.Kind.CANCELLED
-        if running.may_have_run
-        else failures.Kind.PROGRAM_ENDED
-    )
-    return failures.Failure(kind, f'the program ended: {reason}')
+def _find_end_kind(running: calls.Call, epoch: int) -> failures.Kind:
+    if running.is_unsent(epoch):
+        return failures.Kind.PROGRAM_ENDED
+    return failures.Kind.CANCELLED
 
 
 def end_tree(
@@ -135,7 +134,7 @@
     what became of the call, ask first and record its word instead.
     """
     running = program.running
-    if running is None or running.idempotent or not running.may_have_run:
+    if running is None or running.idempotent or not running.is_intended:
         return []
     failure = failures.Failure(
         failures.Kind.OUTCOME_UNKNOWN,
--- /dev/null
+++ b/tests/programs/drivers.py
@@ -0,0 +1,167 @@
+"""A stand-in for the process around the decisions: live state and journal."""
+
+from vanillayoke.core import ids
+from vanillayoke.programs import budget
+from vanillayoke.programs import checks
+from vanillayoke.programs import decisions
+from vanillayoke.programs import endings
+from vanillayoke.programs import opening
+from vanillayoke.programs import program as programs
+from vanillayoke.programs import records
+from vanillayoke.programs import replay
+
+NOW = 5000.0
+DEADLINE = 9000.0
+BUDGET = records.Budget(tokens=1000, calls=40, seconds=400.0, money=1000)
+RESERVED = records.Spend(tokens=100, calls=1, seconds=10.0, money=10)
+SPENT = records.Spend(tokens=60, calls=1, seconds=2.5, money=6)
+ALL_SHARDS = range(ids.SHARD_COUNT)
+
+
+def make_opened(key='open', client='tkacik', epoch=1, **changes):
+    fields = {
+        'client': client,
+        'agent': 'board',
+        'key': key,
+        'fingerprint': 'f-open',
+        'budget': BUDGET,
+        'deadline': DEADLINE,
+        'urgent': False,
+        'opened_at': NOW,
+        'program': ids.derive_program_id(client, key),
+        'epoch': epoch,
+    }
+    return records.ProgramOpened(**{**fields, **changes})
+
+
+def make_request(key, name='', **changes):
+    """Return a tool request where ``name`` is given, else a model's."""
+    kind = records.CallKind.TOOL if name else records.CallKind.MODEL
+    fields = {
+        'kind': kind,
+        'key': key,
+        'fingerprint': f'f-{key}',
+        'idempotent': True,
+        'name': name,
+        'messages': () if name else (records.Message('user', key),),
+        'reserved': RESERVED,
+    }
+    return checks.CallProposal(**{**fields, **changes})
+
+
+def make_answer(call, tools=(), text='yes'):
+    """Return an answer; ``tools`` are the requests of a model's."""
+    if call.kind is records.CallKind.MODEL:
+        return records.Message('assistant', text, tool_calls=tuple(tools))
+    return records.Message('tool', 'done', tool_call_id=call.tool_call_id)
+
+
+class Driver:
+    """Applies what was decided and keeps it as one segment a decision."""
+
+    def __init__(self):
+        self.known = {}
+        self.segments = []
+        self.epoch = 1
+
+    def take(self, decided):
+        """Apply and journal records; return the decision unchanged."""
+        if isinstance(decided, list):
+            for record in decided:
+                replay.apply_record(self.known, record)
+            self.segments.append(
+                records.Segment('i', len(self.segments), tuple(decided))
+            )
+        return decided
+
+    def above(self, program):
+        return opening.list_ancestors(self.known, program.parent)
+
+    def open(self, key='open', parent=None, **changes):
+        above = ()
+        if parent is not None:
+            above = (parent, *self.above(parent))
+            changes['parent'] = parent.id
+            changes['program'] = ids.derive_child_id(parent.id, key)
+        opened = make_opened(key, epoch=self.epoch, **changes)
+        existing = self.known.get(opened.program)
+        decided = self.take(opening.open_program(existing, opened, above, NOW))
+        return self.known.get(opened.program, decided)
+
+    def accept(self, program, key, name='', now=NOW, **changes):
+        request = make_request(key, name, **changes)
+        above = self.above(program)
+        return self.take(
+            decisions.accept_call(program, above, request, self.epoch, now)
+        )
+
+    def intend(self, program, target='t1', earlier_not_run=False):
+        call = program.running
+        return self.take(
+            decisions.intend_call(
+                program,
+                call.number,
+                call.attempts + 1,
+                target,
+                self.epoch,
+                earlier_not_run,
+            )
+        )
+
+    def answer(self, program, number=None, tools=(), spent=SPENT, text='yes'):
+        call = program.find_call(number or len(program.calls))
+        return self.take(
+            decisions.answer_call(
+                program,
+                self.above(program),
+                call.number,
+                make_answer(call, tools, text),
+                'stop',
+                spent,
+                call.target or 't1',
+                self.epoch,
+            )
+        )
+
+    def fail(self, program, failure, number=None, **options):
+        return self.take(
+            decisions.fail_call(
+                program,
+                self.above(program),
+                number or len(program.calls),
+                failure,
+                self.epoch,
+                **options,
+            )
+        )
+
+    def run(self, program, key, name='', tools=(), **changes):
+        """Accept, send and answer a call."""
+        self.accept(program, key, name, **changes)
+        self.intend(program)
+        self.answer(program, tools=tools)
+
+    def end(self, program, reason='ended'):
+        return self.take(
+            endings.end_tree(self.known, program, reason, self.epoch, NOW)
+        )
+
+    def take_over(self, lost=0):
+        """Replay without the last segments under the next epoch."""
+        if lost:
+            del self.segments[-lost:]
+        self.known = replay.replay(self.segments, ALL_SHARDS)
+        self.epoch += 1
+        for program in list(self.known.values()):
+            above = self.above(program)
+            self.take(endings.recover_program(program, above, self.epoch))
+
+
+def total_reserved(program):
+    """Return what a program holds, as a plain tuple for comparing."""
+    reserved = program.reserved
+    return tuple(getattr(reserved, name) for name in budget.RESOURCES)
+
+
+def is_active(program):
+    return program.state is programs.ProgramState.ACTIVE
--- /dev/null
+++ b/tests/programs/test_loops.py
@@ -0,0 +1,75 @@
+"""Tests of runaway detection."""
+
+from tests.programs import drivers
+from vanillayoke.programs import loops
+from vanillayoke.programs import records
+from vanillayoke.testing import fixtures
+
+_LIMITS = loops.RunawayLimits(
+    repeats=3, window=60.0, fraction=0.2, least_calls=4
+)
+
+
+@fixtures.fixture
+def driver():
+    return drivers.Driver()
+
+
+def _run_steps(driver, program, names, text='yes'):
+    """Let a run's model ask for one tool after the other."""
+    driver.accept(program, 'r', run='r')
+    for index, name in enumerate(names):
+        request = records.ToolRequest(f'c{index}', name, '{}')
+        driver.intend(program)
+        driver.answer(program, tools=[request], text=f'{text}{index}')
+        driver.run(
+            program, f't{index}', name, run='r', tool_call_id=request.id
+        )
+        driver.accept(program, f'm{index}', run='r', messages=())
+
+
+def test_repeated_tool_step_is_a_loop(case, driver):
+    """A night's budget goes on one question asked again and again.
+
+    The model calls the same tool with the same arguments, reads the same
+    result and words each turn a little differently.
+    """
+    program = driver.open()
+    _run_steps(driver, program, ['stock', 'stock'])
+    case.assertIsNone(loops.find_loop(program, 3))
+    other = driver.open('other')
+    _run_steps(driver, other, ['prices', 'stock', 'stock', 'stock'])
+    found = loops.find_runaway(other, _LIMITS, drivers.NOW)
+    case.assertIn('1 tool', found)
+
+
+def test_cycle_of_two_steps_is_a_loop(case, driver):
+    program = driver.open()
+    _run_steps(driver, program, ['hold', 'free'] * 3)
+    case.assertIn('2 tool', loops.find_loop(program, 3))
+    case.assertIsNone(loops.find_loop(program, 4))
+
+
+def test_steps_with_other_results_are_no_loop(case, driver):
+    program = driver.open()
+    _run_steps(driver, program, ['a', 'b', 'a', 'c', 'a', 'b', 'c', 'c'])
+    case.assertIsNone(loops.find_loop(program, 3))
+
+
+def test_a_client_may_ask_the_same_again(case, driver):
+    program = driver.open()
+    for index in range(5):
+        driver.run(program, f'k{index}', 'stock')
+    case.assertIsNone(loops.find_loop(program, 3))
+
+
+def test_fast_spending_is_a_runaway(case, driver):
+    program = driver.open()
+    for index in range(4):
+        driver.run(program, f'k{index}', 'stock')
+    case.assertIn('tokens', loops.find_burn(program, _LIMITS, drivers.NOW))
+    later = drivers.NOW + 61.0
+    case.assertIsNone(loops.find_burn(program, _LIMITS, later))
+
+
+load_tests = fixtures.adapt(__name__)
