Took large configurations and refused orders at once in an outage.

Cause: instances read the published row as the configuration, though a large one lies in an object that the row names; no instance would have taken it. An order during an outage of the store got its place first and was refused after: the place could still become durable and the order run later. The virtual loop could spin on a wait too short to move its clock, which stopped a run of pairs of faults for nine minutes. Change: the configuration is read through the publisher's reader; an order is refused before it is accepted while the store fails; outages show as events and metrics; the virtual loop moves at least a microsecond, and fails where time stands still. Conclusion: a refusal in an outage comes at once and stays true.

--- a/libs/harness/vanillayoke/harness/matrix/faults.py
+++ b/libs/harness/vanillayoke/harness/matrix/faults.py
@@ -1,11 +1,9 @@
 """The columns of the matrix: what goes wrong, and when it is over."""
 
 import asyncio
-import copy
 import typing
 
 from vanillayoke.fakes import engine_model
-from vanillayoke.fakes import service_memory
 from vanillayoke.harness.matrix import world
 
 LEASE_AND_MORE = 12.0
@@ -93,9 +91,8 @@
 
 
 def _hang_targets(one: world.World, instance: str) -> None:
-    fault = engine_model.EngineFaults(stream='hang', after=_HANG_AFTER)
     for engine in one.site.engines.values():
-        engine.set_faults(copy.copy(fault))
+        _break_streams(engine, 'hang')
     _set_order_faults(one, 'hang')
 
 
@@ -110,9 +107,8 @@
 
 def _silence(one: world.World, instance: str) -> None:
     """Silence open connections: to engines, and between instances."""
-    fault = engine_model.EngineFaults(stream='silence', after=_HANG_AFTER)
     for engine in one.site.engines.values():
-        engine.set_faults(copy.copy(fault))
+        _break_streams(engine, 'silence')
     for other in one.site.instances:
         if other != instance:
             one.site.network.silence(f'peer-{instance}', f'peer-{other}')
@@ -121,9 +117,9 @@
 
 def _confuse_answers(one: world.World, instance: str) -> None:
     for engine in one.site.engines.values():
-        engine.set_faults(
-            engine_model.EngineFaults(calls=3, stream='twice', seconds=_LATE)
-        )
+        engine.faults.calls = 3
+        engine.faults.stream = 'twice'
+        engine.faults.seconds = _LATE
     for service in one.site.services.values():
         service.faults.late = _LATE
         service.faults.calls = 3
@@ -161,6 +157,13 @@
         engine.options = engine.options._replace(report_lag=_STALE)
 
 
+def _break_streams(engine: typing.Any, stream: str) -> None:
+    """Break the next stream; an engine that leaves goes on leaving."""
+    engine.faults.calls = 1
+    engine.faults.stream = stream
+    engine.faults.after = _HANG_AFTER
+
+
 def _find_busy_engine(one: world.World) -> typing.Any:
     return max(
         one.site.engines.values(),
@@ -170,6 +173,6 @@
 
 def _set_order_faults(one: world.World, call: str) -> None:
     for name in ('orders-1', 'orders-2'):
-        one.site.services[name].set_faults(
-            service_memory.ServiceFaults(calls=1, call=call)
-        )
+        faults = one.site.services[name].faults
+        faults.calls = 1
+        faults.call = call
--- a/libs/node/vanillayoke/node/configuration.py
+++ b/libs/node/vanillayoke/node/configuration.py
@@ -4,11 +4,10 @@
 import hashlib
 import typing
 
-import msgspec
-
 from vanillayoke.core import failures
 from vanillayoke.core import timers
 from vanillayoke.platform import ports
+from vanillayoke.platform import publishing
 from vanillayoke.settings import configuration
 
 ROW_KEY = 'configuration/current'
@@ -25,13 +24,18 @@
     """
 
     def __init__(
-        self, table: ports.TableService, clock: timers.TimerService
+        self,
+        table: ports.TableService,
+        objects: ports.ObjectStore,
+        clock: timers.TimerService,
     ) -> None:
         self._table = table
+        self._objects = objects
         self._clock = clock
         self._published = configuration.PublishedConfiguration(
             version=0, author='', configuration=configuration.Configuration()
         )
+        self._row_version = 0
         self._clients: dict[str, str] = {}
         self._listeners: list[Listener] = []
         self._poll: timers.Subscription | None = None
@@ -78,22 +82,22 @@
         row = await self._table.read(ROW_KEY)
         if failures.is_failure(row):
             return row
-        if row is None:
+        if row is None or row.version == self._row_version:
             return None
-        return self.offer(row.value)
-
-    def offer(self, blob: bytes) -> None | failures.Failure:
-        """Take an encoded configuration if it is newer than ours."""
-        try:
-            published = configuration.decode_published(blob)
-        except msgspec.DecodeError as error:
-            return failures.Failure(
-                failures.Kind.BAD_REQUEST, f'configuration: {error}'
-            )
-        if published.version > self.version:
-            self._put_in_force(published)
+        published = await publishing.read_published(row.value, self._objects)
+        if published is None or failures.is_failure(published):
+            return published
+        self._row_version = row.version
+        self.offer(published)
         return None
 
+    def offer(self, published: configuration.PublishedConfiguration) -> bool:
+        """Take a configuration if it is newer than the one in force."""
+        if published.version <= self.version:
+            return False
+        self._put_in_force(published)
+        return True
+
     def find_client(self, key: str) -> str | None:
         """Return the client whose key this is."""
         digest = hashlib.sha256(key.encode()).hexdigest()
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -28,6 +28,7 @@
 from vanillayoke.node import services
 from vanillayoke.peers import ports as peer_ports
 from vanillayoke.platform import ports as platform_ports
+from vanillayoke.platform import watching
 from vanillayoke.scheduling import calls
 from vanillayoke.scheduling import scheduler
 from vanillayoke.settings import configuration as settings_configuration
@@ -68,9 +69,12 @@
         self._settings = settings
         self._outside = outside
         clock = outside.clock
-        platform = outside.platform
+        platform = watching.watch_platform(
+            outside.platform,
+            watching.Reporters(clock, outside.logger, outside.registry),
+        )
         self.configuration = configuration.ConfigurationHolder(
-            platform.table, clock
+            platform.table, platform.objects, clock
         )
         self.journal = journal.Journal.from_config(
             settings, platform, clock, outside.source
--- a/libs/node/vanillayoke/node/parts.py
+++ b/libs/node/vanillayoke/node/parts.py
@@ -27,6 +27,10 @@
 class Journal(typing.Protocol):
     """What makes records durable."""
 
+    @property
+    def is_failing(self) -> bool:
+        """Tell whether the last attempt to reach the store failed."""
+
     async def flush(self) -> None | failures.Failure:
         """Wait until all that was appended before is durable."""
 
--- a/libs/node/vanillayoke/node/runs.py
+++ b/libs/node/vanillayoke/node/runs.py
@@ -23,6 +23,7 @@
 from vanillayoke.programs import records
 
 _STORE_PAUSE = 0.25
+_STORE_RETRY = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +51,7 @@
         self, shared: parts.Parts, store_policy: services.StorePolicy
     ) -> None:
         self._parts = shared
+        self._store_policy = store_policy
         self._settler = call_attempts.CallSettler(shared)
         self._models = models.ModelCalls(shared, self._settler)
         self._services = services.ServiceCalls(
@@ -77,6 +79,12 @@
         )
         if failures.is_failure(proposal):
             return proposal
+        if self._store_refuses(program, proposal):
+            return failures.Failure(
+                failures.Kind.STORE_UNAVAILABLE,
+                'its intent cannot be made durable now',
+                _STORE_RETRY,
+            )
         accepted = self._accept(program, proposal, epoch)
         match accepted:
             case failures.Failure():
@@ -85,6 +93,23 @@
                 return self.join(program, number)
         return self._drive_soon(program, accepted).stream
 
+    def _store_refuses(
+        self, program: programs.Program, proposal: checks.CallProposal
+    ) -> bool:
+        """Tell whether a call is refused before it gets its place.
+
+        An accepted call may become durable any time; a successor would
+        then run what its caller was told did not run. Without a record
+        nobody ever will.
+        """
+        is_new = program.find_key(proposal.key) is None
+        return (
+            is_new
+            and not proposal.idempotent
+            and self._store_policy is services.StorePolicy.REFUSE
+            and self._parts.journal.is_failing
+        )
+
     def join(
         self, program: programs.Program, number: int
     ) -> streams.RunStream | failures.Failure:
--- a/libs/testing/vanillayoke/testing/loops.py
+++ b/libs/testing/vanillayoke/testing/loops.py
@@ -3,6 +3,9 @@
 import asyncio
 import selectors
 
+MOST_TURNS = 200_000
+SHORTEST_WAIT = 1e-6
+
 
 class _JumpingSelector(selectors.SelectSelector):
     """Moves the loop's clock on instead of waiting for it.
@@ -14,15 +17,25 @@
     def __init__(self) -> None:
         super().__init__()
         self.clock = 0.0
+        self._turns = 0
 
     def select(self, timeout: float | None = None):
+        self._note_turn(timeout)
         ready = super().select(0)
         if not ready and timeout is None:
             raise RuntimeError('deadlock: every task waits for ever')
         if not ready and timeout > 0:
-            self.clock += timeout
+            # A wait too short to change the clock's float would leave a
+            # task that waits for a time waiting for it for ever.
+            self.clock += max(timeout, SHORTEST_WAIT)
         return ready
 
+    def _note_turn(self, timeout: float | None) -> None:
+        """Fail where tasks keep each other busy while time stands still."""
+        self._turns = self._turns + 1 if timeout == 0 else 0
+        if self._turns > MOST_TURNS:
+            raise RuntimeError('the loop spins without time going on')
+
 
 class VirtualLoop(asyncio.SelectorEventLoop):
     """A loop whose clock starts at ``START`` and jumps to the next timer."""
--- /dev/null
+++ b/tests/node/test_store_faults.py
@@ -0,0 +1,91 @@
+"""Tests of whole instances while the platform's store fails."""
+
+from tests.node import sites
+from vanillayoke.core import failures
+from vanillayoke.entry import host
+from vanillayoke.harness import virtual
+from vanillayoke.testing import fixtures
+
+_OUTAGE = 5.0
+
+
+def _ask_for_order(key: str) -> host.CallRequest:
+    return host.CallRequest(
+        key=key,
+        fingerprint=key,
+        mode='call',
+        text='',
+        tool='order',
+        arguments='{"sku":1}',
+        max_tokens=None,
+    )
+
+
+async def _open_during_outage(site, caller):
+    """Open a program, then take the store down for a while."""
+    await sites.start_three(site)
+    opened = await caller.open('open-1')
+    site.platform.faults.down = True
+    await site.clock.sleep(_OUTAGE)
+    return opened['program'], site.instances[opened['instance']]
+
+
+async def test_order_is_refused_at_once_while_the_store_is_down(
+    case, site, caller
+):
+    """A surveyor is told at once that the tile order did not run.
+
+    The store has been down for seconds, so the order's intent cannot be
+    kept. The owner refuses before the call gets its place, and the order
+    is not run when the store is back either.
+    """
+    program, owner = await _open_during_outage(site, caller)
+    began = site.clock.now()
+    refused = await owner.served.host.start_call(
+        virtual.CLIENT, program, _ask_for_order('order-1')
+    )
+    case.assertTrue(failures.is_failure(refused), refused)
+    case.assertIs(failures.Kind.STORE_UNAVAILABLE, refused.kind)
+    case.assertIsNotNone(refused.retry_after)
+    case.assertEqual(began, site.clock.now())
+    site.platform.faults.down = False
+    await site.clock.sleep(30.0)
+    case.assertEqual({}, site.services['orders-1'].executions)
+
+
+async def test_refused_order_runs_under_its_key_later(case, site, caller):
+    """The surveyor repeats the refused order when the store is back."""
+    program, owner = await _open_during_outage(site, caller)
+    request = _ask_for_order('order-1')
+    await owner.served.host.start_call(virtual.CLIENT, program, request)
+    site.platform.faults.down = False
+    await site.clock.sleep(5.0)
+    stream = await owner.served.host.start_call(
+        virtual.CLIENT, program, request
+    )
+    final = await stream.wait()
+    case.assertIsInstance(final, host.FinalAnswer)
+    case.assertEqual([1], list(site.services['orders-1'].executions.values()))
+
+
+async def test_answer_waits_for_the_store_and_then_comes(case, site, caller):
+    """A model's answer goes on streaming through a short outage.
+
+    Its text comes meanwhile, its end only when it is durable.
+    """
+    program, owner = await _open_during_outage(site, caller)
+    request = host.CallRequest(
+        'turn-1', 'turn-1', 'run', '[[say:50]]', '', '', None
+    )
+    stream = await owner.served.host.start_call(
+        virtual.CLIENT, program, request
+    )
+    await site.clock.sleep(1.0)
+    case.assertGreater(stream.length, 0)
+    case.assertIsNone(stream.final)
+    site.platform.faults.down = False
+    final = await stream.wait()
+    case.assertIsInstance(final, host.FinalAnswer)
+
+
+load_tests = fixtures.adapt(__name__, [sites])
