Programs came to be admitted whole, placed by expected completion and freed.

Cause: the first version knew only load; engines recomputed prefixes, and under overload every program was late.

Change: working-set admission by late reports and the own share of memory, widening with the wait; placement by queue wait, missing prefix and distance among the program's engine and two random ones; attained service of the whole tree as the engines' priority; client shares in virtual time; releases until confirmed, exports in long pauses where memory is short; early refusals from a learned backlog; breakers, client limits, retry budget and runaway detection.

--- a/libs/scheduling/vanillayoke/scheduling/calls.py
+++ b/libs/scheduling/vanillayoke/scheduling/calls.py
@@ -77,13 +77,15 @@
     """Run a call on a target now.
 
     ``priority`` goes to the engine, lower first. ``weighed`` explains the
-    choice.
+    choice. ``restore`` tells to import the program's exported KV cache on
+    the target before the call.
     """
 
     call: str
     target: str
     priority: int
     weighed: tuple[Candidate, ...]
+    restore: bool = False
 
 
 class Refusal(typing.NamedTuple):
--- /dev/null
+++ b/libs/scheduling/vanillayoke/scheduling/intake.py
@@ -0,0 +1,212 @@
+"""Calls that have not been placed: which may go now and which wait."""
+
+import collections
+import heapq
+import math
+import typing
+
+from vanillayoke.core import failures
+from vanillayoke.scheduling import admission
+from vanillayoke.scheduling import calls
+from vanillayoke.scheduling import policies
+from vanillayoke.scheduling import views
+from vanillayoke.scheduling import waiting
+
+_DEADLINE_PART = 0.8
+"""Part of the time to its deadline that a program may wait to start."""
+
+_CHECK_SECONDS = 1.0
+_CERTAIN_PART = 0.4
+"""Part of the estimated wait that a waiting program is refused for.
+
+The estimate is uncertain and the backlog may shrink; at 0.6 and above the
+bench lost programs that would have finished, at 0 many waited in vain.
+"""
+
+_ADMISSION_CHOICES = 3
+
+
+class Intake:
+    """Calls between ``submit`` and a placement.
+
+    Calls of started programs go at once; the engines' queues order them.
+    New programs wait here for admission, service calls for a place within
+    this instance's part of the service's limit.
+    """
+
+    def __init__(
+        self,
+        policy: policies.Policies,
+        targets: views.TargetIndex,
+        shares: waiting.ClientShares,
+    ) -> None:
+        self.instances = 1
+        self._policy = policy
+        self._targets = targets
+        self._shares = shares
+        self._backlog = admission.Backlog()
+        self._checked_at = -math.inf
+        self._known: dict[str, calls.CallDemand] = {}
+        self._deadlines: list[tuple[float, str]] = []
+        self._ready: collections.deque[calls.CallDemand] = collections.deque()
+        self._new: dict[tuple[str, str], waiting.WaitingCalls] = {}
+        self._services: dict[str, collections.deque[calls.CallDemand]] = {}
+
+    def add_ready(self, demand: calls.CallDemand) -> None:
+        """Queue a call of a started program, or a service call."""
+        self._remember(demand)
+        self._ready.append(demand)
+
+    def add_new(
+        self, demand: calls.CallDemand, now: float
+    ) -> failures.Failure | None:
+        """Queue the first call of a program, or refuse it at once.
+
+        It is refused where it would not start well before its deadline.
+        The refusal says after which time the backlog will have shrunk.
+        """
+        key = (demand.model, demand.version)
+        queue = self._new.get(key)
+        if queue is None:
+            queue = self._new[key] = waiting.WaitingCalls(self._shares)
+        wait = self._backlog.estimate_wait(queue.count_before(demand), now)
+        spare = (demand.deadline - now) * _DEADLINE_PART
+        if wait > spare:
+            return failures.Failure(
+                failures.Kind.OVERLOADED,
+                f'about {wait:.0f} s of programs wait before this one',
+                wait - spare,
+            )
+        self._remember(demand)
+        self._backlog.note_waiting(now)
+        queue.add(demand)
+        return None
+
+    def remove(self, call: str) -> None:
+        """Take a call out, wherever it waits."""
+        demand = self._known.pop(call, None)
+        if demand is None:
+            return
+        queue = self._new.get((demand.model, demand.version))
+        if queue is not None:
+            queue.remove(demand)
+
+    def take_expired(self, now: float) -> list[calls.CallDemand]:
+        """Take out the calls whose deadline has passed."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, call = heapq.heappop(self._deadlines)
+            demand = self._known.get(call)
+            if demand is not None and demand.deadline <= now:
+                self.remove(call)
+                expired.append(demand)
+        return expired
+
+    def take_hopeless(self, now: float) -> list[calls.CallDemand]:
+        """Take out, once a second, what will not start in time."""
+        if now < self._checked_at + _CHECK_SECONDS:
+            return []
+        self._checked_at = now
+        hopeless = []
+        interval = self._backlog.estimate_wait(1, now) * _CERTAIN_PART
+        for queue in self._new.values():
+            hopeless += queue.list_hopeless(interval, now)
+        for demand in hopeless:
+            self.remove(demand.call)
+        return hopeless
+
+    def take_startable(self, now: float) -> typing.Iterator[calls.CallDemand]:
+        """Take out the calls that may be placed now, one by one.
+
+        Each is to be placed before the next is asked for.
+        """
+        while self._ready:
+            demand = self._ready.popleft()
+            if self._known.get(demand.call) is not demand:
+                continue
+            if demand.group and not self._has_service_room(demand, now):
+                queue = self._services.setdefault(
+                    demand.group, collections.deque()
+                )
+                queue.append(demand)
+                continue
+            del self._known[demand.call]
+            yield demand
+        for queue in self._new.values():
+            yield from self._take_new(queue, now, True)
+            yield from self._take_new(queue, now, False)
+
+    def note_room(self, view: views.TargetView) -> None:
+        """Let a service call that waits for a target try again."""
+        queue = self._services.get(view.spec.group)
+        if not queue:
+            return
+        self._ready.append(queue.popleft())
+        if not queue:
+            del self._services[view.spec.group]
+
+    def count_waiting(self) -> int:
+        """Return the new programs that wait."""
+        return sum(len(queue) for queue in self._new.values())
+
+    def next_wake(self) -> float | None:
+        """Return when the next deadline passes."""
+        while self._deadlines and self._deadlines[0][1] not in self._known:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def _remember(self, demand: calls.CallDemand) -> None:
+        self._known[demand.call] = demand
+        heapq.heappush(self._deadlines, (demand.deadline, demand.call))
+
+    def _take_new(
+        self, queue: waiting.WaitingCalls, now: float, urgent: bool
+    ) -> typing.Iterator[calls.CallDemand]:
+        while True:
+            demand = queue.peek(urgent)
+            if demand is None:
+                return
+            if not self._may_start(demand, now):
+                return
+            queue.remove(demand)
+            self._known.pop(demand.call, None)
+            if not urgent:
+                self._backlog.note_admitted(now, len(queue) > 0)
+            yield demand
+
+    def _may_start(self, demand: calls.CallDemand, now: float) -> bool:
+        able = self._targets.sample(demand, _ADMISSION_CHOICES, now)
+        if not able:
+            return True
+        waited = (now - demand.accepted_at) / max(
+            demand.deadline - demand.accepted_at, 0.001
+        )
+        for view in able:
+            if admission.may_start(
+                self._policy.admission,
+                view,
+                self.instances,
+                demand.urgent,
+                waited,
+            ):
+                view.promised += admission.EXPECTED_TOKENS
+                return True
+        return False
+
+    def _has_service_room(self, demand: calls.CallDemand, now: float) -> bool:
+        pool = self._targets.list_pool(demand)
+        if not any(views.may_take(view, demand, now) for view in pool):
+            return True
+        return any(
+            self._is_below_part(view, demand)
+            for view in pool
+            if views.may_take(view, demand, now)
+        )
+
+    def _is_below_part(
+        self, view: views.TargetView, demand: calls.CallDemand
+    ) -> bool:
+        part = admission.find_part(
+            view, self.instances, self._policy.urgent_reserve, demand.urgent
+        )
+        return len(view.own) < part
--- /dev/null
+++ b/libs/scheduling/vanillayoke/scheduling/order.py
@@ -0,0 +1,33 @@
+"""The priority numbers that engines order their queues by."""
+
+import math
+
+from vanillayoke.scheduling import calls
+from vanillayoke.scheduling import policies
+
+_URGENT = -1000
+_LEVELS_PER_DOUBLING = 4
+_LEAST_SERVICE = 0.02
+
+
+def find_priority(policy: policies.Order, demand: calls.CallDemand) -> int:
+    """Return a call's priority number, lower first.
+
+    The number carries the order over all instances to the engine's queue,
+    so that no two instances need to agree on one. It is made of the service
+    of the whole tree, which is the same whoever reads it, and not of any
+    clock, which is not.
+    """
+    urgent = _URGENT if demand.urgent else 0
+    match policy:
+        case policies.FirstCome():
+            return urgent
+        case policies.AttainedService():
+            return urgent + _find_level(demand.attained)
+
+
+def _find_level(attained: float) -> int:
+    if attained <= _LEAST_SERVICE:
+        return 0
+    doublings = math.log2(attained / _LEAST_SERVICE)
+    return 1 + int(doublings * _LEVELS_PER_DOUBLING)
--- a/libs/scheduling/vanillayoke/scheduling/releases.py
+++ b/libs/scheduling/vanillayoke/scheduling/releases.py
@@ -17,11 +17,13 @@
     def __init__(self) -> None:
         self._held: dict[str, set[str]] = {}
         self._due: dict[tuple[str, str], float] = {}
+        self._asked: dict[tuple[str, str], float] = {}
 
     def hold(self, target: str, program: str) -> None:
         """Note that a target may hold memory of a program."""
         self._held.setdefault(program, set()).add(target)
         self._due.pop((target, program), None)
+        self._asked.pop((target, program), None)
 
     def list_holders(self, program: str) -> frozenset[str]:
         """Return the targets that may hold memory of a program."""
@@ -30,6 +32,7 @@
     def release(self, target: str, program: str, now: float) -> None:
         """Ask for a program's memory on a target to be freed."""
         self._due.setdefault((target, program), now)
+        self._asked.setdefault((target, program), now)
 
     def release_all(self, program: str, now: float) -> None:
         """Ask for all of a program's memory to be freed."""
@@ -39,6 +42,7 @@
     def confirm(self, target: str, program: str) -> None:
         """Note that a target holds no memory of a program any more."""
         self._due.pop((target, program), None)
+        self._asked.pop((target, program), None)
         holders = self._held.get(program)
         if holders is None:
             return
@@ -46,6 +50,14 @@
         if not holders:
             del self._held[program]
 
+    def list_due_programs(self, target: str, before: float) -> list[str]:
+        """Return the programs whose release was asked for before a time."""
+        return [
+            program
+            for (holder, program), asked in self._asked.items()
+            if holder == target and asked < before
+        ]
+
     def drop_target(self, target: str) -> None:
         """Forget a target that is no longer configured."""
         for program in [p for p, held in self._held.items() if target in held]:
--- a/libs/scheduling/vanillayoke/scheduling/scheduler.py
+++ b/libs/scheduling/vanillayoke/scheduling/scheduler.py
@@ -5,11 +5,23 @@
 
 from vanillayoke.core import failures
 from vanillayoke.scheduling import calls
-from vanillayoke.scheduling import releases
+from vanillayoke.scheduling import intake
+from vanillayoke.scheduling import limits
+from vanillayoke.scheduling import memory
+from vanillayoke.scheduling import order
+from vanillayoke.scheduling import placement
+from vanillayoke.scheduling import policies
+from vanillayoke.scheduling import trees
 from vanillayoke.scheduling import views
+from vanillayoke.scheduling import waiting
 from vanillayoke.settings import configuration
 
-_OVERLOAD_RETRY = 1.0
+_NO_TARGET_RETRY = 1.0
+
+
+class _Placed(typing.NamedTuple):
+    demand: calls.CallDemand
+    view: views.TargetView
 
 
 class Scheduler:
@@ -21,22 +33,23 @@
 
     def __init__(
         self,
-        policy: configuration.PolicySettings,
-        zone: str,
-        region: str,
+        policy: policies.Policies,
+        place: placement.Place,
         source: random.Random,
     ) -> None:
         self._policy = policy
-        self._zone = zone
-        self._region = region
-        self._source = source
-        self._targets = views.TargetIndex()
-        self._clients: dict[str, configuration.ClientSettings] = {}
+        self._place = place
         self._instances = 1
-        self._queue: dict[str, calls.CallDemand] = {}
-        self._placed: dict[str, calls.CallDemand] = {}
-        self._homes: dict[str, str] = {}
-        self._releases = releases.ReleaseBook()
+        self._targets = views.TargetIndex(place.region, source)
+        self._forest = trees.Forest()
+        self._shares = waiting.ClientShares()
+        self._limits = limits.ClientLimits()
+        self._memory = memory.Memory(
+            policy.cache_lifetime, self._targets, self._forest
+        )
+        self._intake = intake.Intake(policy, self._targets, self._shares)
+        self._placed: dict[str, _Placed] = {}
+        self._refusals: list[calls.Refusal] = []
 
     @classmethod
     def from_config(
@@ -47,48 +60,90 @@
         source: random.Random,
     ) -> 'Scheduler':
         """Build from the policy in force and the instance's own place."""
-        return cls(policy, zone, region, source)
+        return cls(
+            policies.Policies.from_config(policy),
+            placement.Place(zone, region),
+            source,
+        )
 
     def set_targets(self, specs: typing.Sequence[calls.TargetSpec]) -> None:
         """Take over the configured targets."""
+        gone = self._targets.list_names() - {spec.target for spec in specs}
         self._targets.replace(specs)
+        for target in gone:
+            self._memory.drop_target(target)
 
     def set_clients(
         self, clients: dict[str, configuration.ClientSettings]
     ) -> None:
         """Take over the clients' weights and limits."""
-        self._clients = dict(clients)
+        self._limits.set_clients(clients)
+        self._shares.set_weights(
+            {name: client.weight for name, client in clients.items()}
+        )
 
     def set_instances(self, count: int) -> None:
         """Tell over how many instances limits and engines are shared."""
         self._instances = max(1, count)
+        self._limits.set_instances(self._instances)
+        self._intake.instances = self._instances
 
     def submit(self, demand: calls.CallDemand, now: float) -> None:
-        """Queue a call; the same call again replaces its demand."""
-        self._queue[demand.call] = demand
+        """Queue a call; ``decide`` then places or refuses it, or waits."""
+        failure = self._check(demand, now)
+        if failure is not None:
+            self._refusals.append(calls.Refusal(demand.call, failure))
+            return
+        if demand.group:
+            self._intake.add_ready(demand)
+            return
+        member = self._open(demand, now)
+        if member is None:
+            return
+        if member.tree.admitted:
+            self._intake.add_ready(demand)
+            return
+        failure = self._intake.add_new(demand, now)
+        if failure is not None:
+            self._refuse(demand, failure)
 
     def withdraw(self, call: str) -> None:
         """Take back a call that has not been placed."""
-        self._queue.pop(call, None)
+        self._intake.remove(call)
 
     def observe_report(self, report: calls.TargetReport) -> None:
         """Take in a target's load report."""
-        view = self._targets.get(report.target)
-        if view is not None:
-            view.observe(report)
+        self._targets.observe(report)
 
     def observe_cache(
         self, target: str, session: str, tokens: int, kind: str
     ) -> None:
         """Take in a cache event; ``kind`` is ``stored`` or ``evicted``."""
-        if kind == 'evicted' and self._homes.get(session) == target:
-            del self._homes[session]
+        if kind == 'evicted':
+            self._memory.note_evicted(target, session)
+
+    def observe_gap(self, target: str) -> None:
+        """Take in that cache events of a target were lost."""
+        self._memory.note_gap(target)
+
+    def reconcile(
+        self, target: str, sessions: dict[str, int], asked_at: float
+    ) -> None:
+        """Take in what a target itself lists as cached.
+
+        ``asked_at`` is when it was asked: what came later is not judged by
+        the list.
+        """
+        self._memory.reconcile(target, sessions, asked_at)
 
     def observe_health(self, target: str, healthy: bool, now: float) -> None:
         """Take in whether a target can be reached."""
         view = self._targets.get(target)
-        if view is not None:
-            view.healthy = healthy
+        if view is None:
+            return
+        if healthy and not view.healthy:
+            view.breaker.open_half(now)
+        view.healthy = healthy
 
     def mark_leaving(self, target: str) -> None:
         """Give a target no new work from now on."""
@@ -98,101 +153,187 @@
 
     def decide(self, now: float) -> list[calls.Decision]:
         """Return all that is to be done now."""
-        decisions: list[calls.Decision] = []
-        for demand in list(self._queue.values()):
+        decisions: list[calls.Decision] = list(self._refusals)
+        self._refusals.clear()
+        for demand in self._intake.take_expired(now):
+            failure = failures.Failure(
+                failures.Kind.DEADLINE_PASSED, 'waited until its deadline'
+            )
+            self._refuse(demand, failure)
+        for demand in self._intake.take_hopeless(now):
+            failure = failures.Failure(
+                failures.Kind.OVERLOADED,
+                'the backlog has grown past the deadline',
+                max(0.0, demand.deadline - now),
+            )
+            self._refuse(demand, failure)
+        for demand in self._intake.take_startable(now):
             decision = self._decide_call(demand, now)
             if decision is not None:
                 decisions.append(decision)
-        decisions += self._releases.list_due(now)
+        decisions += self._refusals
+        self._refusals.clear()
+        decisions += self._memory.list_orders(
+            now, self._intake.count_waiting() > 0
+        )
         return decisions
 
     def finish(self, outcome: calls.Outcome, now: float) -> None:
         """Take in how a placed call ended."""
-        self._placed.pop(outcome.call, None)
-        view = self._targets.get(outcome.target)
-        if view is not None:
-            view.own.pop(outcome.call, None)
+        placed = self._placed.pop(outcome.call, None)
+        if placed is None:
+            return
+        demand, view = placed
+        view.own.discard(outcome.call)
+        self._intake.note_room(view)
+        match outcome.state:
+            case 'answered':
+                view.breaker.note_success(outcome.call)
+            case 'refused':
+                view.breaker.note_withdrawn(outcome.call)
+            case _:
+                view.breaker.note_failure(outcome.call, now)
+        if demand.group:
+            return
+        self._shares.charge(demand.client, outcome.seconds)
+        member = self._forest.get(demand.program)
+        if member is not None:
+            self._memory.note_outcome(member, outcome, now)
 
     def pause(self, program: str, tool: str, now: float) -> None:
         """Note that a program waits for a tool."""
+        member = self._forest.get(program)
+        if member is not None:
+            self._memory.note_pause(member, tool, now)
 
     def end(self, program: str, now: float) -> None:
         """Note that a program ended; its engine memory is to be freed."""
-        self._homes.pop(program, None)
-        self._releases.release_all(program, now)
+        member = self._forest.close(program)
+        if member is not None:
+            self._memory.set_cached(member, member.home, 0)
+            self._close_tree(member)
+        self._memory.release_all(program, now)
 
     def hold(self, target: str, program: str) -> None:
         """Note, after a takeover, that a target may hold engine memory."""
-        self._releases.hold(target, program)
+        self._memory.hold(target, program)
 
     def release_confirmed(self, target: str, program: str) -> None:
         """Note that a target holds no memory of a program."""
-        self._releases.confirm(target, program)
+        self._memory.confirm(target, program)
 
     def next_wake(self, now: float) -> float | None:
         """Return when ``decide`` has something to do without an event."""
-        times = [demand.deadline for demand in self._queue.values()]
-        release = self._releases.next_wake()
-        if release is not None:
-            times.append(release)
-        return min(times, default=None)
+        if self._refusals:
+            return now
+        times = [self._intake.next_wake(), self._memory.next_wake()]
+        return min((at for at in times if at is not None), default=None)
 
     def explain(self, program: str) -> str:
         """Return for operators where a program stands."""
-        home = self._homes.get(program, 'none')
-        held = ', '.join(sorted(self._releases.list_holders(program)))
-        return f'{program}: home {home}; memory held on: {held or "none"}'
+        holders = self._memory.list_holders(program)
+        held = ', '.join(sorted(holders)) or 'no target'
+        member = self._forest.get(program)
+        if member is None:
+            return f'{program}: not known; memory held on {held}'
+        state = 'started' if member.tree.admitted else 'waits to start'
+        tool = f', in {member.tool}' if member.paused_at is not None else ''
+        return (
+            f'{program}: {state}{tool}; home {member.home or "none"}, '
+            f'{member.cached} of {member.tokens} tokens cached; '
+            f'memory held on {held}'
+        )
 
-    def _decide_call(
+    def _check(
         self, demand: calls.CallDemand, now: float
-    ) -> calls.Decision | None:
+    ) -> failures.Failure | None:
         if demand.deadline <= now:
-            return self._refuse(
-                demand, failures.Kind.DEADLINE_PASSED, 'waited too long'
+            return failures.Failure(
+                failures.Kind.DEADLINE_PASSED, 'came after its deadline'
             )
-        able = [
-            view
-            for view in self._targets.list_candidates(demand)
-            if view.takes_work()
-            and view.spec.target not in demand.avoid
-            and (demand.group or view.serves(demand.model, demand.version))
-        ]
-        if not able:
-            return self._refuse(
-                demand, failures.Kind.NO_TARGET, 'no target takes the call'
-            )
-        view = min(able, key=lambda view: self._weigh(view, demand))
-        if view.estimate_load() >= 2 * view.spec.slots:
+        if demand.avoid:
             return None
-        return self._place(demand, view, now)
+        return self._limits.take_call(demand.client, now)
 
-    def _weigh(
-        self, view: views.TargetView, demand: calls.CallDemand
-    ) -> tuple[bool, int]:
-        home = self._homes.get(demand.program)
-        return view.spec.target != home, view.estimate_load()
+    def _open(
+        self, demand: calls.CallDemand, now: float
+    ) -> trees.Member | None:
+        new_tree = not self._forest.has_tree(demand.root)
+        if new_tree:
+            failure = self._limits.open_program(demand.client)
+            if failure is not None:
+                refusal = calls.Refusal(demand.call, failure)
+                self._refusals.append(refusal)
+                return None
+        member = self._forest.open(demand.program, demand.root, demand.client)
+        # After a takeover a program comes here in the middle: it has had
+        # its admission elsewhere and is not made to queue again.
+        if demand.attained > 0:
+            member.tree.admitted = True
+        self._memory.note_return(member, now)
+        return member
 
-    def _place(
-        self, demand: calls.CallDemand, view: views.TargetView, now: float
-    ) -> calls.Placement:
-        del self._queue[demand.call]
-        target = view.spec.target
-        self._placed[demand.call] = demand
-        view.own[demand.call] = now
-        if not demand.group:
-            self._homes[demand.program] = target
-            self._releases.hold(target, demand.program)
-        priority = int(demand.attained * 1000)
-        chosen = calls.Candidate(target, 0.0, 0, 'least load')
-        return calls.Placement(demand.call, target, priority, (chosen,))
+    def _close_tree(self, member: trees.Member) -> None:
+        if not member.tree.members:
+            self._limits.close_program(member.tree.client)
 
     def _refuse(
-        self, demand: calls.CallDemand, kind: failures.Kind, reason: str
-    ) -> calls.Refusal:
-        del self._queue[demand.call]
-        retry_after = (
-            _OVERLOAD_RETRY if failures.ANSWERS[kind].may_retry else None
+        self, demand: calls.CallDemand, failure: failures.Failure
+    ) -> None:
+        self._refusals.append(calls.Refusal(demand.call, failure))
+        member = self._forest.get(demand.program)
+        if demand.group or member is None or member.tree.admitted:
+            return
+        self._forest.close(demand.program)
+        self._close_tree(member)
+
+    def _decide_call(
+        self, demand: calls.CallDemand, now: float
+    ) -> calls.Placement | None:
+        member = None
+        if not demand.group:
+            member = self._forest.get(demand.program)
+        count = placement.count_choices(self._policy.placement)
+        able = self._targets.sample(demand, count, now)
+        home = self._targets.get(member.home) if member else None
+        if home is not None and home not in able:
+            if views.may_take(home, demand, now):
+                able = [home, *able]
+        if not able:
+            self._refuse(
+                demand,
+                failures.Failure(
+                    failures.Kind.NO_TARGET,
+                    'no target takes the call now',
+                    _NO_TARGET_RETRY,
+                ),
+            )
+            return None
+        choice = placement.choose(
+            self._policy.placement, self._place, demand, member, able
         )
-        return calls.Refusal(
-            demand.call, failures.Failure(kind, reason, retry_after)
+        return self._send(demand, member, choice, now)
+
+    def _send(
+        self,
+        demand: calls.CallDemand,
+        member: trees.Member | None,
+        choice: placement.Choice,
+        now: float,
+    ) -> calls.Placement:
+        view = choice.view
+        self._placed[demand.call] = _Placed(demand, view)
+        view.own.add(demand.call)
+        view.breaker.note_sent(demand.call)
+        restore = False
+        if member is not None:
+            restore = member.exported
+            member.tree.admitted = True
+            self._memory.note_sent(member, demand, view.spec.target, now)
+        return calls.Placement(
+            demand.call,
+            view.spec.target,
+            order.find_priority(self._policy.order, demand),
+            choice.weighed,
+            restore,
         )
--- /dev/null
+++ b/libs/scheduling/vanillayoke/scheduling/trees.py
@@ -0,0 +1,90 @@
+"""What a scheduler keeps of each program and its sub-agents."""
+
+
+class Member:
+    """One program of a tree: the root or a sub-agent.
+
+    ``home`` is the target that last ran it, ``tokens`` the length of its
+    conversation there and ``cached`` the part believed to be in the
+    target's memory. ``exported`` tells that the memory was exported.
+    ``gaps`` is the target's count of lost events when ``cached`` was last
+    known for sure, ``touched_at`` when a call last began or ended.
+    """
+
+    __slots__ = (
+        'program', 'tree', 'home', 'tokens', 'cached', 'exported', 'calls',
+        'tool', 'paused_at', 'pauses', 'gaps', 'touched_at',
+    )  # fmt: skip
+
+    def __init__(self, program: str, tree: 'Tree') -> None:
+        self.program = program
+        self.tree = tree
+        self.home = ''
+        self.tokens = 0
+        self.cached = 0
+        self.exported = False
+        self.calls = 0
+        self.tool = ''
+        self.paused_at: float | None = None
+        self.pauses = 0
+        self.gaps = 0
+        self.touched_at = 0.0
+
+
+class Tree:
+    """A root program with its sub-agents; it is admitted whole."""
+
+    __slots__ = ('root', 'client', 'admitted', 'members')
+
+    def __init__(self, root: str, client: str) -> None:
+        self.root = root
+        self.client = client
+        self.admitted = False
+        self.members: dict[str, Member] = {}
+
+
+class Forest:
+    """All trees of one instance; an ended program leaves nothing here."""
+
+    def __init__(self) -> None:
+        self._trees: dict[str, Tree] = {}
+        self._members: dict[str, Member] = {}
+
+    def open(self, program: str, root: str, client: str) -> Member:
+        """Return a program's member, made where it is new."""
+        member = self._members.get(program)
+        if member is not None:
+            return member
+        tree = self._trees.get(root)
+        if tree is None:
+            tree = self._trees[root] = Tree(root, client)
+        member = Member(program, tree)
+        tree.members[program] = member
+        self._members[program] = member
+        return member
+
+    def has_tree(self, root: str) -> bool:
+        """Tell whether a root or one of its sub-agents is known."""
+        return root in self._trees
+
+    def get(self, program: str) -> Member | None:
+        """Return a program's member, if it is known."""
+        return self._members.get(program)
+
+    def list_members(self) -> list[Member]:
+        """Return all members of all trees."""
+        return list(self._members.values())
+
+    def close(self, program: str) -> Member | None:
+        """Forget a program; return what was known of it."""
+        member = self._members.pop(program, None)
+        if member is None:
+            return None
+        tree = member.tree
+        del tree.members[program]
+        if not tree.members:
+            del self._trees[tree.root]
+        return member
+
+    def __len__(self) -> int:
+        return len(self._members)
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -25,7 +25,12 @@
 
 def _place_one(engines, call: str, now: float, **changes) -> str:
     engines.submit(samples.make_demand(call, **changes), now)
-    (placement,) = engines.decide(now)
+    placements = [
+        decision
+        for decision in engines.decide(now)
+        if isinstance(decision, calls.Placement)
+    ]
+    (placement,) = placements
     return placement.target
 
 
