--- a/libs/peers/vanillayoke/peers/nng.py
+++ b/libs/peers/vanillayoke/peers/nng.py
@@ -105,6 +105,11 @@
         """The ``IP:PORT`` that this transport listens on."""
         return str(self._listener.listeners[0].local_address)
 
+    @property
+    def connections(self) -> int:
+        """How many peers there are connections to."""
+        return len(self._senders)
+
     def subscribe(self, receive: typing.Callable[[bytes], None]) -> None:
         self._subscribers.append(receive)
 
