Guards of the interface that no test noticed got tests.

Change: tests that a long ready text yields, that a connection closes behind a stream begun before draining, that compressed bodies are not unpacked, that hops are counted, that malformed ids are never looked up and that the server library is not named.

--- a/tests/entry/test_app.py
+++ b/tests/entry/test_app.py
@@ -113,6 +113,7 @@
         for path in ('/v1/programs/' + hosts.PROGRAM, '/v1/addresses', '/x'):
             reply = await site.ask('GET', path, headers={'Authorization': key})
             case.assertEqual(401, reply.status)
+            case.assertEqual('vanillayoke', reply.headers['Server'])
             bodies.add(reply.body)
     case.assertEqual(1, len(bodies))
     case.assertEqual([], site.host.located)
@@ -145,6 +146,7 @@
             headers = {**reply.headers, 'Date': ''}
             answers.add((reply.status, tuple(headers.items()), reply.body))
         case.assertEqual(1, len(answers), (path, answers))
+    case.assertEqual({hosts.ABSENT, hosts.FOREIGN}, set(site.host.located))
 
 
 @fixtures.on_real_loop
--- a/tests/entry/test_draining.py
+++ b/tests/entry/test_draining.py
@@ -41,6 +41,23 @@
     await finishing
 
 
+@fixtures.on_real_loop
+async def test_connection_closes_behind_a_stream_begun_before(case, site):
+    site.host.stream = hosts.ScriptedStream([])
+    reader, writer = await site.connect()
+    writer.write(
+        f'GET {_CALLS}/7/stream HTTP/1.1\r\nHost: x\r\n'
+        f'Authorization: Bearer {hosts.KEY}\r\n\r\n'.encode()
+    )
+    await reader.readuntil(b'\r\n\r\n')
+    site.app.begin_drain()
+    site.host.stream.put(hosts.ANSWER)
+    async with asyncio.timeout(10):
+        case.assertIn(b'event: done', await reader.read())
+    writer.close()
+    await writer.wait_closed()
+
+
 @fixtures.on_real_loop
 async def test_stream_beyond_the_grace_is_told_to_resume(
     case, hasty_site, hasty_owner
--- a/tests/entry/test_faults.py
+++ b/tests/entry/test_faults.py
@@ -1,5 +1,6 @@
 """Tests of malformed, oversized and half-sent requests."""
 
+import gzip
 import json
 from unittest import mock
 
@@ -149,6 +150,18 @@
     await site.settle(case)
 
 
+@fixtures.on_real_loop
+async def test_compressed_body_is_not_unpacked(case, site):
+    """A small compressed body may unpack to one far above the limit."""
+    reply = await site.ask(
+        'POST',
+        '/v1/programs',
+        data=gzip.compress(b'{"agent":"stylist","deadline":1}'),
+        headers={'Content-Encoding': 'gzip'},
+    )
+    case.assertEqual(400, reply.status)
+
+
 @fixtures.on_real_loop
 async def test_announced_size_is_refused_before_the_body_comes(case, site):
     reader, writer = await site.connect()
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -163,6 +163,8 @@
     case.assertEqual(_MOVING.kind.value, reply.error['kind'])
     case.assertEqual(_MOVING.answer.ran.value, reply.error['ran'])
     case.assertEqual([], site.host.started + owner.host.started)
+    # Once per hop, and once more by the last instance.
+    case.assertEqual(4, len(site.host.located + owner.host.located))
 
 
 @fixtures.on_real_loop
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -246,4 +246,18 @@
     case.assertEqual(30.0, loop.time() - begin)
 
 
+async def test_long_ready_text_lets_other_streams_on(case, loop):
+    """A reader resumes a long text from its start, and takes all at once.
+
+    Nothing makes the copying wait, so unless it yields by itself every
+    other stream of the instance stands still meanwhile.
+    """
+    peer = _StalledPeer(0)
+    writer = streams.BodyWriter(peer, peer, timers.LoopTimers(loop), 30.0)
+    others = []
+    loop.call_soon(others.append, 'ran')
+    await writer.drain()
+    case.assertEqual(['ran'], others)
+
+
 load_tests = fixtures.adapt(__name__, [hosts])
