Gave targets their models by journaled orders from one giver each.

Cause: nothing gave engines orders; a model that operators pinned was never loaded, and an engine that restarted empty stayed so.

Change: the owner of a target's shard writes the desired state to the row order/{target}, opens it before it sends an order, and closes it when the target itself reports the state. An open row of an earlier giver is waited out, or fenced where the target checks epochs. Static wishes only: minimum copies over zones, pinned, version engine by engine. The stand-in engine no longer begins a load again that goes on, as its protocol says.

Measured: tests.node.test_orders, tests.node.test_instance and tests.fakes pass.

--- a/libs/fakes/vanillayoke/fakes/engine_memory.py
+++ b/libs/fakes/vanillayoke/fakes/engine_memory.py
@@ -184,12 +184,10 @@
         if self.options.fencing and order.epoch < self.epoch:
             return failures.Failure(failures.Kind.CONFLICT, 'stale epoch')
         self.epoch = max(self.epoch, order.epoch)
-        subject, version = order.subject, order.version
+        subject = order.subject
         match order.kind:
-            case 'load' if self.loaded.get(subject) != version:
-                self.loading[subject] = version
-                delay = self.options.load_time
-                self.clock.call_after(delay, lambda: self._load(order))
+            case 'load':
+                self._begin_load(order)
             case 'unload':
                 self.loaded.pop(subject, None)
                 self.loading.pop(subject, None)
@@ -199,6 +197,14 @@
                 self.batch.evict(subject)
         self._note_load()
 
+    def _begin_load(self, order: ports.Order) -> None:
+        if self.loaded.get(order.subject) == order.version:
+            self.loading.pop(order.subject, None)
+        elif self.loading.get(order.subject) != order.version:
+            self.loading[order.subject] = order.version
+            delay = self.options.load_time
+            self.clock.call_after(delay, lambda: self._load(order))
+
     def _load(self, order: ports.Order) -> None:
         if self.loading.get(order.subject) == order.version:
             self.loaded[order.subject] = self.loading.pop(order.subject)
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -21,6 +21,7 @@
 from vanillayoke.node import journal
 from vanillayoke.node import members
 from vanillayoke.node import operations
+from vanillayoke.node import orders
 from vanillayoke.node import ownership
 from vanillayoke.node import parts
 from vanillayoke.node import recovery
@@ -137,6 +138,14 @@
             self.dispatcher.pump,
             self.releaser.reconcile,
         )
+        self.orders = orders.OrderGiver.from_config(
+            settings,
+            platform,
+            self.parts,
+            self.feeds,
+            outside.source,
+            lambda writes: self.journal.pacer.spend(clock.now(), writes),
+        )
         self._stop_request: StopRequest = lambda reason: None
         self.operations = operations.Operations(
             settings,
@@ -167,6 +176,7 @@
         A failure says that the store cannot be reached yet; all parts go
         on trying, and requests are passed on to their owners meanwhile.
         """
+        self.orders.start()
         await self.configuration.start()
         await self.members.start()
         failure = await self.journal.start()
