Let a repeated key begin again where its call failed retryably.

Cause: a caller told "come back later" came back with the same key and got the recorded refusal for ever. A model call that failed on all engines was told as "outcome unknown", which may not be retried though the call changes nothing outside. The caller's own token limit was ignored. Change: a repeated key starts a new call where the last one failed in a way that may be retried and did not run or is idempotent, without its question standing in the history twice; targets_failed is a kind of its own; the time to come back is recorded with the failure; max_tokens is kept. Conclusion: a refusal now says truly what the caller can do about it.

--- a/libs/core/vanillayoke/core/failures.py
+++ b/libs/core/vanillayoke/core/failures.py
@@ -36,6 +36,7 @@
     NO_TARGET = 'no_target'
     TARGET_REFUSED = 'target_refused'
     TARGET_FAILED = 'target_failed'
+    TARGETS_FAILED = 'targets_failed'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     STORE_UNAVAILABLE = 'store_unavailable'
     STORE_UNCERTAIN = 'store_uncertain'
@@ -111,6 +112,12 @@
     Kind.TARGET_FAILED: Answer(
         502, Ran.YES, False, 'The target ran the call and failed.'
     ),
+    Kind.TARGETS_FAILED: Answer(
+        503,
+        Ran.UNKNOWN,
+        True,
+        'All attempts failed; the call changes nothing and may be repeated.',
+    ),
     Kind.OUTCOME_UNKNOWN: Answer(
         502, Ran.UNKNOWN, False, 'The call may or may not have run.'
     ),
--- a/libs/node/vanillayoke/node/models.py
+++ b/libs/node/vanillayoke/node/models.py
@@ -18,6 +18,16 @@
 
 Result = ports.Completion | failures.Failure
 
+_REPEATABLE = frozenset(
+    (
+        failures.Kind.NO_TARGET,
+        failures.Kind.OUTCOME_UNKNOWN,
+        failures.Kind.OVERLOADED,
+        failures.Kind.TARGET_REFUSED,
+    )
+)
+_RETRY_AFTER = 1.0
+
 
 class ModelCalls:
     """Runs the model calls of hosted programs.
@@ -48,9 +58,7 @@
             demand = self._make_demand(attempts, agent)
             placed = await self._settler.place(attempts, demand)
             if failures.is_failure(placed):
-                return self._settler.fail(
-                    attempts, placed, attempts.proven_not_run
-                )
+                return self._give_up(attempts, placed)
             failure = self._settler.intend(attempts, placed.target)
             if failure is not None:
                 self._drop_placement(demand, placed)
@@ -61,9 +69,21 @@
             if isinstance(result, ports.Completion):
                 return self._answer(attempts, placed.target, result)
             if not await self._may_repeat(attempts, result, placed.target):
-                return self._settler.fail(attempts, result)
+                return self._give_up(attempts, result)
             stream.truncate(begin)
 
+    def _give_up(
+        self, attempts: call_attempts.Attempts, failure: failures.Failure
+    ) -> None | failures.Failure:
+        """Record the failure; what may be repeated is told as such."""
+        if attempts.proven_not_run:
+            return self._settler.fail(attempts, failure, not_run=True)
+        if failure.kind in _REPEATABLE:
+            failure = failures.Failure(
+                failures.Kind.TARGETS_FAILED, failure.reason, _RETRY_AFTER
+            )
+        return self._settler.fail(attempts, failure)
+
     async def _may_repeat(
         self,
         attempts: call_attempts.Attempts,
@@ -208,7 +228,7 @@
             group='',
             prefix_tokens=prefix,
             new_tokens=min(prefix, call_attempts.estimate_tokens(added)),
-            output_tokens=agent.max_tokens,
+            output_tokens=call.max_tokens or agent.max_tokens,
             attained=root.committed.seconds,
             urgent=root.urgent,
             idempotent=True,
@@ -234,7 +254,7 @@
             model=agent.model,
             messages=_make_messages(attempts.program, agent),
             tools=self._make_tools(agent),
-            max_tokens=agent.max_tokens,
+            max_tokens=call.max_tokens or agent.max_tokens,
             priority=placed.priority,
             timeout=min(left, agent.call_timeout),
             progress_timeout=agent.progress_timeout,
--- a/libs/node/vanillayoke/node/proposals.py
+++ b/libs/node/vanillayoke/node/proposals.py
@@ -29,10 +29,14 @@
     """Return the first call that a client's request asks for."""
     run = request.key if request.mode == RUN else ''
     if request.tool:
-        asked = records.ToolRequest('', request.tool, request.arguments)
+        asked = _find_asked(program, request)
         return _propose_tool(
             settings, program, asked, request.key, request.fingerprint, run
         )
+    if request.max_tokens is not None and request.max_tokens < 1:
+        return failures.Failure(
+            failures.Kind.BAD_REQUEST, 'max_tokens is below 1'
+        )
     messages = (
         (records.Message(role='user', content=request.text),)
         if request.text
@@ -45,9 +49,24 @@
         request.key,
         request.fingerprint,
         run,
+        request.max_tokens or 0,
     )
 
 
+def _find_asked(
+    program: programs.Program, request: host.CallRequest
+) -> records.ToolRequest:
+    """Return the model's open request that a client's tool call answers.
+
+    Without one the call stands by itself and the model does not see it.
+    """
+    for one in program.pending_tools:
+        if one.name == request.tool:
+            arguments = request.arguments or one.arguments
+            return records.ToolRequest(one.id, one.name, arguments)
+    return records.ToolRequest('', request.tool, request.arguments)
+
+
 def propose_step(
     settings: configuration.Configuration, program: programs.Program
 ) -> checks.CallProposal | failures.Failure:
@@ -67,6 +86,7 @@
     key: str,
     fingerprint: str,
     run: str,
+    max_tokens: int = 0,
 ) -> checks.CallProposal | failures.Failure:
     agent = settings.agents.get(program.agent)
     if agent is None:
@@ -74,6 +94,7 @@
             failures.Kind.UNKNOWN_AGENT, f'there is no agent {program.agent}'
         )
     model = settings.models.get(agent.model, configuration.ModelSettings())
+    most_tokens = min(max_tokens or agent.max_tokens, agent.max_tokens)
     return checks.CallProposal(
         kind=records.CallKind.MODEL,
         key=key,
@@ -84,10 +105,11 @@
         run=run,
         reserved=budget.reserve_model_call(
             _estimate_prompt(program, agent, messages),
-            agent.max_tokens,
+            most_tokens,
             agent.call_timeout,
             model.money_per_million_tokens,
         ),
+        max_tokens=most_tokens,
     )
 
 
--- a/libs/node/vanillayoke/node/results.py
+++ b/libs/node/vanillayoke/node/results.py
@@ -51,11 +51,13 @@
     """Return how a call or run that has ended ended."""
     end = program.run_ends.get(first.run) if first.run else None
     if end is not None:
-        return _rebuild_failure(end.error, end.reason)
+        return failures.Failure(failures.Kind(end.error), end.reason)
     steps = list_steps(program, first)
     last = steps[-1]
     if last.message is None:
-        return _rebuild_failure(last.error, last.reason)
+        return failures.Failure(
+            failures.Kind(last.error), last.reason, last.retry_after
+        )
     return host.FinalAnswer(
         offset=len(read_text(program, first)),
         number=first.number,
@@ -69,10 +71,6 @@
     )
 
 
-def _rebuild_failure(error: str, reason: str) -> failures.Failure:
-    return failures.Failure(failures.Kind(error), reason)
-
-
 def _sum_usage(steps: typing.Sequence[calls.Call]) -> dict[str, int]:
     return {
         'tokens': sum(call.spent.tokens for call in steps),
--- a/libs/programs/vanillayoke/programs/calls.py
+++ b/libs/programs/vanillayoke/programs/calls.py
@@ -57,6 +57,8 @@
     finish_reason: str = ''
     error: str = ''
     reason: str = ''
+    retry_after: float | None = None
+    max_tokens: int = 0
     spent: records.Spend = records.Spend()
 
     @classmethod
@@ -76,6 +78,7 @@
             tool_call_id=record.tool_call_id,
             reserved=record.reserved,
             accepted_at=record.accepted_at,
+            max_tokens=record.max_tokens,
         )
 
     @property
--- a/libs/programs/vanillayoke/programs/checks.py
+++ b/libs/programs/vanillayoke/programs/checks.py
@@ -28,6 +28,7 @@
     tool_call_id: str = ''
     run: str = ''
     reserved: records.Spend = records.Spend(calls=1)
+    max_tokens: int = 0
 
 
 def make_step_key(run: str, number: int) -> str:
--- a/libs/programs/vanillayoke/programs/decisions.py
+++ b/libs/programs/vanillayoke/programs/decisions.py
@@ -42,8 +42,15 @@
     that the model reads why.
     """
     known = program.find_key(request.key)
+    if known is not None and known.fingerprint != request.fingerprint:
+        return failures.Failure(
+            failures.Kind.KEY_REUSED, f'call {known.number} has this key'
+        )
+    if known is not None and not _may_begin_again(program, known):
+        return Repeat(known.number)
     if known is not None:
-        return _check_repeat(known, request)
+        # Its question is in the history already.
+        request = request._replace(messages=())
     failure = (
         checks.check_request(program, request)
         or checks.check_state(program, ancestors, now_wall)
@@ -61,14 +68,21 @@
     return [accepted, *draw_budget(ancestors, key, accepted.reserved, epoch)]
 
 
-def _check_repeat(
-    known: calls.Call, request: checks.CallProposal
-) -> Repeat | failures.Failure:
-    if known.fingerprint == request.fingerprint:
-        return Repeat(known.number)
-    return failures.Failure(
-        failures.Kind.KEY_REUSED, f'call {known.number} has this key'
-    )
+def _may_begin_again(program: programs.Program, known: calls.Call) -> bool:
+    """Tell whether a repeated key starts anew where its call failed.
+
+    A caller told "overloaded, come back in five seconds" comes back with
+    the same key; given the recorded refusal it would never get through.
+    Only the last call counts, when it failed in a way that may be retried
+    and either provably did not run or is idempotent.
+    """
+    last = program.calls[-1]
+    is_same = last is known or (known.run and last.run == known.run)
+    if not is_same or not last.error or known.run in program.run_ends:
+        return False
+    answer = failures.ANSWERS[failures.Kind(last.error)]
+    harmless = last.idempotent or answer.ran is failures.Ran.NO
+    return answer.may_retry and harmless
 
 
 def _refuse_repeat(
@@ -245,6 +259,7 @@
         error=told.kind.value,
         reason=told.reason,
         spent=spent,
+        retry_after=told.retry_after,
     )
     key = budget.make_key(program.id, number)
     draws = draw_budget(ancestors, key, call.reserved, epoch, spent)
--- a/libs/programs/vanillayoke/programs/program.py
+++ b/libs/programs/vanillayoke/programs/program.py
@@ -215,6 +215,7 @@
         call.state = call_types.CallState.FAILED
         call.error = record.error
         call.reason = record.reason
+        call.retry_after = record.retry_after
         self._finish(call, record.spent)
         return True
 
--- a/libs/programs/vanillayoke/programs/records.py
+++ b/libs/programs/vanillayoke/programs/records.py
@@ -96,6 +96,7 @@
     ``number`` counts the program's calls from 1. ``messages`` are appended
     to the history; ``reserved`` is held from the root's budget. ``run`` is
     the key of the run that the call is a step of, empty for a single call.
+    ``max_tokens`` caps a model's answer; 0 takes the agent's.
     """
 
     number: int
@@ -110,6 +111,7 @@
     run: str = ''
     reserved: Spend = Spend()
     accepted_at: float = 0.0
+    max_tokens: int = 0
 
 
 class CallIntended(Record, frozen=True, tag=True, kw_only=True):
@@ -138,12 +140,16 @@
 
 
 class CallFailed(Record, frozen=True, tag=True, kw_only=True):
-    """A call has its final error; ``error`` is a ``failures.Kind`` value."""
+    """A call has its final error; ``error`` is a ``failures.Kind`` value.
+
+    ``retry_after`` is what its caller is told, in seconds.
+    """
 
     number: int
     error: str
     reason: str
     spent: Spend = Spend()
+    retry_after: float | None = None
 
 
 class RunEnded(Record, frozen=True, tag=True, kw_only=True):
