Took the configuration from a peer in an outage, and tested the guards.

Cause: an instance restarted while the store was down knew no client and told every caller that its key was wrong, which nobody retries. And nothing showed that the matrix's checks could fail at all.

--- a/libs/fakes/vanillayoke/fakes/engine_model.py
+++ b/libs/fakes/vanillayoke/fakes/engine_model.py
@@ -33,7 +33,8 @@
 class EngineOptions(typing.NamedTuple):
     """Sizes and speeds; times in seconds, ``*_cost`` per token.
 
-    Engines with another ``salt`` answer equal histories otherwise.
+    With a ``salt`` each attempt is answered otherwise, as with a sampling
+    model.
     """
 
     slots: int = 16
@@ -54,6 +55,7 @@
     def __init__(self, request, hang: int | None, salt: str) -> None:
         self.request = request
         self.hang = hang
+        salt = salt and salt + request.call_id
         self.script = script.write_answer(request.messages, salt)
         self.prompt = script.count_tokens(request.messages)
         self.limit = min(len(self.script.pieces), request.max_tokens)
--- a/libs/harness/vanillayoke/harness/matrix/faults.py
+++ b/libs/harness/vanillayoke/harness/matrix/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from vanillayoke.core import failures
 from vanillayoke.fakes import engine_model
 from vanillayoke.harness.matrix import world
 
@@ -15,6 +16,8 @@
 _PARTED_FOR = 20.0
 _STALE = 4.0
 _LATE = 1.5
+_SOON = 2.0
+_REFUSED_ORDERS = 2
 
 
 class Fault(typing.NamedTuple):
@@ -45,6 +48,29 @@
     )
 
 
+def _refuse_orders(one: world.World, instance: str) -> None:
+    """Let engines refuse the next orders, among them releases."""
+    for engine in one.site.engines.values():
+        give_order = engine.give_order
+        left = [_REFUSED_ORDERS]
+
+        async def refuse(order, give_order=give_order, left=left):
+            left[0] -= 1
+            if left[0] >= 0:
+                return failures.Failure(
+                    failures.Kind.OUTCOME_UNKNOWN, 'the order was lost'
+                )
+            return await give_order(order)
+
+        engine.give_order = refuse
+
+
+def _die_in_outage(one: world.World, instance: str) -> None:
+    """End the process while the store is down and answers are ready."""
+    _take_store_down(one, instance)
+    one.site.clock.call_after(_SOON, lambda: _kill(one, instance))
+
+
 def _kill(one: world.World, instance: str) -> None:
     if instance in one.site.instances:
         one.site.kill(instance)
@@ -73,7 +99,7 @@
     faults.delay = _SLOWNESS
 
     def speed_up() -> None:
-        faults.delay = 0.0
+        faults.delay = world.STORE_DELAY
 
     one.site.clock.call_after(_SLOW_FOR, speed_up)
 
@@ -176,3 +202,8 @@
         faults = one.site.services[name].faults
         faults.calls = 1
         faults.call = call
+
+
+# No columns of the matrix of their own; they show what single guards are for.
+REFUSED_ORDERS = Fault('target refuses orders', _refuse_orders)
+DEATH_IN_OUTAGE = Fault('process dies in an outage', _die_in_outage)
--- a/libs/harness/vanillayoke/harness/matrix/steps.py
+++ b/libs/harness/vanillayoke/harness/matrix/steps.py
@@ -127,3 +127,10 @@
 
 _SOON = 0.3
 _MIDWAY = 0.15
+
+
+# No row of the matrix of its own: the first call is on its way, its intent
+# not durable yet.
+JUST_SENT = Step(
+    'first call just sent', _is_event(events.CALL_DISPATCHED, 1), delay=0.003
+)
--- a/libs/harness/vanillayoke/harness/matrix/world.py
+++ b/libs/harness/vanillayoke/harness/matrix/world.py
@@ -22,7 +22,9 @@
 SECOND_TURN = '[[tool:stock {"sku":3}]][[say:20]]'
 OTHER_TURN = '[[tool:stock {"sku":4}]][[tool:order {"sku":9}]][[say:80]]'
 _CACHE_TOKENS = 20_000
+STORE_DELAY = 0.005
 _SLOW_TOOL = 0.4
+_THINKING = 4.0
 REGIONS = ('region-1', 'region-2')
 
 
@@ -77,6 +79,7 @@
             service.faults.calls = 1_000_000
         for name in ('orders-1', 'orders-2'):
             self.site.add_service(name, 'orders')
+        self.site.platform.faults.delay = STORE_DELAY
         self.programs = {
             client: ids.derive_program_id(client, 'open')
             for client in (virtual.CLIENT, virtual.OTHER_CLIENT)
@@ -136,6 +139,8 @@
         told = []
         if not failures.is_failure(opened):
             for number, text in enumerate(turns, 1):
+                if number > 1:
+                    await self.site.clock.sleep(_THINKING)
                 told.append(await caller.run(program, f'turn-{number}', text))
         history = await caller.read_history(program)
         ended = await caller.end(program)
--- a/libs/harness/vanillayoke/harness/virtual.py
+++ b/libs/harness/vanillayoke/harness/virtual.py
@@ -67,6 +67,26 @@
         return self._services.get(target)
 
 
+class VirtualOperators:
+    """Asks other instances of the site as over their entry addresses."""
+
+    def __init__(self, site: 'VirtualSite') -> None:
+        self._site = site
+
+    async def ask(
+        self, address: str, key: str, command: str, arguments: dict[str, str]
+    ) -> dict[str, typing.Any] | failures.Failure:
+        """Run a command on the instance at an entry address."""
+        asked = self._site.instances.get(address.removeprefix('entry-'))
+        if asked is None or not asked.gate.is_open:
+            return failures.Failure(
+                failures.Kind.NOT_OWNER, f'{address} cannot be reached'
+            )
+        return await asked.served.host.run_operator_command(
+            key, command, arguments
+        )
+
+
 class VirtualInstance(typing.NamedTuple):
     """An instance, its settings and the gate that freezes it."""
 
@@ -282,7 +302,7 @@
             ),
             transport=gates.GatedPort(transport, gate),
             adapters=VirtualTargets(self.engines, self.services, gate),
-            operators=gates.GatedPort(None, gate),
+            operators=gates.GatedPort(VirtualOperators(self), gate),
             clock=clock,
             source=random.Random(self.source.getrandbits(64)),
             logger=self._make_logger(settings.name, clock),
--- a/libs/node/vanillayoke/node/configuration.py
+++ b/libs/node/vanillayoke/node/configuration.py
@@ -13,6 +13,9 @@
 ROW_KEY = 'configuration/current'
 POLL_INTERVAL = 2.0
 
+AskPeers = typing.Callable[
+    [], typing.Awaitable[configuration.PublishedConfiguration | None]
+]
 Listener = typing.Callable[[configuration.PublishedConfiguration], None]
 
 
@@ -28,10 +31,13 @@
         table: ports.TableService,
         objects: ports.ObjectStore,
         clock: timers.TimerService,
+        ask_peers: AskPeers | None = None,
     ) -> None:
         self._table = table
         self._objects = objects
         self._clock = clock
+        self._ask_peers = ask_peers
+        self._heard = 0
         self._published = configuration.PublishedConfiguration(
             version=0, author='', configuration=configuration.Configuration()
         )
@@ -75,10 +81,32 @@
     def hear(self, version: int) -> None:
         """Take news from a peer that a version exists."""
         if version > self.version:
+            self._heard = max(self._heard, version)
             self._refresh_soon()
 
     async def refresh(self) -> None | failures.Failure:
-        """Read the table and take what is newer."""
+        """Read the table, or ask peers, and take what is newer."""
+        failure = await self._read_table()
+        if failure is not None and self._may_be_behind():
+            await self._read_from_peer()
+        return failure
+
+    def _may_be_behind(self) -> bool:
+        return self.version == 0 or self._heard > self.version
+
+    async def _read_from_peer(self) -> None:
+        """Take a peer's version while the table cannot be reached.
+
+        An instance that starts in an outage would else know no client, and
+        a change that others have in force would stop halfway.
+        """
+        if self._ask_peers is None:
+            return
+        published = await self._ask_peers()
+        if published is not None:
+            self.offer(published)
+
+    async def _read_table(self) -> None | failures.Failure:
         row = await self._table.read(ROW_KEY)
         if failures.is_failure(row):
             return row
--- a/libs/node/vanillayoke/node/directory.py
+++ b/libs/node/vanillayoke/node/directory.py
@@ -5,6 +5,13 @@
 from vanillayoke.node import ownership
 
 _USABLE = frozenset((messages.State.ALIVE,))
+_ANSWERING = frozenset(
+    (
+        messages.State.ALIVE,
+        messages.State.LEAVING,
+        messages.State.SUSPECTED,
+    )
+)
 
 
 class Directory:
@@ -43,6 +50,14 @@
         """Return all members in any state."""
         return self._members.members()
 
+    def list_others(self) -> list[messages.Member]:
+        """Return the other members that may answer a question."""
+        return [
+            one
+            for one in self._members.members()[1:]
+            if one.state in _ANSWERING
+        ]
+
     def list_usable(self) -> list[messages.Member]:
         """Return the members that callers may use."""
         return [one for one in self._members.members() if one.state in _USABLE]
--- a/libs/node/vanillayoke/node/host.py
+++ b/libs/node/vanillayoke/node/host.py
@@ -64,6 +64,12 @@
         self._draining = True
 
     def find_client(self, key: str) -> str | failures.Failure:
+        if self._parts.configuration.version == 0:
+            # Started in an outage of the store: every key would look wrong,
+            # and a caller told so would not come back.
+            return failures.Failure(
+                failures.Kind.NOT_OWNER, 'no configuration yet', _MOVING_RETRY
+            )
         client = self._parts.configuration.find_client(key)
         if client is None:
             return failures.Failure(
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -75,7 +75,7 @@
             watching.Reporters(clock, outside.logger, outside.registry),
         )
         self.configuration = configuration.ConfigurationHolder(
-            platform.table, platform.objects, clock
+            platform.table, platform.objects, clock, self._ask_peers
         )
         self.journal = journal.Journal.from_config(
             settings, platform, clock, outside.source
@@ -177,8 +177,8 @@
         on trying, and requests are passed on to their owners meanwhile.
         """
         self.orders.start()
-        await self.configuration.start()
         await self.members.start()
+        await self.configuration.start()
         failure = await self.journal.start()
         self.ownership.update_members(self.members.members())
         return await self.ownership.start() or failure
@@ -256,6 +256,18 @@
         self.feeds.update(targets)
         self.dispatcher.pump()
 
+    async def _ask_peers(
+        self,
+    ) -> settings_configuration.PublishedConfiguration | None:
+        """Ask a few other instances for the configuration in force."""
+        others = self.directory.list_others()
+        self._outside.source.shuffle(others)
+        return await operations.ask_configuration(
+            self._outside.operators,
+            others[:_PEERS_ASKED],
+            self._settings.operator_key,
+        )
+
     def _take_members(self, found: list[messages.Member]) -> None:
         self.ownership.update_members(found)
         self.scheduler.set_instances(len(self.directory.list_usable()))
@@ -302,6 +314,7 @@
 
 
 _RUN_POLL = 0.05
+_PEERS_ASKED = 3
 # The reason given where the instance has to begin anew.
 LEASE_LOST = 'the lease is lost'
 
--- a/libs/node/vanillayoke/node/operations.py
+++ b/libs/node/vanillayoke/node/operations.py
@@ -1,8 +1,11 @@
 """Answers to operators: what runs here, why, and an orderly stop."""
 
+import base64
 import hmac
 import typing
 
+import msgspec
+
 from vanillayoke.cluster import messages
 from vanillayoke.core import failures
 from vanillayoke.core import ids
@@ -12,6 +15,7 @@
 from vanillayoke.node import views
 from vanillayoke.programs import program as programs
 from vanillayoke.scheduling import calls
+from vanillayoke.settings import configuration
 from vanillayoke.settings import process
 
 Answer = dict[str, typing.Any]
@@ -43,6 +47,32 @@
         """Return the other instance's answer."""
 
 
+async def ask_configuration(
+    peers: PeerOperations, members: typing.Sequence[messages.Member], key: str
+) -> configuration.PublishedConfiguration | None:
+    """Return the first configuration that another instance gives."""
+    for member in members:
+        answer = await peers.ask(
+            member.entry_address, key, 'configuration', {}
+        )
+        if failures.is_failure(answer):
+            continue
+        published = _decode_configuration(answer)
+        if published is not None and published.version > 0:
+            return published
+    return None
+
+
+def _decode_configuration(
+    answer: Answer,
+) -> configuration.PublishedConfiguration | None:
+    try:
+        blob = base64.b64decode(answer['published'])
+        return configuration.decode_published(blob)
+    except (KeyError, ValueError, msgspec.DecodeError):
+        return None
+
+
 class Operations:
     """Runs operators' commands on this instance.
 
@@ -84,6 +114,8 @@
                 return self._dump_timeline(arguments)
             case 'drain':
                 return self._drain(arguments)
+            case 'configuration':
+                return self._give_configuration()
             case 'program' | 'explain':
                 return await self._ask_owner(key, command, arguments)
         return failures.Failure(
@@ -136,6 +168,11 @@
             'leaving': bool(report and report.leaving),
         }
 
+    def _give_configuration(self) -> Answer:
+        published = self._parts.configuration.published
+        blob = configuration.encode_published(published)
+        return {'published': base64.b64encode(blob).decode()}
+
     def _list_programs(self) -> Answer:
         return {
             'programs': [
--- a/tests/node/test_store_faults.py
+++ b/tests/node/test_store_faults.py
@@ -88,4 +88,28 @@
     case.assertIsInstance(final, host.FinalAnswer)
 
 
+async def test_instance_started_in_an_outage_learns_from_a_peer(
+    case, site, caller
+):
+    """An instance is restarted at night while the store is down.
+
+    It cannot read the configuration, so it knows no client; a caller that
+    is told "unknown key" would not come back. The others still probe its
+    address; it takes the configuration from one of them.
+    """
+    await sites.start_three(site)
+    site.platform.faults.down = True
+    site.kill('instance-3')
+    await site.clock.sleep(1.0)
+    late = site.add_instance('instance-3', virtual.ZONES[2])
+    unknown = late.served.host.find_client(virtual.CLIENT)
+    case.assertTrue(unknown.answer.may_retry)
+    await late.served.start()
+    await site.clock.sleep(30.0)
+    case.assertEqual(1, late.served.configuration.version)
+    case.assertEqual(
+        virtual.CLIENT, late.served.host.find_client(virtual.CLIENT)
+    )
+
+
 load_tests = fixtures.adapt(__name__, [sites])
