Let ended programs leave memory after a set retention.

Change: store.retention (an hour by default) bounds both; a tree of programs goes when all of it has ended and no engine memory is left to free. Conclusion: memory follows the programs under way.

--- a/libs/node/vanillayoke/node/hosted.py
+++ b/libs/node/vanillayoke/node/hosted.py
@@ -83,6 +83,24 @@
             del self._programs[one.id]
         return lost
 
+    def purge(self, ended_before: float) -> int:
+        """Forget programs that ended before a wall-clock time.
+
+        One whose engine memory is not free yet stays until it is, and a
+        sub-agent until its whole tree can go. Return how many went.
+        """
+        kept = {
+            one.root
+            for one in self._programs.values()
+            if one.is_active or one.held or one.ended_at >= ended_before
+        }
+        gone = [
+            one.id for one in self._programs.values() if one.root not in kept
+        ]
+        for program in gone:
+            del self._programs[program]
+        return len(gone)
+
     def _apply(self, record: records.AnyRecord) -> None:
         if isinstance(record, records.ProgramOpened):
             opened = programs.Program.from_opened(record)
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -147,6 +147,7 @@
             lambda writes: self.journal.pacer.spend(clock.now(), writes),
         )
         self._stop_request: StopRequest = lambda reason: None
+        self._upkeep: timers.Subscription | None = None
         self.operations = operations.Operations(
             settings,
             self.parts,
@@ -176,6 +177,9 @@
         A failure says that the store cannot be reached yet; all parts go
         on trying, and requests are passed on to their owners meanwhile.
         """
+        self._upkeep = self._outside.clock.call_every(
+            _PURGE_INTERVAL, self._purge
+        )
         self.orders.start()
         await self.members.start()
         await self.configuration.start()
@@ -203,6 +207,8 @@
 
     async def stop(self) -> None:
         """Close all parts without handing anything over."""
+        if self._upkeep is not None:
+            self._upkeep.cancel()
         self.feeds.stop()
         self.configuration.stop()
         self.releaser.stop()
@@ -293,6 +299,10 @@
             self.runner.cancel(program, attempts.make_lost())
             self.dispatcher.forget(program.id)
 
+    def _purge(self) -> None:
+        retention = self._settings.store.retention
+        self.programs.purge(self._outside.clock.wall() - retention)
+
     def _is_idle(self, shard: ids.Shard) -> bool:
         """Tell whether no call of a shard's programs is under way."""
         return all(
@@ -315,6 +325,7 @@
 
 _RUN_POLL = 0.05
 _PEERS_ASKED = 3
+_PURGE_INTERVAL = 30.0
 # The reason given where the instance has to begin anew.
 LEASE_LOST = 'the lease is lost'
 
--- a/libs/node/vanillayoke/node/ownership.py
+++ b/libs/node/vanillayoke/node/ownership.py
@@ -31,7 +31,6 @@
 from vanillayoke.programs import program as programs
 from vanillayoke.settings import process
 
-RETENTION = 24 * 3600.0
 MOVES_PER_ROUND = 256
 _MOVE_INTERVAL = 1.0
 _SCAN_READS_PER_SECOND = 100.0
@@ -58,7 +57,7 @@
         objects: ports.ObjectStore,
         source: random.Random,
         lease: process.LeaseSettings,
-        retention: float = RETENTION,
+        retention: float,
     ) -> None:
         self._journal = journal
         self._timers = service
@@ -130,6 +129,7 @@
             objects=platform.objects,
             source=source,
             lease=settings.lease,
+            retention=settings.store.retention,
         )
 
     def _spend(self, writes: int) -> None:
@@ -380,11 +380,20 @@
             if not failures.is_failure(fresh):
                 for notice in fresh:
                     await self._take_notice(notice)
-            live = len(self._map.members)
-            interval = self._watcher.find_poll_interval(live)
-            if all(one.state in _NORMAL for one in self._members.values()):
-                interval = max(interval, self._lease_settings.time_to_live / 3)
-            await self._timers.sleep(interval)
+            await self._timers.sleep(self._find_notice_interval())
+
+    def _find_notice_interval(self) -> float:
+        live = len(self._map.members)
+        interval = self._watcher.find_poll_interval(live)
+        is_calm = all(one.state in _NORMAL for one in self._members.values())
+        if is_calm and not self._expects_shards():
+            interval = max(interval, self._lease_settings.time_to_live / 3)
+        return interval
+
+    def _expects_shards(self) -> bool:
+        """Tell whether shards are due to come here by a handover."""
+        mine = self._map.list_shards(self._journal.row.name)
+        return any(shard not in self._held for shard in mine)
 
     async def _take_notice(self, notice: rows.NoticeRow) -> None:
         if notice.fenced:
--- a/libs/settings/vanillayoke/settings/descriptions.py
+++ b/libs/settings/vanillayoke/settings/descriptions.py
@@ -110,6 +110,7 @@
     process.StoreSettings: {
         'writes_per_second': 'Writes a second of all instances together.',
         'shortest_commit_interval': 'Seconds between two commits at least.',
+        'retention': 'Seconds for which an ended program can be read.',
         'unavailable': 'What becomes of calls that are not idempotent while '
         'the store is down.',
     },
--- a/libs/settings/vanillayoke/settings/process.py
+++ b/libs/settings/vanillayoke/settings/process.py
@@ -54,12 +54,14 @@
     """How much of the platform's store all instances may use together.
 
     ``unavailable`` says what happens to a non-idempotent call while the
-    store is down: ``refuse`` at once, or ``wait`` to its deadline.
+    store is down: ``refuse`` at once, or ``wait`` to its deadline. An
+    ended program can be read for ``retention`` seconds.
     """
 
     writes_per_second: float = 300.0
     shortest_commit_interval: float = 0.01
     unavailable: str = 'refuse'
+    retention: float = 3600.0
 
 
 class ProbeSettings(
--- a/libs/settings/vanillayoke/settings/processes.py
+++ b/libs/settings/vanillayoke/settings/processes.py
@@ -18,6 +18,7 @@
     'lease.margin',
     'store.writes_per_second',
     'store.shortest_commit_interval',
+    'store.retention',
     'probe.interval',
     'probe.timeout',
     'probe.suspicion',
