--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = .venv/bin/python
 
-.PHONY: venv test lint format demo bench faults binary
+.PHONY: venv test lint format demo bench slopes faults binary
 
 venv:
 	@sh tools/make_venv.sh
@@ -17,8 +17,10 @@
 demo: venv
 	$(PYTHON) -m vanillayoke.harness.demo
 
+FAULT_FLAGS = --pairs=60
+
 faults: venv
-	$(PYTHON) -m vanillayoke.harness.matrix --pairs=60
+	$(PYTHON) -m vanillayoke.harness.matrix $(FAULT_FLAGS)
 
 format: venv
 	.venv/bin/ruff check --fix --quiet . || true
