Drew the metrics from the events.

Cause: the metrics were defined, but no part of a node set them. Change: loggers call listeners back, and one of them counts events; tokens, open programs, owned shards and the lease's rest are set as well. Conclusion: metrics and time line cannot disagree. Wasted cache, commit times and waits other than for a target are not measured yet.

--- a/libs/core/vanillayoke/core/logs.py
+++ b/libs/core/vanillayoke/core/logs.py
@@ -44,6 +44,9 @@
     return LogOutput(stream, level)
 
 
+Listener = typing.Callable[[events.Event, dict[str, timeline.Value]], None]
+
+
 class Logger:
     """Writes the catalogue's events of one instance."""
 
@@ -53,6 +56,7 @@
         self.timeline = line
         self._output = output
         self._sequence = 0
+        self._listeners: list[Listener] = []
 
     @classmethod
     def from_settings(
@@ -67,6 +71,10 @@
         line = timeline.Timeline(instance, clock, capacity)
         return cls(line, output)
 
+    def subscribe(self, listener: Listener) -> None:
+        """Call back with each event behind its writing."""
+        self._listeners.append(listener)
+
     def write(self, event: events.Event, **fields: timeline.Value) -> None:
         """Write an event with exactly the fields that the catalogue names.
 
@@ -81,6 +89,8 @@
         output = self._output
         if output is not None and event.level >= output.level:
             output.write(self._make_message(event, time, fields))
+        for listener in self._listeners:
+            listener(event, fields)
 
     def _make_message(
         self, event: events.Event, time: int, fields: dict
--- a/libs/harness/vanillayoke/harness/virtual.py
+++ b/libs/harness/vanillayoke/harness/virtual.py
@@ -104,17 +104,6 @@
 Listener = typing.Callable[[str, events.Event, dict[str, typing.Any]], None]
 
 
-class WatchedLogger(logs.Logger):
-    """A logger whose events a test can act upon as they happen."""
-
-    listeners: list[Listener]
-
-    def write(self, event: events.Event, **fields: typing.Any) -> None:
-        super().write(event, **fields)
-        for listener in list(self.listeners):
-            listener(self.timeline.instance, event, fields)
-
-
 class VirtualSite:
     """A deployment in one loop."""
 
@@ -311,11 +300,19 @@
 
     def _make_logger(
         self, name: str, clock: timers.TimerService
-    ) -> WatchedLogger:
-        logger = WatchedLogger.from_settings(name, clock)
-        logger.listeners = self.listeners
+    ) -> logs.Logger:
+        logger = logs.Logger.from_settings(name, clock)
+        logger.subscribe(
+            lambda event, fields: self._tell_listeners(name, event, fields)
+        )
         return logger
 
+    def _tell_listeners(
+        self, name: str, event: events.Event, fields: dict[str, typing.Any]
+    ) -> None:
+        for listener in list(self.listeners):
+            listener(name, event, fields)
+
     def _list(self, settings: process.InstanceSettings) -> None:
         self.platform.instances.register(
             platform_ports.ListedInstance(
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -19,6 +19,7 @@
 from vanillayoke.node import host
 from vanillayoke.node import hosted
 from vanillayoke.node import journal
+from vanillayoke.node import measurements
 from vanillayoke.node import members
 from vanillayoke.node import operations
 from vanillayoke.node import orders
@@ -115,6 +116,7 @@
         self.parts = parts.Parts(
             clock=clock,
             logger=outside.logger,
+            registry=outside.registry,
             programs=self.programs,
             journal=self.journal,
             ownership=self.ownership,
@@ -147,7 +149,10 @@
             lambda writes: self.journal.pacer.spend(clock.now(), writes),
         )
         self._stop_request: StopRequest = lambda reason: None
-        self._upkeep: timers.Subscription | None = None
+        self._upkeep: list[timers.Subscription] = []
+        outside.logger.subscribe(
+            measurements.Measurements(outside.registry, self._is_engine).take
+        )
         self.operations = operations.Operations(
             settings,
             self.parts,
@@ -177,9 +182,11 @@
         A failure says that the store cannot be reached yet; all parts go
         on trying, and requests are passed on to their owners meanwhile.
         """
-        self._upkeep = self._outside.clock.call_every(
-            _PURGE_INTERVAL, self._purge
-        )
+        clock = self._outside.clock
+        self._upkeep = [
+            clock.call_every(_PURGE_INTERVAL, self._purge),
+            clock.call_every(_MEASURE_INTERVAL, self._measure),
+        ]
         self.orders.start()
         await self.members.start()
         await self.configuration.start()
@@ -207,8 +214,8 @@
 
     async def stop(self) -> None:
         """Close all parts without handing anything over."""
-        if self._upkeep is not None:
-            self._upkeep.cancel()
+        for subscription in self._upkeep:
+            subscription.cancel()
         self.feeds.stop()
         self.configuration.stop()
         self.releaser.stop()
@@ -299,6 +306,20 @@
             self.runner.cancel(program, attempts.make_lost())
             self.dispatcher.forget(program.id)
 
+    def _is_engine(self, target: str) -> bool:
+        settings = self.configuration.current.targets.get(target)
+        return settings is not None and settings.kind == 'engine'
+
+    def _measure(self) -> None:
+        registry = self._outside.registry
+        registry.programs_open.set(len(self.programs.known))
+        registry.shards.set(self.directory.count_shards())
+        registry.streams.set(self.runner.count)
+        deadline = self.journal.lease.deadline
+        if deadline is not None:
+            left = deadline - self._outside.clock.now()
+            registry.lease_remaining.set(round(left, 3))
+
     def _purge(self) -> None:
         retention = self._settings.store.retention
         self.programs.purge(self._outside.clock.wall() - retention)
@@ -326,6 +347,7 @@
 _RUN_POLL = 0.05
 _PEERS_ASKED = 3
 _PURGE_INTERVAL = 30.0
+_MEASURE_INTERVAL = 2.0
 # The reason given where the instance has to begin anew.
 LEASE_LOST = 'the lease is lost'
 
--- a/libs/node/vanillayoke/node/models.py
+++ b/libs/node/vanillayoke/node/models.py
@@ -285,6 +285,7 @@
         usage = ports.Usage(0, 0, 0)
         if isinstance(result, ports.Completion):
             usage = result.usage
+            self._count_tokens(demand.client, usage)
         self._parts.dispatcher.finish(
             call_attempts.make_outcome(
                 demand,
@@ -297,6 +298,12 @@
             )
         )
 
+    def _count_tokens(self, client: str, usage: ports.Usage) -> None:
+        tokens = self._parts.registry.tokens
+        tokens.add(usage.prompt - usage.cached, client=client, kind='prompt')
+        tokens.add(usage.cached, client=client, kind='cached')
+        tokens.add(usage.completion, client=client, kind='completion')
+
     def _drop_placement(
         self, demand: calls.CallDemand, placed: calls.Placement
     ) -> None:
--- a/libs/node/vanillayoke/node/parts.py
+++ b/libs/node/vanillayoke/node/parts.py
@@ -7,6 +7,7 @@
 from vanillayoke.core import events
 from vanillayoke.core import failures
 from vanillayoke.core import logs
+from vanillayoke.core import metrics
 from vanillayoke.core import timers
 from vanillayoke.node import configuration
 from vanillayoke.node import dispatcher
@@ -51,6 +52,7 @@
 
     clock: timers.TimerService
     logger: logs.Logger
+    registry: metrics.Metrics
     programs: hosted.HostedPrograms
     journal: Journal
     ownership: Ownership
