Handed idle programs over while a stopping instance ends its runs.

Cause: a stopping instance kept all its shards until its last run ended or the grace was over, up to 20 s, and refused new turns of idle programs meanwhile. Change: from the begin of a stop, shards without calls under way move, those with programs first; programs are found by shard without a scan of all. Conclusion: a planned stop does not hold programs up.

--- a/libs/node/vanillayoke/node/hosted.py
+++ b/libs/node/vanillayoke/node/hosted.py
@@ -26,6 +26,7 @@
     def __init__(self, journal: RecordSink) -> None:
         self._journal = journal
         self._programs: dict[str, programs.Program] = {}
+        self._by_shard: dict[ids.Shard, dict[str, programs.Program]] = {}
 
     @property
     def known(self) -> typing.Mapping[str, programs.Program]:
@@ -48,15 +49,12 @@
 
     def list_family(self, root: str) -> list[programs.Program]:
         """Return a root and all programs under it."""
-        return [one for one in self._programs.values() if one.root == root]
+        shard = self._by_shard.get(ids.find_shard(root), {})
+        return [one for one in shard.values() if one.root == root]
 
     def list_shard(self, shard: ids.Shard) -> list[programs.Program]:
         """Return the hosted programs of a shard."""
-        return [
-            one
-            for one in self._programs.values()
-            if ids.find_shard(one.id) == shard
-        ]
+        return list(self._by_shard.get(shard, {}).values())
 
     def write(self, added: typing.Sequence[records.AnyRecord]) -> None:
         """Apply a decision's records and journal them."""
@@ -68,7 +66,7 @@
     def add(self, gained: typing.Iterable[programs.Program]) -> None:
         """Take over programs rebuilt from a journal."""
         for one in gained:
-            self._programs[one.id] = one
+            self._host(one)
 
     def drop(
         self, shards: typing.AbstractSet[ids.Shard]
@@ -76,8 +74,8 @@
         """Forget the programs of lost shards and return them."""
         lost = [
             one
-            for one in self._programs.values()
-            if ids.find_shard(one.id) in shards
+            for shard in shards
+            for one in self._by_shard.pop(shard, {}).values()
         ]
         for one in lost:
             del self._programs[one.id]
@@ -99,11 +97,17 @@
         ]
         for program in gone:
             del self._programs[program]
+            self._by_shard[ids.find_shard(program)].pop(program)
         return len(gone)
 
+    def _host(self, program: programs.Program) -> None:
+        shard = ids.find_shard(program.id)
+        self._programs[program.id] = program
+        self._by_shard.setdefault(shard, {})[program.id] = program
+
     def _apply(self, record: records.AnyRecord) -> None:
         if isinstance(record, records.ProgramOpened):
-            opened = programs.Program.from_opened(record)
-            self._programs.setdefault(opened.id, opened)
+            if record.program not in self._programs:
+                self._host(programs.Program.from_opened(record))
             return
         self._programs[record.program].apply(record)
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -204,6 +204,7 @@
         self._outside.logger.write(events.DRAIN_STARTED, reason=reason)
         self.host.begin_drain()
         self.members.leave()
+        self.ownership.leave()
         await self._wait_for_runs(grace)
         await self.ownership.release()
         self._outside.logger.write(
--- a/libs/node/vanillayoke/node/ownership.py
+++ b/libs/node/vanillayoke/node/ownership.py
@@ -68,6 +68,7 @@
         self._map = shardmaps.ShardMap()
         self._list_programs: handovers.ListPrograms = _list_nothing
         self._may_move: MayMove = _allow
+        self._is_leaving = False
         self._held = holdings.Holdings()
         self._table = shardtable.ShardTable(
             table, service, source, self._spend
@@ -211,6 +212,15 @@
             self._scan_at = float('-inf')
         self._update_map()
 
+    def leave(self) -> None:
+        """Begin to hand over the shards that may move, a few at a time.
+
+        Programs between two turns so go on elsewhere at once, while calls
+        that are under way come to their end here.
+        """
+        self._is_leaving = True
+        self._update_map()
+
     def _update_map(self) -> None:
         name = self._journal.row.name
         expected = {
@@ -219,7 +229,8 @@
             if member.state in _EXPECTED
             and self._watcher.find_live(member.instance) is not None
         }
-        self._map.update(expected | {name})
+        own = set() if self._is_leaving else {name}
+        self._map.update((expected - {name}) | own)
         self._journal.pacer.share_with(len(expected | {name}))
         self._claim_alarm.ring()
 
@@ -443,7 +454,10 @@
 
     def _plan_moves(self) -> handovers.Heirs:
         heirs: handovers.Heirs = {}
-        for shard in self._held.list_in(holdings.Phase.SERVING):
+        serving = self._held.list_in(holdings.Phase.SERVING)
+        # Somebody may wait for a program; nobody waits for an empty shard.
+        serving.sort(key=lambda shard: not self._list_programs(shard))
+        for shard in serving:
             name = self._map.find_owner(shard)
             if name == self._journal.row.name:
                 continue
