Joined a run that goes on when its key is repeated, and widened the search.

Cause: a repeated key began a new turn of the model where the run's last step, a tool, had failed retryably. The run was still being driven then: its other tool requests were passed over and two drove it.

Change: an open run is always joined. The state machine takes the weighted events one a step, retries keys as a caller would and checks what targets did, what was told and what was charged; a second test drives the same machine by walks from 500 seeds. Tests for doubled segments, a child of an ended program and a negative reservation.

--- a/libs/programs/vanillayoke/programs/decisions.py
+++ b/libs/programs/vanillayoke/programs/decisions.py
@@ -74,8 +74,12 @@
     A caller told "overloaded, come back in five seconds" comes back with
     the same key; given the recorded refusal it would never get through.
     Only the last call counts, when it failed in a way that may be retried
-    and either provably did not run or is idempotent.
+    and either provably did not run or is idempotent. A run that goes on is
+    joined whatever its last step was: its owner may be about to begin the
+    next one, and two would drive it.
     """
+    if program.open_run:
+        return False
     last = program.calls[-1]
     is_same = last is known or (known.run and last.run == known.run)
     if not is_same or not last.error or known.run in program.run_ends:
--- a/tests/programs/test_decisions.py
+++ b/tests/programs/test_decisions.py
@@ -204,6 +204,20 @@
     case.assertEqual(_KIND.BAD_REQUEST, again.kind)
 
 
+def test_repeated_key_joins_a_run_that_goes_on(case, driver, program):
+    """A second order is dropped, and its run is driven by two at once.
+
+    The first tool of a run found no target. Before the next one began, the
+    caller repeated its key, and that began a new turn of the model.
+    """
+    driver.run(program, 'r', run='r', tools=[_ORDER, _AGAIN])
+    _order(driver, program, 'r\n2', run='r', tool_call_id='c1')
+    driver.fail(program, failures.Failure(_KIND.NO_TARGET, 'none'))
+    repeated = driver.accept(program, 'r', run='r')
+    case.assertEqual(decisions.Repeat(1), repeated)
+    case.assertEqual((_AGAIN,), program.pending_tools)
+
+
 def test_open_run_keeps_other_calls_out(case, driver, program):
     driver.run(program, 'r', run='r', tools=[_ORDER])
     case.assertEqual('r', program.open_run)
--- a/tests/programs/test_machine.py
+++ b/tests/programs/test_machine.py
@@ -1,6 +1,8 @@
 """A state machine that looks for a sequence which breaks a promise."""
 
 import collections
+import itertools
+import random
 import typing
 
 from hypothesis import settings
@@ -10,28 +12,28 @@
 from tests.programs import drivers
 from vanillayoke.core import failures
 from vanillayoke.programs import budget
+from vanillayoke.programs import decisions
 from vanillayoke.programs import endings
 from vanillayoke.programs import records
 from vanillayoke.programs import replay
 from vanillayoke.programs import snapshots
 from vanillayoke.testing import fixtures
 
-_PICKS = strategies.integers(0, 5)
-_KEYS = strategies.sampled_from(('a', 'b', 'c', 'd', 'e', 'f'))
-_ENDS = strategies.sampled_from(
-    (
-        failures.Failure(failures.Kind.TARGET_REFUSED, 'refused'),
-        failures.Failure(failures.Kind.NO_TARGET, 'none left'),
-        failures.Failure(failures.Kind.OUTCOME_UNKNOWN, 'reply lost'),
-    )
+_ENDS = (
+    failures.Failure(failures.Kind.TARGET_REFUSED, 'refused'),
+    failures.Failure(failures.Kind.NO_TARGET, 'none left'),
+    failures.Failure(failures.Kind.OUTCOME_UNKNOWN, 'reply lost'),
 )
+_WALKS = 500
+_WALK_STEPS = 60
 _BUDGET = records.Budget(tokens=350, calls=6, seconds=64.0, money=40)
 # The weights let most sequences come far; a rule for each event would not,
 # since hypothesis leaves some rules out of each sequence.
-_EVENTS = strategies.sampled_from(
-    10 * ('proceed',)
-    + 2 * ('accept', 'intend', 'send', 'answer', 'fail', 'commit')
-    + ('open', 'end', 'take_over', 'wake', 'cancel', 'snapshot')
+_EVENTS = (
+    8 * ('proceed',)
+    + 3 * ('intend', 'send')
+    + 2 * ('retry', 'answer', 'fail', 'commit')
+    + ('accept', 'open', 'end', 'take_over', 'wake', 'cancel', 'snapshot')
 )
 _NOT_RUN = frozenset(
     kind.value
@@ -41,23 +43,33 @@
 
 
 class _Choice(typing.NamedTuple):
-    """What an event picks; each event uses what it needs."""
+    """An event and what it picks; each event uses what it needs."""
 
+    event: str
     index: int
     key: str
     flag: bool
-    failure: failures.Failure
 
 
-_CHOICES = strategies.builds(
-    _Choice, _PICKS, _KEYS, strategies.booleans(), _ENDS
-)
+_CHOICES = [
+    _Choice(*picks)
+    for picks in itertools.product(_EVENTS, range(4), 'abcdef', (False, True))
+]
 
 
 def _to_amounts(spend):
     return [getattr(spend, name) for name in budget.RESOURCES]
 
 
+def _may_retry(call):
+    """Tell whether running a failed call's key again does no harm."""
+    if not call.error:
+        return False
+    answer = failures.ANSWERS[failures.Kind(call.error)]
+    is_harmless = call.idempotent or answer.ran is failures.Ran.NO
+    return answer.may_retry and is_harmless
+
+
 class Machine(stateful.RuleBasedStateMachine):
     """One shard's holder, its journal, and targets that do what is sent.
 
@@ -80,11 +92,19 @@
         )
         self.commit()
 
-    @stateful.rule(event=_EVENTS, choice=_CHOICES)
-    def step(self, event, choice):
-        getattr(self, event)(choice)
+    @stateful.rule(choice=strategies.sampled_from(_CHOICES))
+    def step(self, choice):
+        self.follow(choice)
+
+    def follow(self, choice):
+        getattr(self, choice.event)(choice)
+        self.check()
+
+    def teardown(self):
+        self.check_replay()
 
     def commit(self, choice=None):
+        self.check_replay()
         self.durable = len(self.driver.segments)
         for program in self.driver.known.values():
             for call in program.calls:
@@ -98,9 +118,11 @@
 
     def proceed(self, choice):
         """Do what comes next for a program when nothing goes wrong."""
-        call = self.pick(choice.index).running
+        program = self.pick(choice.index)
+        call = program.running
         if call is None:
-            self.accept(choice)
+            fresh = f'{choice.key}{len(program.calls)}'
+            self.accept(choice._replace(key=fresh))
         elif not call.is_intended:
             self.intend(choice)
         elif choice.flag:
@@ -110,16 +132,15 @@
 
     def open(self, choice):
         parent = self.pick(choice.index) if choice.flag else None
-        if len(self.driver.known) < 6:
+        if len(self.driver.known) < 4:
             self.driver.open(choice.key, parent=parent, budget=_BUDGET)
 
     def accept(self, choice):
         program = self.pick(choice.index)
         key = choice.key
         is_order = choice.flag
-        known = program.find_key(key)
         name = 'order' if is_order else ''
-        decided = self.driver.accept(
+        self.driver.accept(
             program,
             key,
             name,
@@ -127,10 +148,28 @@
             idempotent=not is_order,
             run='' if is_order else key,
         )
-        if known is not None:
-            assert not isinstance(decided, list), decided
         self._go_on(program)
 
+    def retry(self, choice):
+        """Let a client that got no answer send a call once more."""
+        program = self.pick(choice.index)
+        call = program.find_call(len(program.calls) - choice.flag)
+        if call is not None:
+            before = program.calls[-1]
+            was_open = program.open_run or program.running
+            latest = program.find_key(call.key)
+            repeated = self.driver.accept(
+                program,
+                call.key,
+                call.name,
+                fingerprint=call.fingerprint,
+                idempotent=call.idempotent,
+                run=call.run,
+            )
+            if repeated != decisions.Repeat(latest.number):
+                assert not was_open, repeated
+                assert _may_retry(before), repeated
+
     def _go_on(self, program):
         """Make a call of the model's next tool request, as a host would."""
         for request in program.pending_tools[:1]:
@@ -177,29 +216,34 @@
     def answer(self, choice):
         """Deliver an answer: in time, late or once more."""
         program = self.pick(choice.index)
-        call = program.running or program.find_key(choice.key)
+        last = len(program.calls)
+        call = program.find_call(last - choice.index * choice.flag)
         if call is None or not call.attempts:
             return
         number = call.number
         tools = [
             records.ToolRequest(f'c{number}-{one}', 'order', f'{one}')
-            for one in range(2 * choice.flag)
+            for one in range(2 * (choice.key < 'd'))
         ]
         was_final = call.is_final
         decided = self.driver.answer(program, number, tools=tools)
         assert not (was_final and decided), decided
 
     def fail(self, choice):
-        """Give up a call; a refusal is only reported where it was one."""
+        """Give up a call; only what a target can have said is reported."""
         program = self.pick(choice.index)
         call = program.running
         if call is None:
             return
         attempt = (program.id, call.number, call.epoch, call.attempts)
         was_sent = attempt in self.sent
-        refused = choice.failure.kind is failures.Kind.TARGET_REFUSED
-        if not (refused and (was_sent or not call.attempts)):
-            self.driver.fail(program, choice.failure)
+        is_told = {
+            failures.Kind.TARGET_REFUSED: call.attempts and not was_sent,
+            failures.Kind.OUTCOME_UNKNOWN: call.attempts,
+        }
+        failure = _ENDS[ord(choice.key) % len(_ENDS)]
+        if is_told.get(failure.kind, True):
+            self.driver.fail(program, failure)
 
     def cancel(self, choice):
         program = self.pick(choice.index)
@@ -219,10 +263,14 @@
 
     def take_over(self, choice):
         """Lose the holder with all that is not durable."""
+        self.check_replay()
         lost = self.driver.segments[self.durable :]
         self.stale += [one for segment in lost for one in segment.records]
         self.driver.take_over(lost=len(lost))
         self.durable = min(self.durable, len(self.driver.segments))
+        for program in self.driver.known.values():
+            call = program.running
+            assert call is None or call.idempotent or not call.is_intended
 
     def wake(self, choice):
         """Apply a record that a lost holder wrote, behind its successor's."""
@@ -234,16 +282,21 @@
             assert not replay.apply_record(self.driver.known, record)
             self.driver.take([record])
 
-    @stateful.invariant()
-    def replay_equals_live_state(self):
+    def check_replay(self):
         replayed = replay.replay(self.driver.segments, drivers.ALL_SHARDS)
         assert replayed == self.driver.known
 
-    @stateful.invariant()
+    def check(self):
+        self.work_is_done_at_most_once()
+        self.budgets_hold_and_count_the_whole_tree()
+        self.calls_keep_their_order()
+        self.what_was_told_stays()
+        self.outcomes_are_true()
+        self.engines_can_read_the_conversation()
+
     def work_is_done_at_most_once(self):
         assert all(count == 1 for count in self.work.values()), self.work
 
-    @stateful.invariant()
     def budgets_hold_and_count_the_whole_tree(self):
         for program in self.driver.known.values():
             used = records.Spend()
@@ -257,31 +310,35 @@
             assert _to_amounts(used) == _to_amounts(counted)
             assert min(_to_amounts(program.remaining())) >= 0
 
-    @stateful.invariant()
     def calls_keep_their_order(self):
         for program in self.driver.known.values():
             numbers = [call.number for call in program.calls]
             assert numbers == list(range(1, len(numbers) + 1))
             assert all(call.is_final for call in program.calls[:-1])
-            keys = [call.key for call in program.calls]
-            assert len(keys) == len(set(keys))
+            keys = set()
+            for call in program.calls:
+                if call.key in keys:
+                    before = program.calls[call.number - 2]
+                    assert _may_retry(before), call
+                    assert before.key == call.key or before.run == call.run
+                keys.add(call.key)
 
-    @stateful.invariant()
     def what_was_told_stays(self):
         for (name, number), told in self.told.items():
             call = self.driver.known[name].find_call(number)
             now = (call.key, call.state, call.message, call.error)
             assert now == told
 
-    @stateful.invariant()
-    def not_run_is_true(self):
+    def outcomes_are_true(self):
         for program in self.driver.known.values():
             for call in program.calls:
-                if call.error in _NOT_RUN:
-                    mark = (program.id, call.number, call.epoch)
-                    assert mark not in self.sent, call
+                mark = (program.id, call.number, call.epoch)
+                if call.error and mark in self.sent:
+                    assert call.error not in _NOT_RUN, call
+                    assert call.spent == call.reserved, call
+                if call.error == 'outcome_unknown' and not call.idempotent:
+                    assert call.attempts, call
 
-    @stateful.invariant()
     def engines_can_read_the_conversation(self):
         """Check that each tool request is answered before the next turn."""
         for program in self.driver.known.values():
@@ -306,10 +363,24 @@
             derandomize=True,
             database=None,
             deadline=None,
-            max_examples=120,
-            stateful_step_count=60,
+            max_examples=60,
+            stateful_step_count=40,
         ),
     )
 
 
+def test_no_random_walk_breaks_a_promise():
+    """The same, by sequences that hypothesis does not come to.
+
+    It draws many near repeats of a sequence, which is good for finding the
+    shortest failing one and bad for finding any; walks from seeds differ.
+    """
+    for seed in range(_WALKS):
+        source = random.Random(seed)
+        machine = Machine()
+        for choice in source.choices(_CHOICES, k=_WALK_STEPS):
+            machine.follow(choice)
+        machine.teardown()
+
+
 load_tests = fixtures.adapt(__name__)
--- a/tests/programs/test_opening.py
+++ b/tests/programs/test_opening.py
@@ -3,6 +3,7 @@
 from tests.programs import drivers
 from vanillayoke.core import failures
 from vanillayoke.programs import budget
+from vanillayoke.programs import endings
 from vanillayoke.programs import opening
 from vanillayoke.programs import records
 from vanillayoke.testing import fixtures
@@ -103,6 +104,21 @@
     case.assertEqual(records.Spend(), root.reserved)
 
 
+def test_child_of_an_ended_program_takes_no_calls(case, driver):
+    root = driver.open()
+    child = driver.open('child', parent=root)
+    driver.take(endings.end_program(root, (), 'ended', 1, drivers.NOW))
+    refused = driver.accept(child, 'k')
+    case.assertEqual(_KIND.PROGRAM_ENDED, refused.kind)
+
+
+def test_negative_reservation_is_refused(case, driver):
+    """A budget grows with each call, since a client asked for -1 tokens."""
+    program = driver.open()
+    refused = driver.accept(program, 'k', reserved=records.Spend(tokens=-1))
+    case.assertEqual(_KIND.BAD_REQUEST, refused.kind)
+
+
 def test_overspent_budget_takes_no_more_calls(case, driver):
     """A service that bills more than was reserved goes on being called."""
     program = driver.open()
--- a/tests/programs/test_replay.py
+++ b/tests/programs/test_replay.py
@@ -1,7 +1,9 @@
 """Tests of replay and snapshots."""
 
 from tests.programs import drivers
+from vanillayoke.core import failures
 from vanillayoke.core import ids
+from vanillayoke.programs import caches
 from vanillayoke.programs import records
 from vanillayoke.programs import replay
 from vanillayoke.programs import snapshots
@@ -24,6 +26,8 @@
     driver.run(root, 's2', run='r1', messages=())
     child = driver.open('child', parent=root)
     driver.run(child, 'm1')
+    driver.accept(child, 'm2')
+    driver.fail(child, failures.Failure(failures.Kind.OVERLOADED, 'full'))
     driver.accept(child, 'order', 'order', idempotent=False)
     driver.intend(child)
     return root
@@ -66,14 +70,17 @@
 
 
 def test_repeated_segments_change_nothing(case, driver, lived):
-    """A history shows an answer twice after a takeover.
+    """An engine's memory stays full of a program that has ended.
 
-    The reply to a segment's write is lost, the writer puts it again, and
-    the taker reads both copies.
+    The reply to a segment's write is lost and the writer puts it again.
+    The taker reads the second copy's release behind a later hold, and
+    nobody releases that.
     """
-    doubled = [one for one in driver.segments for _ in range(2)]
-    late = driver.segments + driver.segments[:3]
-    for segments in (doubled, late):
+    released = len(driver.segments)
+    driver.take(caches.release_cache(lived, 't1', 1))
+    driver.take(caches.hold_cache(lived, 't1', 1))
+    for again in (driver.segments, driver.segments[released:][:1]):
+        segments = driver.segments + again
         replayed = replay.replay(segments, drivers.ALL_SHARDS)
         case.assertEqual(driver.known, replayed)
 
