--- a/libs/node/vanillayoke/node/caches.py
+++ b/libs/node/vanillayoke/node/caches.py
@@ -22,8 +22,8 @@
     """Gives release orders and repeats them until they are confirmed.
 
     What a program may hold is in its journal, so the next owner goes on
-    where this one stops. A release carries no fencing number: freeing a
-    cache that is still wanted costs a prefill, nothing else.
+    where this one stops. A release needs no fencing: freeing a cache that
+    is still wanted costs a prefill, nothing else.
     """
 
     def __init__(
@@ -91,16 +91,19 @@
 
     async def _release(self, target: str, program: str) -> None:
         delay = _FIRST_DELAY
+        epoch = 0
         while True:
             engine = self._adapters.get_engine(target)
             if engine is None:
                 # A target that was removed from the configuration keeps
                 # nothing that anybody could still use.
                 return self._confirm(target, program)
-            order = ports.Order(RELEASE, program, '', 0, 0)
+            order = ports.Order(RELEASE, program, '', epoch, 0)
             failure = await engine.give_order(order)
             if not failures.is_failure(failure):
                 return self._confirm(target, program)
+            if failure.kind is failures.Kind.CONFLICT:
+                epoch = await _read_epoch(engine, epoch)
             await self._clock.sleep(delay)
             delay = min(2 * delay, _LONGEST_DELAY)
 
@@ -115,3 +118,16 @@
         self._logger.write(
             events.CACHE_RELEASED, program=program, target=target, tokens=None
         )
+
+
+async def _read_epoch(engine: ports.Engine, known: int) -> int:
+    """Return the highest epoch that a target says it has seen.
+
+    A target that checks epochs refuses a release of a program's owner once
+    the giver of its own shard has ordered something: two shards' epochs
+    have nothing to do with each other. The memory would never be freed. An
+    epoch that the target has seen fences nobody out, and it is only used
+    where an order that comes too late does no harm.
+    """
+    state = await engine.read_state()
+    return known if failures.is_failure(state) else state.epoch
