--- a/tests/programs/drivers.py
+++ b/tests/programs/drivers.py
@@ -1,12 +1,10 @@
 """A stand-in for the process around the decisions: live state and journal."""
 
 from vanillayoke.core import ids
-from vanillayoke.programs import budget
 from vanillayoke.programs import checks
 from vanillayoke.programs import decisions
 from vanillayoke.programs import endings
 from vanillayoke.programs import opening
-from vanillayoke.programs import program as programs
 from vanillayoke.programs import records
 from vanillayoke.programs import replay
 
@@ -155,13 +153,3 @@
         for program in list(self.known.values()):
             above = self.above(program)
             self.take(endings.recover_program(program, above, self.epoch))
-
-
-def total_reserved(program):
-    """Return what a program holds, as a plain tuple for comparing."""
-    reserved = program.reserved
-    return tuple(getattr(reserved, name) for name in budget.RESOURCES)
-
-
-def is_active(program):
-    return program.state is programs.ProgramState.ACTIVE
--- a/tests/programs/test_decisions.py
+++ b/tests/programs/test_decisions.py
@@ -204,6 +204,21 @@
     case.assertEqual(_KIND.BAD_REQUEST, again.kind)
 
 
+def test_a_retry_does_not_repeat_an_order_that_may_have_run(
+    case, driver, program
+):
+    """A fitter's tiles come twice after a caller's retry.
+
+    The instance lost its lease with the order on its way and said that a
+    retry may help; the retry with the same key sent the order again.
+    """
+    _order(driver, program)
+    driver.intend(program)
+    driver.fail(program, failures.Failure(_KIND.LEASE_LOST, 'lost'))
+    again = _order(driver, program)
+    case.assertEqual(decisions.Repeat(1), again)
+
+
 def test_repeated_key_joins_a_run_that_goes_on(case, driver, program):
     """A second order is dropped, and its run is driven by two at once.
 
--- a/tests/programs/test_machine.py
+++ b/tests/programs/test_machine.py
@@ -23,6 +23,7 @@
     failures.Failure(failures.Kind.TARGET_REFUSED, 'refused'),
     failures.Failure(failures.Kind.NO_TARGET, 'none left'),
     failures.Failure(failures.Kind.OUTCOME_UNKNOWN, 'reply lost'),
+    failures.Failure(failures.Kind.LEASE_LOST, 'moved meanwhile'),
 )
 _WALKS = 500
 _WALK_STEPS = 60
--- a/tests/programs/test_opening.py
+++ b/tests/programs/test_opening.py
@@ -99,7 +99,7 @@
     sibling = driver.open('sibling', parent=root)
     driver.accept(leaf, 'k')
     driver.end(child)
-    active = [drivers.is_active(one) for one in (root, child, leaf, sibling)]
+    active = [one.is_active for one in (root, child, leaf, sibling)]
     case.assertEqual([True, False, False, True], active)
     case.assertEqual(records.Spend(), root.reserved)
 
