--- a/libs/node/vanillayoke/node/buffer.py
+++ b/libs/node/vanillayoke/node/buffer.py
@@ -15,7 +15,6 @@
 
     program: str
     raw: bytes
-    is_snapshot: bool
 
 
 class _RawSegment(msgspec.Struct):
@@ -58,10 +57,7 @@
         """Encode records and put them behind the others."""
         for record in added:
             raw = self._encoder.encode(record)
-            is_snapshot = isinstance(record, records.ProgramSnapshot)
-            self._waiting.append(
-                EncodedRecord(record.program, raw, is_snapshot)
-            )
+            self._waiting.append(EncodedRecord(record.program, raw))
             self._size += len(raw)
 
     def take(self, most: int) -> list[EncodedRecord]:
--- a/libs/node/vanillayoke/node/compaction.py
+++ b/libs/node/vanillayoke/node/compaction.py
@@ -15,6 +15,11 @@
 # Journals below this are left alone; in bytes.
 SMALLEST_JOURNAL = 1024 * 1024
 _MOST_GARBAGE = 2.0
+_GROWTH = 1.5
+_LEAST_GAIN = 0.9
+_BYTES_PER_PROGRAM = 500
+_BYTES_PER_CALL = 400
+_BYTES_PER_CHARACTER = 2
 _CLEANED_SHARE = 0.5
 CHECK_INTERVAL = 5.0
 
@@ -44,6 +49,7 @@
         self._list_programs = list_programs
         self._keeps = keeps
         self._find_first_pinned = find_first_pinned
+        self._all_alive = 0
 
     async def run(self) -> None:
         """Compact whenever it is due, until the lease is lost."""
@@ -57,20 +63,22 @@
         known = self._journal.extents
         if len(known) > MOST_SEGMENTS:
             return True
-        if known.size < SMALLEST_JOURNAL:
+        if known.size < max(SMALLEST_JOURNAL, self._all_alive * _GROWTH):
             return False
-        return known.size > _MOST_GARBAGE * self._measure_live()
+        return known.size > _MOST_GARBAGE * self._estimate_live()
 
-    def _measure_live(self) -> int:
-        """Return the bytes of served programs since their last snapshots."""
+    def _estimate_live(self) -> int:
+        """Return about how many bytes snapshots of all programs would take."""
         return sum(
-            size
-            for program, size in self._journal.extents.live.items()
-            if self._held.find_epoch(ids.find_shard(program)) is not None
+            estimate_snapshot(program)
+            for shard in self._held.list_in(holdings.Phase.SERVING)
+            for program in self._list_programs(shard)
+            if self._keeps(program)
         )
 
     async def compact(self) -> bool:
         """Rewrite the oldest half; tell whether the journal got shorter."""
+        before = self._journal.extents.size
         base = self._choose_base()
         if base is None:
             return False
@@ -82,6 +90,10 @@
         if await self._journal.change_row(base=base) is not None:
             return False
         await self._journal.delete_segments(base)
+        # The estimate may be far off. Without this bound a journal that is
+        # all alive would be rewritten again and again.
+        after = self._journal.extents.size
+        self._all_alive = after if after > before * _LEAST_GAIN else 0
         return True
 
     def _choose_base(self) -> int | None:
@@ -107,7 +119,7 @@
         """Append snapshots of the programs in old segments."""
         named = {program for one in old for program in one.programs}
         by_shard: dict[ids.Shard, set[str]] = {}
-        for program in named:
+        for program in sorted(named):
             by_shard.setdefault(ids.find_shard(program), set()).add(program)
         for shard, wanted in sorted(by_shard.items()):
             # A shard that is being given away lists no programs, and what
@@ -132,3 +144,13 @@
                 if program.id in wanted and self._keeps(program)
             ]
         )
+
+
+def estimate_snapshot(program: programs.Program) -> int:
+    """Return about how many bytes a program's snapshot takes."""
+    return (
+        _BYTES_PER_PROGRAM
+        + _BYTES_PER_CALL * len(program.calls)
+        + _BYTES_PER_CHARACTER * program.text_length
+        + sum(map(len, program.held))
+    )
--- a/libs/node/vanillayoke/node/extents.py
+++ b/libs/node/vanillayoke/node/extents.py
@@ -8,7 +8,7 @@
 
 
 class SegmentExtent(typing.NamedTuple):
-    """A segment's bytes, in all and by program.
+    """A segment's bytes, and the programs that it has records of.
 
     It holds the journal's records from position ``begin`` to below ``end``.
     """
@@ -17,7 +17,7 @@
     begin: int
     end: int
     size: int
-    programs: dict[str, int]
+    programs: frozenset[str]
 
 
 class JournalExtents:
@@ -27,8 +27,6 @@
         self._segments: collections.deque[SegmentExtent]
         self._segments = collections.deque()
         self.size = 0
-        # Bytes by program since and with its last snapshot.
-        self.live: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._segments)
@@ -43,14 +41,8 @@
         taken: typing.Sequence[buffer.EncodedRecord],
     ) -> None:
         """Add the newest segment."""
-        programs: dict[str, int] = {}
-        for record in taken:
-            program = record.program
-            size = len(record.raw)
-            programs[program] = programs.get(program, 0) + size
-            before = 0 if record.is_snapshot else self.live.get(program, 0)
-            self.live[program] = before + size
-        size = sum(programs.values())
+        size = sum(len(record.raw) for record in taken)
+        programs = frozenset(record.program for record in taken)
         self.size += size
         end = begin + len(taken)
         self._segments.append(
@@ -73,11 +65,4 @@
             segment = self._segments.popleft()
             self.size -= segment.size
             dropped.append(segment.number)
-        self._forget_programs()
         return dropped
-
-    def _forget_programs(self) -> None:
-        """Drop the counts of programs that are in no segment."""
-        named = {name for one in self._segments for name in one.programs}
-        for program in set(self.live) - named:
-            del self.live[program]
--- a/libs/node/vanillayoke/node/handovers.py
+++ b/libs/node/vanillayoke/node/handovers.py
@@ -110,25 +110,26 @@
                 return failures.Failure(
                     failures.Kind.LEASE_LOST, 'fenced during a handover'
                 )
-            written = await self._table.change(left)
-            if failures.is_failure(written):
-                await self._timers.sleep(_RETRY)
-                written = self._find_written(left)
-            self._held.remove(written)
-            await self._announce(written)
+            result = await self._table.change(left)
+            given = [shard for shard in left if self._is_given(shard)]
+            self._held.remove(given)
+            await self._announce(given)
             left = {
-                shard: row
-                for shard, row in left.items()
-                if shard not in written
+                shard: row for shard, row in left.items() if shard not in given
             }
+            if failures.is_failure(result):
+                await self._timers.sleep(_RETRY)
         return None
 
-    def _find_written(self, changes: shardtable.Changes) -> shardtable.Changes:
-        return {
-            shard: row
-            for shard, row in changes.items()
-            if self._table.find(shard) == row
-        }
+    def _is_given(self, shard: ids.Shard) -> bool:
+        """Tell whether a handover took effect, by the row as last read.
+
+        The heir may have changed the row again before a lost reply was
+        noticed. Nobody else changes the row of a live owner, so that
+        another owner in it is proof enough; to write the handover once more
+        would take the shard back to an old epoch.
+        """
+        return self._table.find(shard).owner != self._journal.incarnation
 
     def _pin(self, changes: shardtable.Changes) -> None:
         """Keep the segments that the rows are about to name."""
@@ -146,15 +147,15 @@
             if not any(source.incarnation == me for source in row.sources):
                 del self._pinned[shard]
 
-    async def _announce(self, written: shardtable.Changes) -> None:
-        if not written:
+    async def _announce(self, given: list[ids.Shard]) -> None:
+        if not given:
             return
         now = self._timers.now()
+        until = now + NOTICE_LIFETIME
         self._handed = [one for one in self._handed if one.until > now]
         self._handed += [
-            _Handed(row.owner, shard, now + NOTICE_LIFETIME)
-            for shard, row in written.items()
-            if row.owner
+            _Handed(self._table.find(shard).owner, shard, until)
+            for shard in given
         ]
         handed: dict[str, tuple[ids.Shard, ...]] = {}
         for heir, shard, _ in self._handed:
--- a/libs/node/vanillayoke/node/leaserow.py
+++ b/libs/node/vanillayoke/node/leaserow.py
@@ -54,6 +54,8 @@
         than this. ``STORE_UNAVAILABLE``: none did yet, as far as is known.
         ``LEASE_LOST``: none ever will.
         """
+        if self._is_creation_overdue():
+            return await self._read_back()
         write_id = ids.make_id('row', self._random)
         self._attempts[write_id] = attempt
         result = await self._table.transact(
@@ -98,17 +100,21 @@
         return make_lost()
 
     def _judge_absent(self) -> failures.Failure:
-        """Say what it means that there is no row.
+        if self._version > 0 or self._is_creation_overdue():
+            return make_lost()
+        return _make_undone()
+
+    def _is_creation_overdue(self) -> bool:
+        """Tell whether the first write has been in doubt for too long.
 
-        A first write in doubt for long may have taken effect and have been
-        fenced and cleared away since. The others hold this incarnation for
-        dead then, so that it must not come to life by a second first write.
+        It may have taken effect, and have been fenced and cleared away by
+        now. The others hold this incarnation for dead then, so that it must
+        not come to life by a second first write.
         """
+        if self._version > 0 or not self._attempts:
+            return False
         oldest = min(attempt.sent_at for attempt in self._attempts.values())
-        age = self._timers.now() - oldest
-        if self._version > 0 or age > self._longest_creation:
-            return make_lost()
-        return _make_undone()
+        return self._timers.now() - oldest > self._longest_creation
 
     def _confirm(self, write_id: str, version: int) -> Attempt:
         attempt = self._attempts[write_id]
--- a/tests/node/machines.py
+++ b/tests/node/machines.py
@@ -4,7 +4,11 @@
 import random
 import typing
 
+import msgspec
+
 from vanillayoke.cluster import messages
+from vanillayoke.cluster import rows
+from vanillayoke.core import failures
 from vanillayoke.core import ids
 from vanillayoke.core import timers
 from vanillayoke.fakes import platform_memory
@@ -14,6 +18,8 @@
 from vanillayoke.programs import records
 from vanillayoke.settings import process
 
+DOWN = failures.Failure(failures.Kind.STORE_UNAVAILABLE, 'down')
+RETENTION = 60.0
 BUDGET = records.Budget(1_000_000, 1000, 3600.0, 1_000_000)
 
 
@@ -74,13 +80,13 @@
     def call_after(self, delay, callback):
         async def fire() -> None:
             await self._gate.wait()
-            if not subscription.cancelled:
-                callback()
+            callback()
+
+        def begin() -> None:
+            subscription.firing = asyncio.ensure_future(fire())
 
         subscription = _GatedSubscription()
-        subscription.inner = self._inner.call_after(
-            delay / self._rate, lambda: asyncio.ensure_future(fire())
-        )
+        subscription.inner = self._inner.call_after(delay / self._rate, begin)
         return subscription
 
     def call_every(self, interval, callback):
@@ -99,11 +105,12 @@
 
 class _GatedSubscription(timers.Subscription):
     inner: timers.Subscription
-    cancelled = False
+    firing: asyncio.Task | None = None
 
     def cancel(self) -> None:
-        self.cancelled = True
         self.inner.cancel()
+        if self.firing is not None:
+            self.firing.cancel()
 
 
 class GatedPort:
@@ -181,15 +188,21 @@
         )
         self.programs = hosted.HostedPrograms(self.journal)
         self.gained_at: dict[str, float] = {}
+        self.lost_at: dict[str, float] = {}
         self.ownership.provide_programs(self.programs.list_shard)
         self.ownership.subscribe_gained(self._gain)
-        self.ownership.subscribe_lost(self.programs.drop)
+        self.ownership.subscribe_lost(self._lose)
 
     def _gain(self, gained) -> None:
         self.programs.add(gained)
         now = self.cluster.loop.time()
         self.gained_at.update((program.id, now) for program in gained)
 
+    def _lose(self, lost) -> None:
+        now = self.cluster.loop.time()
+        dropped = self.programs.drop(lost)
+        self.lost_at.update((program.id, now) for program in dropped)
+
     @property
     def incarnation(self) -> str:
         return self.journal.incarnation
@@ -243,6 +256,13 @@
         assert epoch is not None, f'{self.name} does not own {program}'
         self.programs.write([records.CacheHeld(program, epoch, target=target)])
 
+    def release(self, program: str, target: str) -> None:
+        """Write a small record for a program: its cache was let go."""
+        epoch = self.ownership.held_epoch(ids.find_shard(program))
+        self.programs.write(
+            [records.CacheReleased(program, epoch, target=target)]
+        )
+
 
 class Cluster:
     """Machines on one platform, with membership as the test says."""
@@ -257,7 +277,7 @@
     ) -> None:
         self.loop = loop
         self.lease = lease or process.LeaseSettings()
-        self.store = store or process.StoreSettings()
+        self.store = store or process.StoreSettings(retention=RETENTION)
         self.platform = platform_memory.MemoryPlatform(
             timers.LoopTimers(loop), random.Random(seed)
         )
@@ -361,7 +381,10 @@
     async def stop(self) -> None:
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        done = await asyncio.gather(*self._tasks, return_exceptions=True)
+        for result in done:
+            if isinstance(result, Exception):
+                raise result
 
     async def _run(self, machine: Machine) -> None:
         source = random.Random(machine.name)
@@ -409,3 +432,31 @@
             found = holders[0].programs.find(act.program)
             case.assertIsNotNone(found, act)
             case.assertIn(act.target, found.held)
+
+
+async def read_journal(
+    cluster: Cluster, incarnation: str
+) -> list[records.AnyRecord]:
+    """Return the records that a journal holds by its row."""
+    table = cluster.platform.table
+    objects = cluster.platform.objects
+    found = await table.read(rows.name_instance_row(incarnation))
+    row = rows.decode_row(found.value, rows.InstanceRow)
+    kept: list[records.AnyRecord] = []
+    for number in range(row.base, row.head + 1):
+        blob = await objects.get(rows.name_segment(incarnation, number))
+        kept += records.decode_segment(blob).records
+    if row.tail:
+        found = await table.read(rows.name_tail_row(incarnation))
+        tail = rows.decode_row(found.value, rows.TailRow)
+        kept += [
+            msgspec.msgpack.decode(raw, type=records.AnyRecord)
+            for raw in tail.records
+        ]
+    return kept
+
+
+async def read_shard_rows(cluster: Cluster) -> list[rows.ShardRow]:
+    """Return all shard rows of the table."""
+    found = await cluster.platform.table.scan(rows.SHARD_PREFIX, limit=9999)
+    return [rows.decode_row(row.value, rows.ShardRow) for row in found]
