--- a/libs/cluster/vanillayoke/cluster/orders.py
+++ b/libs/cluster/vanillayoke/cluster/orders.py
@@ -25,11 +25,13 @@
 class DesiredState(msgspec.Struct, frozen=True):
     """What a target should be.
 
-    ``models`` maps models to versions; those in ``absent`` were ordered
-    once and must go. An empty ``role`` leaves the role as it is.
+    ``models`` maps models to versions; it has those in ``ordered`` by an
+    order and the others of its own. Those in ``absent`` must go. An empty
+    ``role`` leaves the role as it is.
     """
 
     models: dict[str, str] = {}
+    ordered: tuple[str, ...] = ()
     absent: tuple[str, ...] = ()
     role: str = ''
 
@@ -51,14 +53,16 @@
 class Wish(typing.NamedTuple):
     """What this instance would have of a target.
 
-    ``models`` are to be loaded in any case. ``known`` holds the version of
-    every configured model that the target may have now. Loads of
-    ``postponed`` models must not start yet.
+    ``models`` are to be loaded in any case, and those ``spare`` may go if
+    an order brought them. ``known`` holds the version of every configured
+    model that the target may have now. Loads of ``postponed`` models must
+    not start yet.
     """
 
     models: frozenset[str]
     known: Models
     configuration: int
+    spare: frozenset[str] = frozenset()
     postponed: frozenset[str] = frozenset()
     role: str = ''
 
@@ -258,19 +262,24 @@
 
     A giver whose configuration lags behind the row's keeps to the row: it
     would bring back what operators replaced. What the target has of the
-    configured models it keeps, so that it gets them again after a restart;
-    what it was ordered and is configured no more has to go.
+    configured models it keeps, so that it gets them again after a restart.
+    What it was ordered and nobody needs any more has to go; what it had of
+    its own is never taken from it.
     """
     before = row.desired
     if wish.configuration < row.configuration:
         return before
-    names = wish.models | before.models.keys() | reported.loaded.keys()
+    own = reported.loaded.keys() - set(before.absent)
+    dropped = (wish.spare & set(before.ordered)) - wish.models
+    names = (wish.models | before.models.keys() | own) - dropped
     models = {
         name: wish.known[name] for name in sorted(names & wish.known.keys())
     }
-    absent = before.models.keys() | set(before.absent)
+    new = wish.models - before.models.keys() - own
+    absent = set(before.ordered) | set(before.absent)
     return DesiredState(
         models=models,
+        ordered=tuple(sorted((set(before.ordered) | new) & models.keys())),
         absent=tuple(sorted(absent - models.keys())),
         role=wish.role or before.role,
     )
--- a/libs/node/vanillayoke/node/orders.py
+++ b/libs/node/vanillayoke/node/orders.py
@@ -24,7 +24,7 @@
 _PLAN_INTERVAL = 5.0
 _ENGINE = 'engine'
 _CHECKS = 'checks'
-_NONE: frozenset[str] = frozenset()
+_NO_PLAN = model_plans.CopyPlan()
 # After these nothing of an order is on its way any more.
 _DEFINITE = frozenset(
     (
@@ -78,8 +78,9 @@
         self._source = source
         self._spend = spend
         self._planner = model_plans.CopyPlanner()
-        self._chosen: dict[str, frozenset[str]] = {}
+        self._plans: dict[str, model_plans.CopyPlan] = {}
         self._plan_at = float('-inf')
+        self._postponed: dict[str, frozenset[str]] = {}
         self._duties: dict[str, _Duty] = {}
 
     @classmethod
@@ -183,7 +184,7 @@
                     model_plans.EngineCopies(name, settings.zone, models)
                 )
         models = self._parts.configuration.current.models
-        self._chosen = self._planner.choose(copies, models, now)
+        self._plans = self._planner.choose(copies, models, now)
 
     async def _pass(self, target: str, duty: _Duty) -> None:
         """Compare a target with its desired state once and act upon it."""
@@ -240,15 +241,32 @@
                 continue
             if not await self._survey.may_roll(target, name, version, engines):
                 known[name] = present
+        plan = self._plans.get(target, _NO_PLAN)
         wish = orders.Wish(
-            self._chosen.get(target, _NONE), known, published.version
+            plan.needed, known, published.version, spare=plan.spare
         )
         loads = book.list_loads(wish, reported)
         if not loads:
             return wish
         postponed = await self._survey.list_postponed(target, loads, engines)
+        self._note_postponed(target, book.epoch, postponed)
         return wish._replace(postponed=postponed)
 
+    def _note_postponed(
+        self, target: str, epoch: int, postponed: frozenset[str]
+    ) -> None:
+        """Log once, not at each pass, that loads wait for the store."""
+        if postponed and self._postponed.get(target) != postponed:
+            self._parts.logger.write(
+                events.ORDER_REFUSED,
+                target=target,
+                kind='load',
+                epoch=epoch,
+                order=0,
+                reason='the weight store cannot serve it in time',
+            )
+        self._postponed[target] = postponed
+
     async def _write_row(
         self, target: str, book: orders.OrderBook, action: orders.WriteRow
     ) -> bool:
--- a/libs/scheduling/vanillayoke/scheduling/models.py
+++ b/libs/scheduling/vanillayoke/scheduling/models.py
@@ -13,6 +13,10 @@
 # A copy has to be missing this long before another engine loads the model:
 # an engine that restarts is sooner back than a load elsewhere is done.
 MISSING_PATIENCE = 15.0
+# A copy has to be needless this long before it is unloaded, and each further
+# copy of the model a little longer: the copies so never go all at once.
+SPARE_PATIENCE = 600.0
+SPARE_STAGGER = 30.0
 # A load that takes longer than this is not begun, in seconds.
 LOAD_WINDOW = 600.0
 
@@ -28,40 +32,55 @@
     models: frozenset[str]
 
 
+class CopyPlan(typing.NamedTuple):
+    """What an engine must have, and what it may let go if it was ordered."""
+
+    needed: frozenset[str] = frozenset()
+    spare: frozenset[str] = frozenset()
+
+
 class CopyPlanner:
     """Finds the models that engines must get; remembers since when."""
 
-    def __init__(self, patience: float = MISSING_PATIENCE) -> None:
-        self._patience = patience
-        self._missing_since: dict[str, float] = {}
+    def __init__(self) -> None:
+        self._since: dict[tuple[str, str], float] = {}
 
     def choose(
         self,
         engines: typing.Sequence[EngineCopies],
         models: Models,
         now: float,
-    ) -> dict[str, frozenset[str]]:
-        """Return the models that each usable engine must have or get.
+    ) -> dict[str, CopyPlan]:
+        """Return the plan for each usable engine.
 
         Pinned models are due at once, copies up to the minimum once they
-        have been missing for a while.
+        have been missing for a while, and needless ones much later.
         """
-        chosen: dict[str, set[str]] = {one.target: set() for one in engines}
+        needed: dict[str, set[str]] = {one.target: set() for one in engines}
+        spare: dict[str, set[str]] = {one.target: set() for one in engines}
+        since: dict[tuple[str, str], float] = {}
         for name, settings in models.items():
-            for target in chosen.keys() & set(settings.pinned):
-                chosen[target].add(name)
+            for target in needed.keys() & set(settings.pinned):
+                needed[target].add(name)
             missing = list_missing_copies(name, settings, engines)
-            if self._is_overdue(name, bool(missing), now):
-                for target in missing:
-                    chosen[target].add(name)
-        return {target: frozenset(names) for target, names in chosen.items()}
-
-    def _is_overdue(self, model: str, is_missing: bool, now: float) -> bool:
-        if not is_missing:
-            self._missing_since.pop(model, None)
-            return False
-        since = self._missing_since.setdefault(model, now)
-        return now - since >= self._patience
+            if missing:
+                key = (name, '')
+                since[key] = self._since.get(key, now)
+                if now - since[key] >= MISSING_PATIENCE:
+                    for target in missing:
+                        needed[target].add(name)
+            found = list_spare_copies(name, settings, engines)
+            for rank, target in enumerate(found):
+                key = (name, target)
+                since[key] = self._since.get(key, now)
+                patience = SPARE_PATIENCE + rank * SPARE_STAGGER
+                if now - since[key] >= patience:
+                    spare[target].add(name)
+        self._since = since
+        return {
+            target: CopyPlan(frozenset(names), frozenset(spare[target]))
+            for target, names in needed.items()
+        }
 
 
 def list_missing_copies(
@@ -71,26 +90,59 @@
 ) -> list[str]:
     """Return the engines that should load a model to reach its minimum.
 
-    Zones with the fewest copies come first, then the order of rendezvous
-    hashing: an engine that is loading stays the choice until it is done.
+    An engine that is loading stays the choice until it is done.
     """
-    copies: dict[str, int] = {one.zone: 0 for one in engines}
     lacking = []
+    counted = []
     for one in engines:
-        if model in one.models or one.target in settings.pinned:
-            copies[one.zone] += 1
-        else:
-            lacking.append(one)
+        there = model in one.models or one.target in settings.pinned
+        (counted if there else lacking).append(one)
+    return _spread(model, settings.minimum_copies, counted, lacking)
+
+
+def list_spare_copies(
+    model: str,
+    settings: configuration.ModelSettings,
+    engines: typing.Sequence[EngineCopies],
+) -> list[str]:
+    """Return the engines whose copies the minimum does not need.
+
+    All instances agree on which copies these are, as far as they see the
+    same reports.
+    """
+    having = [one for one in engines if model in one.models]
+    counted = [one for one in having if one.target in settings.pinned]
+    others = [one for one in having if one.target not in settings.pinned]
+    kept = _spread(model, settings.minimum_copies, counted, others)
+    return sorted(one.target for one in others if one.target not in kept)
+
+
+def _spread(
+    model: str,
+    count: int,
+    counted: typing.Sequence[EngineCopies],
+    choices: typing.Sequence[EngineCopies],
+) -> list[str]:
+    """Choose engines so that there are ``count`` with the ``counted`` ones.
+
+    Zones with the fewest copies come first, then the order of rendezvous
+    hashing.
+    """
+    copies = {one.zone: 0 for one in choices}
+    copies.update((one.zone, 0) for one in counted)
+    for one in counted:
+        copies[one.zone] += 1
+    left = list(choices)
     found: list[str] = []
-    while lacking and sum(copies.values()) < settings.minimum_copies:
+    while left and len(counted) + len(found) < count:
         best = min(
-            lacking,
+            left,
             key=lambda one: (
                 copies[one.zone],
                 ids.hash_key(model, one.target),
             ),
         )
-        lacking.remove(best)
+        left.remove(best)
         copies[best.zone] += 1
         found.append(best.target)
     return found
--- a/tests/cluster/test_orders.py
+++ b/tests/cluster/test_orders.py
@@ -119,6 +119,26 @@
     case.assertEqual((orders.Step('load', 'm', '2'),), steps)
 
 
+def test_spare_copy_goes_only_where_an_order_brought_it(case, book):
+    """A model goes from all the engines that operators put it on.
+
+    Only what orders added beyond the minimum may go again.
+    """
+    both = orders.Reported({'m': '1', 'own': '1'}, {}, 'both')
+    known = {'m': '1', 'own': '1'}
+    write(book, make_wish(known=known), _EMPTY, 0.0)
+    write(book, make_wish(known=known), both, 1.0)
+    spare = frozenset(known)
+    wish = make_wish(models=frozenset(), known=known, spare=spare)
+    action = write(book, wish, both, 2.0)
+    case.assertEqual((orders.Step('unload', 'm'),), action.steps)
+    case.assertEqual({'own': '1'}, action.row.desired.models)
+    again = book.decide(make_wish(known=known), both, 3.0)
+    case.assertEqual(known, again.row.desired.models)
+    withdrawn = book.decide(make_wish(models=frozenset(), known={}), both, 3.0)
+    case.assertEqual((orders.Step('unload', 'm'),), withdrawn.steps)
+
+
 def test_load_of_another_version_is_overruled(case):
     desired = orders.DesiredState(models={'m': '2'})
     late = orders.Reported({'m': '2'}, {'m': '1'}, 'both')
--- a/tests/scheduling/test_models.py
+++ b/tests/scheduling/test_models.py
@@ -23,7 +23,7 @@
 
 
 def list_chosen(chosen):
-    return sorted(target for target, names in chosen.items() if names)
+    return sorted(target for target, plan in chosen.items() if plan.needed)
 
 
 def test_missing_copies_spread_over_zones(case):
@@ -70,6 +70,26 @@
     case.assertEqual(['b1'], list_chosen(chosen))
 
 
+def test_needless_copies_go_late_and_one_by_one(case):
+    """A model is loaded nowhere after an engine came back.
+
+    Others had loaded it meanwhile. Copies beyond the minimum go, the pinned
+    and the best placed ones stay, and never all of the others at once.
+    """
+    engines = make_engines(a1={'m'}, a2={'m'}, b1={'m'}, c1={'m'})
+    settings = configuration.ModelSettings(minimum_copies=2, pinned=('a2',))
+    spare = models.list_spare_copies('m', settings, engines)
+    case.assertEqual(2, len(spare))
+    case.assertIn('a1', spare)
+    planner = models.CopyPlanner()
+    planner.choose(engines, {'m': settings}, 0.0)
+    for rank in range(3):
+        now = models.SPARE_PATIENCE + rank * models.SPARE_STAGGER - 1.0
+        plans = planner.choose(engines, {'m': settings}, now)
+        gone = sorted(name for name, plan in plans.items() if plan.spare)
+        case.assertEqual(spare[:rank], gone)
+
+
 def test_version_goes_on_only_behind_engines_that_have_it(case):
     loaded = {'e1': {'m': '2'}, 'e2': {'m': '1'}, 'e3': {'m': '1'}}
     case.assertTrue(models.may_roll('e2', 'm', '2', loaded))
