Closed three gaps in what a refused call is told and charged.

Cause: read over after the tests stood. A repeated key on a program that had ended was told "not run" though its call may have run; a sub-agent whose parent is not in memory was checked against no budget but its own; an error kind written by a newer version would have raised while an older instance served the program.

Change: such a key gets its recorded failure; such a sub-agent takes no calls; unknown kinds read as internal.

Measured: 49 tests of programs and 82 of node pass; each of the three guards switched off turned its test red.

Conclusion: node.results still reads recorded kinds without the fallback.

--- a/libs/programs/vanillayoke/programs/calls.py
+++ b/libs/programs/vanillayoke/programs/calls.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from vanillayoke.core import failures
 from vanillayoke.programs import records
 
 
@@ -128,6 +129,19 @@
         return ()
 
 
+def read_kind(error: str) -> failures.Kind:
+    """Return the kind of a recorded error.
+
+    While instances are replaced one by one, an older one reads records of
+    a newer one. A kind that it does not know must not stop it from serving
+    the program, and claims nothing about whether the call ran.
+    """
+    try:
+        return failures.Kind(error)
+    except ValueError:
+        return failures.Kind.INTERNAL
+
+
 def make_error_message(
     tool_call_id: str, error: str, reason: str
 ) -> records.Message:
--- a/libs/programs/vanillayoke/programs/checks.py
+++ b/libs/programs/vanillayoke/programs/checks.py
@@ -6,6 +6,7 @@
 
 from vanillayoke.core import failures
 from vanillayoke.programs import budget
+from vanillayoke.programs import calls
 from vanillayoke.programs import program as programs
 from vanillayoke.programs import records
 
@@ -77,6 +78,13 @@
         return failures.Failure(
             failures.Kind.PROGRAM_ENDED, f'ended: {program.end_reason}'
         )
+    # A caller that lost sight of the programs above would let a sub-agent
+    # spend past their budgets, as nothing would be drawn on them.
+    above = ancestors[0].id if ancestors else ''
+    if program.parent != above:
+        return failures.Failure(
+            failures.Kind.PROGRAM_ENDED, 'its parent is gone'
+        )
     if not all(one.is_active for one in ancestors):
         return failures.Failure(
             failures.Kind.PROGRAM_ENDED, 'an ancestor has ended'
@@ -115,7 +123,7 @@
         return failures.Failure(
             failures.Kind.BAD_REQUEST, 'the run has ended or never began'
         )
-    return failures.Failure(failures.Kind(end.error), end.reason)
+    return failures.Failure(calls.read_kind(end.error), end.reason)
 
 
 def repeats_unknown(program: programs.Program, request: CallProposal) -> bool:
--- a/libs/programs/vanillayoke/programs/decisions.py
+++ b/libs/programs/vanillayoke/programs/decisions.py
@@ -56,13 +56,13 @@
         or checks.check_state(program, ancestors, now_wall)
         or checks.check_order(program, request)
     )
-    if failure is not None:
-        return failure
-    if checks.repeats_unknown(program, request):
+    if failure is None and checks.repeats_unknown(program, request):
         return _refuse_repeat(program, request, epoch, now_wall)
-    failure = checks.check_budget(program, ancestors, request.reserved)
+    failure = failure or checks.check_budget(
+        program, ancestors, request.reserved
+    )
     if failure is not None:
-        return failure
+        return _explain_refusal(program, known, failure)
     accepted = _make_accepted(program, request, epoch, now_wall)
     key = budget.make_key(program.id, accepted.number)
     return [accepted, *draw_budget(ancestors, key, accepted.reserved, epoch)]
@@ -84,11 +84,30 @@
     is_same = last is known or (known.run and last.run == known.run)
     if not is_same or not last.error or known.run in program.run_ends:
         return False
-    answer = failures.ANSWERS[failures.Kind(last.error)]
+    answer = failures.ANSWERS[calls.read_kind(last.error)]
     harmless = last.idempotent or answer.ran is failures.Ran.NO
     return answer.may_retry and harmless
 
 
+def _explain_refusal(
+    program: programs.Program,
+    known: calls.Call | None,
+    failure: failures.Failure,
+) -> Repeat | failures.Failure:
+    """Return what a refused request is told.
+
+    A repeated key of a call that may have run, idempotent though it is,
+    gets its recorded failure: a program that has ended since, or a budget
+    that is used up, would say "not run".
+    """
+    if known is None:
+        return failure
+    kind = calls.read_kind(program.calls[-1].error)
+    if failures.ANSWERS[kind].ran is failures.Ran.NO:
+        return failure
+    return Repeat(known.number)
+
+
 def _refuse_repeat(
     program: programs.Program,
     request: checks.CallProposal,
--- a/tests/programs/test_decisions.py
+++ b/tests/programs/test_decisions.py
@@ -219,6 +219,31 @@
     case.assertEqual(decisions.Repeat(1), again)
 
 
+def test_a_retry_on_an_ended_program_is_told_no_more_than_is_known(
+    case, driver, program
+):
+    """A caller is told "not run" of a question that an engine has answered.
+
+    All attempts at the call failed on the way; its caller comes back with
+    the key and finds that the program has ended meanwhile.
+    """
+    failed = failures.Failure(_KIND.TARGETS_FAILED, 'silent')
+    driver.accept(program, 'k1')
+    driver.intend(program)
+    driver.fail(program, failed)
+    driver.end(program)
+    case.assertEqual(decisions.Repeat(1), driver.accept(program, 'k1'))
+
+
+def test_a_kind_of_a_later_version_stops_nothing(case, driver, program):
+    driver.accept(program, 'k1')
+    later = records.CallFailed(
+        program.id, 1, number=1, error='new_kind', reason='unheard of'
+    )
+    driver.take([later])
+    case.assertEqual(decisions.Repeat(1), driver.accept(program, 'k1'))
+
+
 def test_repeated_key_joins_a_run_that_goes_on(case, driver, program):
     """A second order is dropped, and its run is driven by two at once.
 
--- a/tests/programs/test_opening.py
+++ b/tests/programs/test_opening.py
@@ -112,6 +112,18 @@
     case.assertEqual(_KIND.PROGRAM_ENDED, refused.kind)
 
 
+def test_child_without_its_parent_takes_no_calls(case, driver):
+    """A sub-agent spends past the root's budget.
+
+    Its root was dropped from memory, so nothing could be drawn on it.
+    """
+    root = driver.open()
+    child = driver.open('child', parent=root)
+    del driver.known[root.id]
+    refused = driver.accept(child, 'k')
+    case.assertEqual(_KIND.PROGRAM_ENDED, refused.kind)
+
+
 def test_negative_reservation_is_refused(case, driver):
     """A budget grows with each call, since a client asked for -1 tokens."""
     program = driver.open()
