Kept the records of one decision in one segment.

Cause: a segment could end between a sub-agent's call and its draws on the budgets above; a death there would lose the draws. An order begun again under its old key passed the check of the store. The guard "a call waits while no target takes it" no longer turned its cell red, since placement does not exclude all engines any more in the column "target hangs". Change: segments end between decisions only; the check counts keys that begin again; that guard moved from the matrix to a test of its own. Conclusion: what is decided together is durable together.

--- a/libs/harness/vanillayoke/harness/matrix/guards.py
+++ b/libs/harness/vanillayoke/harness/matrix/guards.py
@@ -69,12 +69,6 @@
             'order issued',
             faults.REFUSED_ORDERS.name,
         ),
-        Guard(
-            'a call waits while no target takes it',
-            _refuse_without_target,
-            'first token',
-            'target hangs',
-        ),
         Guard(
             'only a proven refusal is sent again',
             _repeat_unknown,
@@ -163,14 +157,6 @@
     return stack
 
 
-def _refuse_without_target() -> contextlib.AbstractContextManager:
-    return _patch(
-        attempts.CallSettler,
-        '_may_wait',
-        lambda self, failure, demand, began: False,
-    )
-
-
 def _repeat_unknown() -> contextlib.AbstractContextManager:
     async def repeat(self, attempt, failure, target):
         attempt.proven_not_run = True
--- a/libs/node/vanillayoke/node/buffer.py
+++ b/libs/node/vanillayoke/node/buffer.py
@@ -11,10 +11,14 @@
 
 
 class EncodedRecord(typing.NamedTuple):
-    """A record as it is stored; encoded once, when it is appended."""
+    """A record as it is stored; encoded once, when it is appended.
+
+    ``ends_decision`` tells that the next record belongs to another one.
+    """
 
     program: str
     raw: bytes
+    ends_decision: bool = True
 
 
 class _RawSegment(msgspec.Struct):
@@ -54,19 +58,26 @@
         return self._size
 
     def append(self, added: typing.Sequence[records.AnyRecord]) -> None:
-        """Encode records and put them behind the others."""
-        for record in added:
+        """Encode a decision's records and put them behind the others."""
+        for index, record in enumerate(added, 1):
             raw = self._encoder.encode(record)
-            self._waiting.append(EncodedRecord(record.program, raw))
+            is_snapshot = isinstance(record, records.ProgramSnapshot)
+            ends = index == len(added) or is_snapshot
+            self._waiting.append(EncodedRecord(record.program, raw, ends))
             self._size += len(raw)
 
     def take(self, most: int) -> list[EncodedRecord]:
-        """Return the oldest records up to a size in bytes, at least one."""
+        """Return the oldest decisions up to a size in bytes, at least one.
+
+        A decision is not split: were its first records durable without the
+        rest, a takeover would find a sub-agent's call whose draw on the
+        root's budget is missing. Snapshots stand each for themselves.
+        """
         taken: list[EncodedRecord] = []
         size = 0
         for record in self._waiting:
             size += len(record.raw)
-            if taken and size > most:
+            if taken and size > most and taken[-1].ends_decision:
                 break
             taken.append(record)
         return taken
--- a/libs/node/vanillayoke/node/runs.py
+++ b/libs/node/vanillayoke/node/runs.py
@@ -102,7 +102,8 @@
         then run what its caller was told did not run. Without a record
         nobody ever will.
         """
-        is_new = program.find_key(proposal.key) is None
+        known = program.find_key(proposal.key)
+        is_new = known is None or decisions.may_begin_again(program, known)
         return (
             is_new
             and not proposal.idempotent
--- a/libs/programs/vanillayoke/programs/decisions.py
+++ b/libs/programs/vanillayoke/programs/decisions.py
@@ -46,7 +46,7 @@
         return failures.Failure(
             failures.Kind.KEY_REUSED, f'call {known.number} has this key'
         )
-    if known is not None and not _may_begin_again(program, known):
+    if known is not None and not may_begin_again(program, known):
         return Repeat(known.number)
     if known is not None:
         # Its question is in the history already.
@@ -68,7 +68,7 @@
     return [accepted, *draw_budget(ancestors, key, accepted.reserved, epoch)]
 
 
-def _may_begin_again(program: programs.Program, known: calls.Call) -> bool:
+def may_begin_again(program: programs.Program, known: calls.Call) -> bool:
     """Tell whether a repeated key starts anew where its call failed.
 
     A caller told "overloaded, come back in five seconds" comes back with
--- a/tests/node/test_repeats.py
+++ b/tests/node/test_repeats.py
@@ -53,6 +53,19 @@
     case.assertEqual(1, len(asked))
 
 
+async def test_run_waits_out_a_moment_without_any_engine(case, site, caller):
+    """A program of many turns does not end because engines blink.
+
+    All engines refuse for five seconds; the call waits for one of them
+    instead of failing its whole run.
+    """
+    program, owner = await _open(site, caller)
+    _set_engines_dead(site, True)
+    site.clock.call_after(5.0, lambda: _set_engines_dead(site, False))
+    told = await _finish(owner, program, _ask('turn-1'))
+    case.assertIsInstance(told, host.FinalAnswer)
+
+
 async def test_answered_key_is_not_run_again(case, site, caller):
     program, owner = await _open(site, caller)
     first = await _finish(owner, program, _ask('turn-1'))
