Let tokens gather between two reads of an engine's stream.

Cause: a piece costs the same through the node to its reader whether it holds one token or twenty: of an instance's profile under load, writes to sockets were a fifth to a quarter, parsing a tenth.

Change: the first text goes on at once; then the adapter pauses between two reads, a quarter of the time so far and at most 50 ms. The stream's end cuts a pause short, so answers are complete as early as before.

Three of the pace's guards and its bound switched off each turn a test red.

--- a/libs/targets/vanillayoke/targets/engine_http.py
+++ b/libs/targets/vanillayoke/targets/engine_http.py
@@ -16,6 +16,7 @@
 from vanillayoke.targets import connections
 from vanillayoke.targets import control
 from vanillayoke.targets import credentials
+from vanillayoke.targets import pace
 from vanillayoke.targets import ports
 from vanillayoke.targets import requests
 from vanillayoke.targets import silence
@@ -113,6 +114,7 @@
                 watch = silence.StreamWatch(
                     self._clock, response, request.progress_timeout, deadline
                 )
+                rhythm = pace.ReadPace(self._clock, response.content)
                 with contextlib.closing(watch):
                     while not parser.is_done:
                         piece = await _read_piece(watch, parser)
@@ -121,6 +123,7 @@
                             return
                         if piece.tokens:
                             yield piece
+                            await rhythm.pause()
                 yield parser.complete(requests.estimate_prompt(request))
                 await _finish_response(response)
         except (aiohttp.ClientError, OSError) as error:
