--- a/libs/scheduling/vanillayoke/scheduling/admission.py
+++ b/libs/scheduling/vanillayoke/scheduling/admission.py
@@ -8,7 +8,7 @@
 EXPECTED_TOKENS = 4000
 """Tokens that a program's conversation is expected to grow to."""
 
-_PATIENCE = 1.5
+_PATIENCE = 3.0
 """How far the bounds widen over a wait that lasts to the deadline.
 
 Instances get programs by hash, hence unequal backlogs, and see the same
@@ -16,7 +16,7 @@
 it goes first without asking the others.
 """
 
-_MOST_FILL = 1.05
+_MOST_FILL = 1.3
 _URGENT_DEPTH = 4.0
 _WINDOW_SECONDS = 20.0
 _FIRST_ADMITTED = 10.0
--- a/libs/scheduling/vanillayoke/scheduling/intake.py
+++ b/libs/scheduling/vanillayoke/scheduling/intake.py
@@ -23,6 +23,7 @@
 bench lost programs that would have finished, at 0 many waited in vain.
 """
 
+_START_SECONDS = 0.1
 _ADMISSION_CHOICES = 3
 
 
@@ -46,6 +47,7 @@
         self._shares = shares
         self._backlog = admission.Backlog()
         self._checked_at = -math.inf
+        self._may_have_room = False
         self._known: dict[str, calls.CallDemand] = {}
         self._deadlines: list[tuple[float, str]] = []
         self._ready: collections.deque[calls.CallDemand] = collections.deque()
@@ -80,6 +82,7 @@
         self._remember(demand)
         self._backlog.note_waiting(now)
         queue.add(demand)
+        self._may_have_room = True
         return None
 
     def remove(self, call: str) -> None:
@@ -132,12 +135,23 @@
                 continue
             del self._known[demand.call]
             yield demand
+        if not self._may_have_room:
+            return
+        self._may_have_room = False
         for queue in self._new.values():
             yield from self._take_new(queue, now, True)
             yield from self._take_new(queue, now, False)
 
+    def note_change(self) -> None:
+        """Let new programs be weighed again: something about targets changed.
+
+        Nothing else can make room, so the decisions between do not ask.
+        """
+        self._may_have_room = True
+
     def note_room(self, view: views.TargetView) -> None:
-        """Let a service call that waits for a target try again."""
+        """Take in that a call left a target; who waits may try again."""
+        self._may_have_room = True
         queue = self._services.get(view.spec.group)
         if not queue:
             return
@@ -172,6 +186,9 @@
             self._known.pop(demand.call, None)
             if not urgent:
                 self._backlog.note_admitted(now, len(queue) > 0)
+                # Service is charged when a call ends. Without a charge now,
+                # a client would get all the starts of one moment.
+                self._shares.charge(demand.client, _START_SECONDS)
             yield demand
 
     def _may_start(self, demand: calls.CallDemand, now: float) -> bool:
--- a/libs/scheduling/vanillayoke/scheduling/lifetimes.py
+++ b/libs/scheduling/vanillayoke/scheduling/lifetimes.py
@@ -8,6 +8,10 @@
 _PRIOR_WEIGHT = 4.0
 _PRIOR_SECONDS = 2.0
 _MOST_WEIGHT = 500.0
+_BEGINS = [0.0] + [_SHORTEST * _GROWTH**power for power in range(_BUCKETS - 1)]
+_MIDDLES = [_SHORTEST / 2] + [
+    begin * math.sqrt(_GROWTH) for begin in _BEGINS[1:]
+]
 
 
 class ReturnTimes:
@@ -45,10 +49,10 @@
         seconds = 0.0
         for bucket in range(_BUCKETS - 1, -1, -1):
             weight += self._counts[bucket]
-            seconds += self._counts[bucket] * _middle(bucket)
+            seconds += self._counts[bucket] * _MIDDLES[bucket]
             if weight < 1.0:
                 continue
-            begin = _begin(bucket)
+            begin = _BEGINS[bucket]
             if seconds / weight - begin > break_even:
                 limit = begin
             elif not math.isinf(limit):
@@ -78,11 +82,3 @@
         return 0
     bucket = 1 + int(math.log(seconds / _SHORTEST) / math.log(_GROWTH))
     return min(bucket, _BUCKETS - 1)
-
-
-def _begin(bucket: int) -> float:
-    return _SHORTEST * _GROWTH ** (bucket - 1) if bucket else 0.0
-
-
-def _middle(bucket: int) -> float:
-    return _begin(bucket) * math.sqrt(_GROWTH) if bucket else _SHORTEST / 2
--- a/libs/scheduling/vanillayoke/scheduling/policies.py
+++ b/libs/scheduling/vanillayoke/scheduling/policies.py
@@ -39,10 +39,11 @@
     """Start a program only where its conversation fits beside the others.
 
     ``fill`` is the part of an engine's cache that may be promised,
-    ``depth`` the calls per batch slot up to which programs are started.
+    ``depth`` the calls per batch slot up to which programs are started;
+    both widen for programs that have waited.
     """
 
-    fill: float = 0.9
+    fill: float = 0.75
     depth: float = 1.0
 
 
--- a/libs/scheduling/vanillayoke/scheduling/scheduler.py
+++ b/libs/scheduling/vanillayoke/scheduling/scheduler.py
@@ -72,6 +72,7 @@
         self._targets.replace(specs)
         for target in gone:
             self._memory.drop_target(target)
+        self._intake.note_change()
 
     def set_clients(
         self, clients: dict[str, configuration.ClientSettings]
@@ -114,6 +115,7 @@
     def observe_report(self, report: calls.TargetReport) -> None:
         """Take in a target's load report."""
         self._targets.observe(report)
+        self._intake.note_change()
 
     def observe_cache(
         self, target: str, session: str, tokens: int, kind: str
@@ -144,6 +146,7 @@
         if healthy and not view.healthy:
             view.breaker.open_half(now)
         view.healthy = healthy
+        self._intake.note_change()
 
     def mark_leaving(self, target: str) -> None:
         """Give a target no new work from now on."""
