Passed a withdrawn service call's room on and bounded what deadlines keep.

Cause: a room freed at a service went to a call that had been taken back, so the next one waited with the service idle; the heap of deadlines kept every call until its deadline, an hour away in production; a partial eviction was taken for a whole one.

Change: the room goes to the next call that still waits; placed calls enter no heap, and stale entries are dropped; an eviction leaves what it says.

Conclusion: nothing waits for a room that was given away.

--- a/libs/scheduling/vanillayoke/scheduling/intake.py
+++ b/libs/scheduling/vanillayoke/scheduling/intake.py
@@ -24,6 +24,7 @@
 """
 
 _START_SECONDS = 0.1
+_MOST_STALE = 500
 _ADMISSION_CHOICES = 3
 
 
@@ -56,7 +57,7 @@
 
     def add_ready(self, demand: calls.CallDemand) -> None:
         """Queue a call of a started program, or a service call."""
-        self._remember(demand)
+        self._known[demand.call] = demand
         self._ready.append(demand)
 
     def add_new(
@@ -132,6 +133,7 @@
                     demand.group, collections.deque()
                 )
                 queue.append(demand)
+                self._remember(demand)
                 continue
             del self._known[demand.call]
             yield demand
@@ -153,10 +155,14 @@
         """Take in that a call left a target; who waits may try again."""
         self._may_have_room = True
         queue = self._services.get(view.spec.group)
-        if not queue:
-            return
-        self._ready.append(queue.popleft())
-        if not queue:
+        while queue:
+            demand = queue.popleft()
+            # The room of a call that was taken back meanwhile goes to the
+            # next: there may be no other call whose end would wake it.
+            if self._known.get(demand.call) is demand:
+                self._ready.append(demand)
+                break
+        if queue is not None and not queue:
             del self._services[view.spec.group]
 
     def count_waiting(self) -> int:
@@ -172,6 +178,13 @@
     def _remember(self, demand: calls.CallDemand) -> None:
         self._known[demand.call] = demand
         heapq.heappush(self._deadlines, (demand.deadline, demand.call))
+        # A deadline may be an hour away, long after its call was placed.
+        # Without this the heap would hold every call of that hour.
+        if len(self._deadlines) > 2 * len(self._known) + _MOST_STALE:
+            self._deadlines = [
+                entry for entry in self._deadlines if entry[1] in self._known
+            ]
+            heapq.heapify(self._deadlines)
 
     def _take_new(
         self, queue: waiting.WaitingCalls, now: float, urgent: bool
--- a/libs/scheduling/vanillayoke/scheduling/memory.py
+++ b/libs/scheduling/vanillayoke/scheduling/memory.py
@@ -109,17 +109,18 @@
         self._lifetimes.observe(member.tool, now - member.paused_at)
         member.paused_at = None
 
-    def note_evicted(self, target: str, program: str) -> None:
-        """Take in that a target holds nothing for a program.
+    def note_evicted(self, target: str, program: str, tokens: int) -> None:
+        """Take in that a target has only ``tokens`` left of a program.
 
         Events are late: while a call of the program is there, the event is
         about what the call has since built up again.
         """
         member = self._forest.get(program)
         if member is None:
-            self._releases.confirm(target, program)
+            if tokens == 0:
+                self._releases.confirm(target, program)
         elif member.home == target and member.calls == 0:
-            self.set_cached(member, target, 0)
+            self.set_cached(member, target, min(member.cached, tokens))
 
     def note_gap(self, target: str) -> None:
         """Trust what is believed of a target's memory a little less."""
--- a/libs/scheduling/vanillayoke/scheduling/scheduler.py
+++ b/libs/scheduling/vanillayoke/scheduling/scheduler.py
@@ -122,7 +122,7 @@
     ) -> None:
         """Take in a cache event; ``kind`` is ``stored`` or ``evicted``."""
         if kind == 'evicted':
-            self._memory.note_evicted(target, session)
+            self._memory.note_evicted(target, session, tokens)
 
     def observe_gap(self, target: str) -> None:
         """Take in that cache events of a target were lost."""
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -291,6 +291,21 @@
     case.assertEqual(['t3'], [p.call for p in made.decide(1.0)])
 
 
+def test_room_of_a_withdrawn_service_call_goes_to_the_next(case):
+    """A fitter's stock question is never asked and times out.
+
+    Three questions wait for a service with one place; the second is
+    cancelled, the first answered, and the third waits on with the service
+    idle. Cause: the one wake-up went to the cancelled call.
+    """
+    made = _make_scheduler([samples.make_service('s1')._replace(slots=1)])
+    for call in ('t0', 't1', 't2'):
+        _submit(made, call, 0.0, model='', group='stock')
+    made.withdraw('t1')
+    made.finish(_outcome('t0', 's1'), 1.0)
+    case.assertEqual(['t2'], [p.call for p in made.decide(1.0)])
+
+
 def test_client_that_floods_does_not_shut_out_another(case, engines):
     """One customer's programs wait behind another's thousand.
 
