Ended programs at their deadline.

Cause: a client that goes away never ends its program, which then held engine memory and its place for ever. Measured: a whole-instance test finds the engine's memory free by then.

--- a/libs/node/vanillayoke/node/host.py
+++ b/libs/node/vanillayoke/node/host.py
@@ -19,6 +19,9 @@
 from vanillayoke.settings import configuration
 from vanillayoke.settings import process
 
+EXPIRED = 'expired'
+# A running call's own deadline gives the better answer, so it comes first.
+_EXPIRY_GRACE = 2.0
 _MOVING_RETRY = 0.5
 _OTHER_ADDRESSES = 3
 _NOT_FOUND = failures.Failure(
@@ -220,6 +223,24 @@
     ) -> dict[str, typing.Any] | failures.Failure:
         return await self._operator.run(key, command, arguments)
 
+    def expire_programs(self) -> None:
+        """End programs whose deadline has passed.
+
+        A client that went away never ends its program; it would hold
+        engine memory and its place among the programs for ever.
+        """
+        due = self._parts.clock.wall() - _EXPIRY_GRACE
+        expired = [
+            one
+            for one in self._parts.programs.known.values()
+            if one.is_active and not one.parent and due >= one.deadline
+        ]
+        for program in expired:
+            shard = ids.find_shard(program.id)
+            epoch = self._parts.ownership.epoch_of(shard)
+            if epoch is not None:
+                self._end_tree(program, EXPIRED, epoch)
+
     def _end_tree(
         self, program: programs.Program, reason: str, epoch: int
     ) -> None:
@@ -283,11 +304,7 @@
         return self._view(program)
 
     def _view(self, program: programs.Program) -> host.ProgramView:
-        return views.make_view(
-            program,
-            self._settings.instance.name,
-            self._parts.clock.wall(),
-        )
+        return views.make_view(program, self._settings.instance.name)
 
     def _make_opened(
         self, client: str, request: host.OpenRequest
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -186,6 +186,7 @@
         self._upkeep = [
             clock.call_every(_PURGE_INTERVAL, self._purge),
             clock.call_every(_MEASURE_INTERVAL, self._measure),
+            clock.call_every(_EXPIRY_INTERVAL, self.host.expire_programs),
         ]
         self.orders.start()
         await self.members.start()
@@ -349,6 +350,7 @@
 _PEERS_ASKED = 3
 _PURGE_INTERVAL = 30.0
 _MEASURE_INTERVAL = 2.0
+_EXPIRY_INTERVAL = 1.0
 # The reason given where the instance has to begin anew.
 LEASE_LOST = 'the lease is lost'
 
--- a/libs/node/vanillayoke/node/operations.py
+++ b/libs/node/vanillayoke/node/operations.py
@@ -233,11 +233,7 @@
                 'program': program.id,
                 'placements': [_describe_placement(one) for one in placements],
             }
-        view = views.make_view(
-            program,
-            self._settings.instance.name,
-            self._parts.clock.wall(),
-        )
+        view = views.make_view(program, self._settings.instance.name)
         return {
             'program': program.id,
             'steps': [
--- a/libs/node/vanillayoke/node/views.py
+++ b/libs/node/vanillayoke/node/views.py
@@ -8,17 +8,15 @@
 from vanillayoke.programs import records
 
 
-def make_view(
-    program: programs.Program, instance: str, now_wall: float
-) -> host.ProgramView:
-    """Return a program's state."""
+def make_view(program: programs.Program, instance: str) -> host.ProgramView:
+    """Return a program's state; the deadline is in seconds of the epoch."""
     running = program.running
     return host.ProgramView(
         program=program.id,
         agent=program.agent,
         state=program.end_reason or str(program.state),
         parent=program.parent,
-        deadline=round(program.deadline - now_wall, 3),
+        deadline=round(program.deadline, 3),
         calls=len(program.calls),
         running=running.number if running else 0,
         budget=msgspec.structs.asdict(program.budget),
--- a/tests/node/test_hosted.py
+++ b/tests/node/test_hosted.py
@@ -27,4 +27,21 @@
     case.assertEqual([active['program']], list(hosted.known))
 
 
+async def test_program_ends_at_its_deadline(case, site, caller):
+    """Engine memory stays with programs whose clients went away.
+
+    A designer closes the board and never ends the program. At the deadline
+    its owner ends it, and the engine's memory is freed.
+    """
+    await sites.start_three(site)
+    opened = await caller.open('open-1', deadline=10.0)
+    await caller.run(opened['program'], 'turn-1', '[[say:20]]')
+    held = [engine.batch.cache for engine in site.engines.values()]
+    case.assertTrue(any(held))
+    await site.clock.sleep(15.0)
+    view = await caller.view(opened['program'])
+    case.assertEqual('expired', view['state'])
+    case.assertFalse(any(held))
+
+
 load_tests = fixtures.adapt(__name__, [sites])
