Held a version change up where an earlier engine does not answer.

Cause: an engine whose state could not be read for a moment was passed over, so that the next one could load the new version beside it.

Change: a healthy engine that does not answer holds up those behind it; one that is down does not.

--- a/libs/node/vanillayoke/node/orders.py
+++ b/libs/node/vanillayoke/node/orders.py
@@ -229,7 +229,7 @@
         reported: orders.Reported,
     ) -> orders.Wish:
         published = self._parts.configuration.published
-        engines = list(self._list_engines())
+        engines = list(filter(self._feeds.is_healthy, self._list_engines()))
         known = {
             name: settings.version
             for name, settings in published.configuration.models.items()
--- a/libs/node/vanillayoke/node/orders_survey.py
+++ b/libs/node/vanillayoke/node/orders_survey.py
@@ -48,7 +48,10 @@
     ) -> bool:
         """Tell whether a target may go to another version of a model now."""
         states = await self._read_states(engines)
-        loaded = {name: state.loaded for name, state in states.items()}
+        loaded = {
+            name: states[name].loaded if name in states else None
+            for name in engines
+        }
         return model_plans.may_roll(target, model, version, loaded)
 
     async def list_postponed(
--- a/libs/scheduling/vanillayoke/scheduling/models.py
+++ b/libs/scheduling/vanillayoke/scheduling/models.py
@@ -152,18 +152,19 @@
     target: str,
     model: str,
     version: str,
-    loaded: typing.Mapping[str, Versions],
+    loaded: typing.Mapping[str, Versions | None],
 ) -> bool:
     """Tell whether it is an engine's turn to go to another version.
 
-    ``loaded`` holds what each reachable engine has. They go in the order of
-    their names; one that cannot load the version holds up all behind it, so
-    that a version that does not load costs one engine at most.
+    ``loaded`` holds what each healthy engine has, ``None`` for one that did
+    not answer. They go in the order of their names; one that cannot load
+    the version holds up all behind it, so that a version that does not load
+    costs one engine at most. One that did not answer may be loading.
     """
     return all(
-        versions[model] == version
+        versions is not None and versions.get(model, version) == version
         for other, versions in loaded.items()
-        if other < target and model in versions
+        if other < target
     )
 
 
--- a/tests/scheduling/test_models.py
+++ b/tests/scheduling/test_models.py
@@ -94,6 +94,9 @@
     loaded = {'e1': {'m': '2'}, 'e2': {'m': '1'}, 'e3': {'m': '1'}}
     case.assertTrue(models.may_roll('e2', 'm', '2', loaded))
     case.assertFalse(models.may_roll('e3', 'm', '2', loaded))
+    silent = {'e1': None, 'e2': {'m': '1'}}
+    case.assertFalse(models.may_roll('e2', 'm', '2', silent))
+    case.assertTrue(models.may_roll('e2', 'm', '2', {'e1': {'n': '1'}}))
 
 
 def test_loads_that_go_on_share_the_rate(case):
