--- a/libs/core/vanillayoke/core/timers.py
+++ b/libs/core/vanillayoke/core/timers.py
@@ -76,14 +76,19 @@
     Tests give it the virtual-time loop; the process gives it the real one.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        read_wall: typing.Callable[[], float] = time.time,
+    ) -> None:
         self._loop = loop
+        self._read_wall = read_wall
 
     def now(self) -> float:
         return self._loop.time()
 
     def wall(self) -> float:
-        return time.time()
+        return self._read_wall()
 
     def call_after(
         self, delay: float, callback: typing.Callable[[], None]
