--- a/libs/bench/vanillayoke/bench/membership.py
+++ b/libs/bench/vanillayoke/bench/membership.py
@@ -17,6 +17,7 @@
 COUNTS = (4, 8, 12, 24, 100, 400)
 SEED = 7
 LONGEST_WAIT = 300.0
+START_TIME = 5.0
 SETTLE_TIME = 1.0
 IDLE_TIME = 60.0
 BUSY_TIME = 30.0
@@ -35,10 +36,11 @@
     members: int
     together_s: float | None
     joined_s: float | None
+    starting_bytes_s: int
     idle_messages_s: float
-    idle_bytes_s: float
-    busiest_bytes_s: float
-    failure_bytes_s: float
+    idle_bytes_s: int
+    busiest_bytes_s: int
+    failure_bytes_s: int
     suspected_by_first_s: float | None
     suspected_by_all_s: float | None
     failed_for_all_s: float | None
@@ -51,7 +53,9 @@
     cluster = membership_cluster.Cluster(SEED)
     began_cpu = time.process_time()
     await cluster.start(count - 1)
+    starting = asyncio.ensure_future(_measure_rate(cluster, START_TIME))
     together = await cluster.wait_until(cluster.sees_all_alive, LONGEST_WAIT)
+    start_rate, _ = await starting
     # The news of so many starts goes round for long after all have them.
     await cluster.timers.sleep(count * SETTLE_TIME)
     idle, busiest = await _measure_rate(cluster, IDLE_TIME)
@@ -66,6 +70,7 @@
         count,
         _round(together),
         _round(joined),
+        round(start_rate.bytes),
         round(idle.messages, 2),
         round(idle.bytes),
         round(busiest),
--- a/libs/cluster/vanillayoke/cluster/membership_packets.py
+++ b/libs/cluster/vanillayoke/cluster/membership_packets.py
@@ -10,7 +10,7 @@
 
 NEWS_BUDGET = 700
 REPAIR_BUDGET = 1500
-JOIN_BUDGET = 4000
+JOIN_BUDGET = 3000
 
 
 class Need(enum.Enum):
