--- a/tests/bench/test_slopes.py
+++ b/tests/bench/test_slopes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import pathlib
 
 from vanillayoke.bench import slopes
 from vanillayoke.bench import slopes_commits
@@ -53,6 +54,13 @@
     case.assertIn('store', errors.getvalue())
 
 
+def test_page_on_capacity_names_every_group(case):
+    root = pathlib.Path(__file__).resolve().parent.parent.parent
+    page = (root / 'docs' / 'CAPACITY.md').read_text()
+    for group in slopes.GROUPS:
+        case.assertIn(f'vanillayoke.bench.slopes {group}\n', page)
+
+
 def test_made_records_replay_to_their_programs(case):
     made = slopes_programs.make_records(3, 100)
     segment = records.Segment('instance-1', 1, made)
