Long answers are read ten times a second.

Change: pauses grow with a tenth of the answer's time up to 100 ms; the end of a stream still cuts them short.

All answers equal; 40 tests of targets pass.

--- a/libs/targets/vanillayoke/targets/pace.py
+++ b/libs/targets/vanillayoke/targets/pace.py
@@ -9,9 +9,9 @@
 # Taking a piece through to its readers costs the same whether it holds one
 # token or twenty. The first pieces go on at once; then the pauses (seconds)
 # grow with the answer, up to what a person reading along does not notice.
-PAUSE_SHARE = 0.25
+PAUSE_SHARE = 0.1
 SHORTEST_PAUSE = 0.001
-LONGEST_PAUSE = 0.05
+LONGEST_PAUSE = 0.1
 
 
 class ReadPace:
