Ended stops that handed shards to the leaving instance itself.

Cause: news of a member during a stop put the leaving instance back among the owners; its shards got itself as heir, which was written again without a pause.

Change: a release counts as leaving from its begin; a handover that has begun goes on to its end where its caller is cancelled.

Conclusion: a stop ends whatever membership says meanwhile.

--- a/libs/node/vanillayoke/node/handovers.py
+++ b/libs/node/vanillayoke/node/handovers.py
@@ -1,5 +1,6 @@
 """Giving shards away in good order, so that the heir need not wait."""
 
+import asyncio
 import random
 import typing
 
@@ -49,6 +50,7 @@
         self._random = source
         self._list_programs = list_programs
         self._handed: list[_Handed] = []
+        self._tasks: set[asyncio.Task] = set()
         self._pinned: dict[ids.Shard, int] = {}
 
     @property
@@ -59,6 +61,27 @@
     async def hand_over(self, heirs: Heirs) -> None | failures.Failure:
         """Give shards to their heirs; '' leaves a shard to any claimant.
 
+        It goes on to its end where its caller is cancelled: nobody else
+        would ever finish it, and its shards would be served by nobody.
+        """
+        task = asyncio.ensure_future(self._hand_over(heirs))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return await asyncio.shield(task)
+
+    async def finish(self) -> None:
+        """Wait for the handovers that have begun."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def stop(self) -> None:
+        """Break off the handovers that have begun, as a death would."""
+        for task in self._tasks:
+            task.cancel()
+        await self.finish()
+
+    async def _hand_over(self, heirs: Heirs) -> None | failures.Failure:
+        """Do a handover.
+
         The shards are served no more from the call on. A handover that was
         begun is finished even where the store fails for long: the write in
         doubt may take effect at any later time, so that this instance could
--- a/libs/node/vanillayoke/node/ownership.py
+++ b/libs/node/vanillayoke/node/ownership.py
@@ -272,6 +272,10 @@
 
     async def stop(self) -> None:
         """Stop all tasks and leave the table as it is."""
+        await self._stop_tasks()
+        await self._giver.stop()
+
+    async def _stop_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -282,10 +286,10 @@
 
         Nothing is served from the call on. A successor needs no wait.
         """
-        await self.stop()
-        name = self._journal.row.name
-        self._map.update(self._map.members - {name})
+        self.leave()
+        await self._stop_tasks()
         await self._journal.change_row(state=rows.InstanceState.LEAVING)
+        await self._giver.finish()
         heirs = {
             shard: self._find_incarnation(self._map.find_owner(shard)) or ''
             for phase in (holdings.Phase.SERVING, holdings.Phase.REPLAYING)
--- a/tests/node/test_handover.py
+++ b/tests/node/test_handover.py
@@ -105,6 +105,40 @@
     case.assertFalse([row for row in theirs if row.sources])
 
 
+async def test_leaving_in_the_middle_of_a_handover(case, cluster):
+    first = await cluster.add('one')
+    programs = machines.make_programs(30)
+    for program in programs:
+        first.open_program(program)
+    second = await cluster.add('two')
+    first.ownership.subscribe_lost(lambda _: moving.set())
+    moving = asyncio.Event()
+    await moving.wait()
+    case.assertIsNone(await first.leave())
+    await asyncio.sleep(2.0)
+    case.assertEqual(ids.SHARD_COUNT, len(second.ownership.owned_shards()))
+    for program in programs:
+        case.assertIsNotNone(second.programs.find(program))
+
+
+async def test_news_of_members_does_not_end_a_stop(case, cluster):
+    """A stop never ends and writes to the table without a pause.
+
+    News of a member made the leaving instance count itself among the
+    owners again: it handed shards to itself.
+    """
+    first = await cluster.add('one')
+    second = await cluster.add('two')
+    await asyncio.sleep(15.0)
+    leaving = asyncio.ensure_future(first.leave())
+    for _ in range(50):
+        await asyncio.sleep(0.001)
+        cluster.spread_members()
+    case.assertIsNone(await asyncio.wait_for(leaving, 3.0))
+    await asyncio.sleep(2.0)
+    case.assertEqual(ids.SHARD_COUNT, len(second.ownership.owned_shards()))
+
+
 async def test_last_instance_leaves_its_shards_to_anybody(case, cluster):
     first = await cluster.add('one')
     first.open_program('prg-1')
