Told a stale holder of its replacement through its peers.

Cause: the news of a taken lease was defined and measured, but no node told it or listened to it. Change: who sees a lease taken publishes it; the instance that it names gives its lease up at once. Conclusion: the stale window no longer depends on the store's return.

--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -238,6 +238,7 @@
         self.configuration.subscribe(self._take_configuration)
         self.ownership.subscribe_gained(self.recovery.take_over)
         self.ownership.subscribe_lost(self._lose_shards)
+        self.ownership.subscribe_fenced(self._tell_fenced)
         self.ownership.provide_programs(self.programs.list_shard)
         self.ownership.provide_may_move(self._is_idle)
         self.journal.subscribe_lost(self._lose_lease)
@@ -294,6 +295,21 @@
                 self.configuration.hear(version)
             case messages.TargetNews(target, messages.TargetState.LEAVING):
                 self.feeds.mark_leaving(target)
+            case messages.FencedNews(incarnation=incarnation):
+                self._take_fencing(incarnation)
+
+    def _take_fencing(self, incarnation: str) -> None:
+        """Stop at once where a peer saw this instance's lease taken.
+
+        A machine that was suspended together with its clock believes in
+        its lease for a while; a peer knows better, also while the store
+        cannot be reached ("Bloodraven: Operator availability").
+        """
+        if incarnation == self.journal.incarnation:
+            self.journal.give_up()
+
+    def _tell_fenced(self, name: str, incarnation: str) -> None:
+        self.members.publish_news(messages.FencedNews(name, incarnation))
 
     def _tell_leaving(self, target: str) -> None:
         self.members.publish_news(
--- a/libs/node/vanillayoke/node/journal.py
+++ b/libs/node/vanillayoke/node/journal.py
@@ -408,6 +408,10 @@
         self._note_end(task)
         self._alarm.ring()
 
+    def give_up(self) -> None:
+        """Give the lease up: a peer says that another instance took it."""
+        self._lose()
+
     def _lose(self) -> None:
         if self.lease.is_lost:
             return
--- a/libs/node/vanillayoke/node/ownership.py
+++ b/libs/node/vanillayoke/node/ownership.py
@@ -43,6 +43,7 @@
 _NORMAL = frozenset((messages.State.ALIVE, messages.State.LEFT))
 
 MayMove = typing.Callable[[ids.Shard], bool]
+FencedCallback = typing.Callable[[str, str], None]
 
 
 class Ownership:
@@ -150,6 +151,16 @@
         """Call back with shards that are not served any more."""
         self._held.subscribe_lost(callback)
 
+    def subscribe_fenced(self, callback: FencedCallback) -> None:
+        """Call back with each instance and incarnation that was fenced."""
+
+        def tell(incarnation: str) -> None:
+            row = self.find_instance(incarnation)
+            if row is not None and row.state is rows.InstanceState.FENCED:
+                callback(row.name, incarnation)
+
+        self._watcher.subscribe_final(tell)
+
     def provide_programs(self, callback: handovers.ListPrograms) -> None:
         """Ask this callback for the programs of an owned shard."""
         self._list_programs = callback
