Named all constructors from settings alike.

Cause: three classes said from_settings where all others say from_config. Change: they say from_config. Measured: the tests of those classes pass. Conclusion: one name for one thing.

--- a/libs/bench/vanillayoke/bench/events.py
+++ b/libs/bench/vanillayoke/bench/events.py
@@ -32,7 +32,7 @@
 
 def _make_logger(output: logs.LogOutput | None = None) -> logs.Logger:
     service = timers.LoopTimers(asyncio.new_event_loop())
-    return logs.Logger.from_settings('entry-1', service, output=output)
+    return logs.Logger.from_config('entry-1', service, output=output)
 
 
 def _make_write(logger: logs.Logger) -> typing.Callable[[], None]:
--- a/libs/bench/vanillayoke/bench/membership_cluster.py
+++ b/libs/bench/vanillayoke/bench/membership_cluster.py
@@ -139,14 +139,14 @@
         )
         transport = self.network.open(address, settings.region)
         service = PausableTimers(asyncio.get_running_loop())
-        member = members.Members.from_settings(
+        member = members.Members.from_config(
             settings,
             self._probe,
             transport,
             self.platform.instances,
             service,
             random.Random(f'{self._seed}-{settings.name}'),
-            logs.Logger.from_settings(settings.name, service),
+            logs.Logger.from_config(settings.name, service),
             metrics.Metrics(),
         )
         return Node(settings.name, member, transport, address, service)
--- a/libs/core/vanillayoke/core/logs.py
+++ b/libs/core/vanillayoke/core/logs.py
@@ -59,7 +59,7 @@
         self._listeners: list[Listener] = []
 
     @classmethod
-    def from_settings(
+    def from_config(
         cls,
         instance: str,
         timer_service: timers.TimerService,
--- a/libs/harness/vanillayoke/harness/virtual.py
+++ b/libs/harness/vanillayoke/harness/virtual.py
@@ -301,7 +301,7 @@
     def _make_logger(
         self, name: str, clock: timers.TimerService
     ) -> logs.Logger:
-        logger = logs.Logger.from_settings(name, clock)
+        logger = logs.Logger.from_config(name, clock)
         logger.subscribe(
             lambda event, fields: self._tell_listeners(name, event, fields)
         )
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -85,7 +85,7 @@
         self.ownership = ownership.Ownership.from_config(
             settings, self.journal, platform, clock, outside.source
         )
-        self.members = members.Members.from_settings(
+        self.members = members.Members.from_config(
             settings.instance,
             settings.probe,
             outside.transport,
--- a/libs/node/vanillayoke/node/members.py
+++ b/libs/node/vanillayoke/node/members.py
@@ -78,7 +78,7 @@
         self._running = False
 
     @classmethod
-    def from_settings(
+    def from_config(
         cls,
         instance: process.InstanceSettings,
         settings: process.ProbeSettings,
--- a/libs/node/vanillayoke/node/process.py
+++ b/libs/node/vanillayoke/node/process.py
@@ -86,7 +86,7 @@
         loop = asyncio.get_running_loop()
         clock = timers.LoopTimers(loop)
         log_output = logs.start_logging(self._output)
-        logger = logs.Logger.from_settings(
+        logger = logs.Logger.from_config(
             self._settings.instance.name,
             clock,
             self._settings.timeline_events,
@@ -125,7 +125,7 @@
         loop = asyncio.get_running_loop()
         self._stop_reason = loop.create_future()
         settings = self._settings
-        transport = nng.NngTransport.from_settings(loop, settings.instance)
+        transport = nng.NngTransport.from_config(loop, settings.instance)
         if failures.is_failure(transport):
             print(transport.reason, file=sys.stderr)
             return None
--- a/libs/peers/vanillayoke/peers/nng.py
+++ b/libs/peers/vanillayoke/peers/nng.py
@@ -66,7 +66,7 @@
         self._loop.add_reader(listener.recv_fd, self._receive)
 
     @classmethod
-    def from_settings(
+    def from_config(
         cls,
         loop: asyncio.AbstractEventLoop,
         settings: process.InstanceSettings,
--- a/tests/core/test_logs.py
+++ b/tests/core/test_logs.py
@@ -30,7 +30,7 @@
 @fixtures.fixture
 def logger(loop, output):
     service = timers.LoopTimers(loop, lambda: 1_700_000_000.25)
-    return logs.Logger.from_settings('entry-1', service, 3, output)
+    return logs.Logger.from_config('entry-1', service, 3, output)
 
 
 def _read_lines(stream) -> list[dict]:
@@ -95,7 +95,7 @@
     """
     broken = logs.start_logging(_FullDisk())
     try:
-        logger = logs.Logger.from_settings(
+        logger = logs.Logger.from_config(
             'entry-1', timers.LoopTimers(loop), output=broken
         )
         logger.write(events.DRAIN_STARTED, reason='r')
--- a/tests/core/test_timeline.py
+++ b/tests/core/test_timeline.py
@@ -31,7 +31,7 @@
 
 def _make_logger(loop, instance: str, offset: float, capacity: int = 100):
     service = timers.LoopTimers(loop, lambda: 1_700_000_000.0 + offset)
-    return logs.Logger.from_settings(instance, service, capacity)
+    return logs.Logger.from_config(instance, service, capacity)
 
 
 @fixtures.fixture
--- a/tests/platform/test_watching.py
+++ b/tests/platform/test_watching.py
@@ -24,7 +24,7 @@
 
 @fixtures.fixture
 def reporters(clock):
-    logger = logs.Logger.from_settings('i1', clock)
+    logger = logs.Logger.from_config('i1', clock)
     return watching.Reporters(clock, logger, metrics.Metrics())
 
 
