Signed orders with a key from the settings.

Cause: the process built its target adapters without a key, so that targets with signed_orders would have refused every order. Change: signing.key_id and signing.secret, checked at start. Conclusion: TLS is still not to be had by settings.

--- a/libs/node/vanillayoke/node/process.py
+++ b/libs/node/vanillayoke/node/process.py
@@ -21,6 +21,7 @@
 from vanillayoke.peers import nng
 from vanillayoke.platform import http
 from vanillayoke.settings import process
+from vanillayoke.targets import credentials
 from vanillayoke.targets import registry
 
 VERSION = '0.1.0'
@@ -132,7 +133,9 @@
         platform = http.HttpPlatform.from_config(
             settings.platform, clock, settings.instance.name
         )
-        adapters = registry.TargetRegistry(clock)
+        adapters = registry.TargetRegistry(
+            clock, _make_signing_key(settings.signing)
+        )
         operators = OperatorLink()
         meters = metrics.Metrics()
         served = instance.Instance(
@@ -196,6 +199,14 @@
     await entry.start(host.strip('[]'), int(port))
 
 
+def _make_signing_key(
+    settings: process.SigningSettings,
+) -> credentials.SigningKey | None:
+    if not settings.key_id:
+        return None
+    return credentials.SigningKey(settings.key_id, settings.secret.encode())
+
+
 def _make_metrics_route(meters: metrics.Metrics) -> web.RouteDef:
     async def show(request: web.Request) -> web.Response:
         page = meters.render()
--- a/libs/settings/vanillayoke/settings/descriptions.py
+++ b/libs/settings/vanillayoke/settings/descriptions.py
@@ -84,6 +84,7 @@
         'store': "Use of the platform's store.",
         'probe': 'Probing of other instances.',
         'entry': "Bounds of the callers' interface.",
+        'signing': 'The key that signs orders to targets.',
         'operator_key': 'The key of operators; empty refuses them all.',
         'timeline_events': 'Events kept for the time line.',
     },
@@ -120,6 +121,10 @@
         'suspicion': 'Seconds that a suspected instance has to answer.',
         'indirect': 'Instances asked to probe in its place.',
     },
+    process.SigningSettings: {
+        'key_id': 'Name of the key; empty signs no orders.',
+        'secret': 'The key itself, known to the targets.',
+    },
     process.EntrySettings: {
         'largest_body': 'Bytes of a request body at most.',
         'address_lifetime': 'Seconds that callers may keep addresses.',
--- a/libs/settings/vanillayoke/settings/process.py
+++ b/libs/settings/vanillayoke/settings/process.py
@@ -87,6 +87,19 @@
     drain_grace: float = 20.0
 
 
+class SigningSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """The key that signs orders to targets with ``signed_orders``.
+
+    While keys rotate, targets accept the old and the new one; instances
+    are then restarted with the new one.
+    """
+
+    key_id: str = ''
+    secret: str = ''
+
+
 class ProcessSettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
@@ -98,5 +111,6 @@
     store: StoreSettings = StoreSettings()
     probe: ProbeSettings = ProbeSettings()
     entry: EntrySettings = EntrySettings()
+    signing: SigningSettings = SigningSettings()
     operator_key: str = ''
     timeline_events: int = 20000
--- a/libs/settings/vanillayoke/settings/processes.py
+++ b/libs/settings/vanillayoke/settings/processes.py
@@ -198,6 +198,29 @@
             yield checks.Finding(path, f'It has {len(key)} characters.')
 
 
+@checks.register(
+    _PROCESS,
+    'E312',
+    'The key that signs orders is incomplete or too short to be safe.',
+    f'Set key_id and a secret of at least {_SHORTEST_KEY} characters.',
+)
+def check_signing_key(
+    values: decoding.Values,
+) -> typing.Iterator[checks.Finding]:
+    """Find half a key, or one that could be guessed."""
+    key_ids = dict(values.select('signing.key_id'))
+    secrets = dict(values.select('signing.secret'))
+    has_id = any(key_ids.values())
+    for path, secret in secrets.items():
+        if has_id and len(secret) < _SHORTEST_KEY:
+            yield checks.Finding(path, f'It has {len(secret)} characters.')
+        if secret and not has_id:
+            yield checks.Finding(path, 'It has no key_id.')
+    if has_id and not secrets:
+        path = next(iter(key_ids))
+        yield checks.Finding(path, 'It has no secret.')
+
+
 @checks.register(
     _PROCESS,
     'W301',
