Readers of a run get new text without joining all of it.

Cause: each read of a RunStream joined the whole text and copied what the reader lacked; a run of many turns streams up to megabytes.

Change: pieces are kept with their offsets, a reader finds its place by bisection.

--- a/libs/node/vanillayoke/node/streams.py
+++ b/libs/node/vanillayoke/node/streams.py
@@ -1,6 +1,7 @@
 """The text of a running call or run, followed by any number of readers."""
 
 import asyncio
+import bisect
 import typing
 
 from vanillayoke.core import failures
@@ -15,8 +16,10 @@
 
     def __init__(self, number: int, text: str = '') -> None:
         self._number = number
-        self._text = text
-        self._pieces: list[str] = []
+        self._pieces = [text]
+        # Where each piece begins, to find what a reader lacks without
+        # joining all that it has; runs of many turns have long texts.
+        self._offsets = [0]
         self._length = len(text)
         self._truncations: list[int] = []
         self._notes: list[host.StepNote] = []
@@ -37,16 +40,15 @@
         """Return the end of the stream, ``None`` while it runs."""
         return self._final
 
-    @property
-    def text(self) -> str:
-        """Return all text so far."""
-        if self._pieces:
-            self._text += ''.join(self._pieces)
-            self._pieces.clear()
-        return self._text
+    def read_from(self, offset: int) -> str:
+        """Return the text from an offset on."""
+        index = bisect.bisect_right(self._offsets, offset) - 1
+        first = self._pieces[index][offset - self._offsets[index] :]
+        return first + ''.join(self._pieces[index + 1 :])
 
     def append(self, piece: str) -> None:
         """Add streamed text."""
+        self._offsets.append(self._length)
         self._pieces.append(piece)
         self._length += len(piece)
         self._wake()
@@ -55,7 +57,8 @@
         """Void the text behind an offset: its model call runs again."""
         if length >= self._length:
             return
-        self._text = self.text[:length]
+        self._pieces = [self.read_from(0)[:length]]
+        self._offsets = [0]
         self._length = length
         self._truncations.append(length)
         self._wake()
@@ -104,7 +107,7 @@
                 position = floor
                 yield host.TextReset(position)
             if position < self._length:
-                piece = self.text[position:]
+                piece = self.read_from(position)
                 begin, position = position, self._length
                 yield host.TextPiece(begin, piece)
                 continue
