Measured the bounded polls of targets by polls a second.

Cause: polls got a bound, so a line over targets is none any more, and the page mixed figures from before and after it.

--- a/tests/bench/test_slopes.py
+++ b/tests/bench/test_slopes.py
@@ -12,6 +12,7 @@
 from vanillayoke.bench import slopes_store
 from vanillayoke.bench import slopes_targets
 from vanillayoke.core import ids
+from vanillayoke.node import feeds
 from vanillayoke.programs import records
 from vanillayoke.programs import replay
 from vanillayoke.testing import fixtures
@@ -54,6 +55,12 @@
     case.assertIn('store', errors.getvalue())
 
 
+def test_polls_are_those_of_the_feeds(case):
+    case.assertEqual(slopes_targets.count_polls(2), 2 / feeds.INTERVAL)
+    bound = feeds.LOCAL_POLLS + feeds.DISTANT_POLLS
+    case.assertAlmostEqual(slopes_targets.count_polls(212, 1488), bound)
+
+
 def test_page_on_capacity_names_every_group(case):
     root = pathlib.Path(__file__).resolve().parent.parent.parent
     page = (root / 'docs' / 'CAPACITY.md').read_text()
