--- a/tests/node/test_compaction.py
+++ b/tests/node/test_compaction.py
@@ -7,6 +7,7 @@
 from vanillayoke.cluster import rows
 from vanillayoke.core import ids
 from vanillayoke.node import compaction
+from vanillayoke.platform import ports
 from vanillayoke.programs import records
 from vanillayoke.testing import fixtures
 
@@ -166,4 +167,49 @@
     case.assertEqual(5, len(second.programs.known))
 
 
+async def test_handover_to_a_dead_instance_can_land_late(case, cluster):
+    """A shard is served by nobody for ever, and says that a segment is gone.
+
+    Its owner handed it to an instance that had just been fenced, and the
+    write landed when the dead one's journal was half cleared away.
+    """
+    first = await cluster.add('one')
+    programs = machines.make_programs(5)
+    for program in programs:
+        first.open_program(program)
+    await _write_much(first, programs, 10)
+    await first.kill()
+    second = await cluster.add('two')
+    cluster.set_state('one', messages.State.FAILED)
+    before = len(await _list_segments(cluster, first))
+    second.platform.objects.delete = _FailingDeletes(cluster, 2).delete
+    await asyncio.sleep(20.0)
+    case.assertEqual(5, len(second.programs.known))
+    left = len(await _list_segments(cluster, first))
+    case.assertEqual(before - 2, left)
+    shard = ids.find_shard(programs[0])
+    key = rows.name_shard_row(shard)
+    late = rows.ShardRow(first.incarnation, 9)
+    await cluster.platform.table.transact(
+        'late', [ports.Put(key, rows.encode_row(late), None)]
+    )
+    await second.kill()
+    third = await cluster.add('three')
+    cluster.set_state('two', messages.State.FAILED)
+    await asyncio.sleep(20.0)
+    case.assertEqual(ids.SHARD_COUNT, len(third.ownership.owned_shards()))
+
+
+class _FailingDeletes:
+    def __init__(self, cluster, allowed):
+        self._objects = cluster.platform.objects
+        self._allowed = allowed
+
+    async def delete(self, key):
+        self._allowed -= 1
+        if self._allowed < 0:
+            return machines.DOWN
+        return await self._objects.delete(key)
+
+
 load_tests = fixtures.adapt(__name__)
