Built an instance in four steps.

Cause: the constructor of the composition was a hundred lines long. Change: ownership, scheduling, drivers and interfaces are built apart. Conclusion: it can be read from the top down.

--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -70,20 +70,33 @@
     ) -> None:
         self._settings = settings
         self._outside = outside
-        clock = outside.clock
+        self._stop_request: StopRequest = lambda reason: None
+        self._upkeep: list[timers.Subscription] = []
         platform = watching.watch_platform(
             outside.platform,
-            watching.Reporters(clock, outside.logger, outside.registry),
+            watching.Reporters(
+                outside.clock, outside.logger, outside.registry
+            ),
         )
+        self._build_ownership(platform)
+        self._build_scheduling()
+        self._build_drivers(platform)
+        self._build_interfaces()
+        self._subscribe()
+
+    def _build_ownership(self, platform: platform_ports.Platform) -> None:
+        """Build what decides which programs are here."""
+        settings, outside = self._settings, self._outside
+        clock, source = outside.clock, outside.source
         self.configuration = configuration.ConfigurationHolder(
             platform.table, platform.objects, clock, self._ask_peers
         )
         self.journal = journal.Journal.from_config(
-            settings, platform, clock, outside.source
+            settings, platform, clock, source
         )
         self.programs = hosted.HostedPrograms(self.journal)
         self.ownership = ownership.Ownership.from_config(
-            settings, self.journal, platform, clock, outside.source
+            settings, self.journal, platform, clock, source
         )
         self.members = members.Members.from_config(
             settings.instance,
@@ -91,11 +104,15 @@
             outside.transport,
             platform.instances,
             clock,
-            outside.source,
+            source,
             outside.logger,
             outside.registry,
         )
         self.directory = directory.Directory(self.members, self.ownership)
+
+    def _build_scheduling(self) -> None:
+        """Build what decides where calls run."""
+        settings, outside = self._settings, self._outside
         self.scheduler = scheduler.Scheduler.from_config(
             settings_configuration.PolicySettings(),
             settings.instance.zone,
@@ -106,15 +123,30 @@
             self.programs,
             outside.adapters,
             self.ownership,
-            clock,
+            outside.clock,
             outside.logger,
             self.scheduler,
         )
         self.dispatcher = dispatcher.Dispatcher(
-            self.scheduler, clock, self.releaser
+            self.scheduler, outside.clock, self.releaser
+        )
+        self.feeds = feeds.TargetFeeds(
+            self.configuration,
+            outside.adapters,
+            self.scheduler,
+            outside.clock,
+            outside.logger,
+            outside.source,
+            self.dispatcher.pump,
+            self.releaser.reconcile,
+            settings.instance.region,
         )
+
+    def _build_drivers(self, platform: platform_ports.Platform) -> None:
+        """Build what carries calls and orders out."""
+        settings, outside = self._settings, self._outside
         self.parts = parts.Parts(
-            clock=clock,
+            clock=outside.clock,
             logger=outside.logger,
             registry=outside.registry,
             programs=self.programs,
@@ -130,48 +162,37 @@
         self.recovery = recovery.Recovery(
             self.parts, self.runner, self.scheduler
         )
-        self.feeds = feeds.TargetFeeds(
-            self.configuration,
-            outside.adapters,
-            self.scheduler,
-            clock,
-            outside.logger,
-            outside.source,
-            self.dispatcher.pump,
-            self.releaser.reconcile,
-            settings.instance.region,
-        )
         self.orders = orders.OrderGiver.from_config(
             settings,
             platform,
             self.parts,
             self.feeds,
             outside.source,
-            lambda writes: self.journal.pacer.spend(clock.now(), writes),
-        )
-        self._stop_request: StopRequest = lambda reason: None
-        self._upkeep: list[timers.Subscription] = []
-        outside.logger.subscribe(
-            measurements.Measurements(outside.registry, self._is_engine).take
+            self._spend_writes,
         )
+
+    def _build_interfaces(self) -> None:
+        """Build what answers operators and callers."""
         self.operations = operations.Operations(
-            settings,
+            self._settings,
             self.parts,
             self.directory,
             self.feeds,
-            outside.operators,
+            self._outside.operators,
             lambda reason: self._stop_request(reason),
             self._describe_store,
         )
         self.host = host.NodeHost(
-            settings,
+            self._settings,
             self.parts,
             self.runner,
             self.directory,
             self.operations,
-            outside.source,
+            self._outside.source,
         )
-        self._subscribe()
+
+    def _spend_writes(self, writes: int) -> None:
+        self.journal.pacer.spend(self._outside.clock.now(), writes)
 
     def on_stop_request(self, callback: StopRequest) -> None:
         """Call back when an operator asks this instance to stop."""
@@ -242,6 +263,10 @@
         self.ownership.provide_programs(self.programs.list_shard)
         self.ownership.provide_may_move(self._is_idle)
         self.journal.subscribe_lost(self._lose_lease)
+        counting = measurements.Measurements(
+            self._outside.registry, self._is_engine
+        )
+        self._outside.logger.subscribe(counting.take)
         self.members.subscribe(self._take_members)
         self.members.subscribe_news(self._take_news)
         self.feeds.subscribe_leaving(self._tell_leaving)
