Programs that were started came to run before those that were not.

Cause: with the least attained service first, long programs stayed in the engines' memory, prefixes were computed again and new programs waited.

Change: the most attained service first, whole trees, in the engines' own queues, which so order starts over all instances; admission therefore lets four calls a slot through and never holds an urgent program; the backlog counts programs up to the end of their first call.

Aging of first calls by their wait was tried and did not pay.

Conclusion: whole programs end sooner when what was started is ended first.

--- a/libs/bench/vanillayoke/bench/policy_runs.py
+++ b/libs/bench/vanillayoke/bench/policy_runs.py
@@ -19,7 +19,8 @@
 FULL = configuration.PolicySettings()
 VARIANTS: dict[str, configuration.PolicySettings] = {
     'full': FULL,
-    'least_load': configuration.PolicySettings(placement='least_load'),
+    'load_placement': configuration.PolicySettings(placement='least_load'),
+    'least_attained': configuration.PolicySettings(order='least_attained'),
     'first_come': configuration.PolicySettings(order='first_come'),
     'open_admission': configuration.PolicySettings(admission='open'),
     'keep_cache': configuration.PolicySettings(cache_lifetime='keep'),
--- a/libs/scheduling/vanillayoke/scheduling/admission.py
+++ b/libs/scheduling/vanillayoke/scheduling/admission.py
@@ -17,9 +17,8 @@
 """
 
 _MOST_FILL = 1.3
-_URGENT_DEPTH = 4.0
 _WINDOW_SECONDS = 20.0
-_FIRST_ADMITTED = 10.0
+_FIRST_STARTED = 10.0
 _FIRST_SECONDS = 5.0
 
 
@@ -32,9 +31,8 @@
 ) -> bool:
     """Tell whether a new program may start on an engine.
 
-    An urgent one may where the engine's queue is short: its priority
-    number takes it to the front there, and it is too small to wait for
-    memory.
+    An urgent one always may: its priority number takes it to the front of
+    the engine's queue.
 
     The own share of the memory is always there to use. Beyond it an
     instance goes by the engine's report, and until the next report promises
@@ -48,8 +46,7 @@
             return True
         case policies.WorkingSet(fill, depth):
             if urgent:
-                limit = view.spec.slots * _URGENT_DEPTH
-                return view.estimate_load() < limit
+                return True
             widened = 1 + _PATIENCE * waited
             if not _has_batch_room(view, instances, depth * widened):
                 return False
@@ -94,22 +91,23 @@
 
 
 class Backlog:
-    """How long a new program waits, learned from past admissions.
+    """How long a new program waits, learned from past starts.
 
-    Admissions are counted over the time during which programs waited, and
-    both fade with that time; what nobody waited for tells nothing of how
-    fast the engines take programs in.
+    Programs wait here and then in an engine's queue, so a start is the end
+    of a program's first call. Starts are counted over the time during which
+    programs waited, and both fade with that time; what nobody waited for
+    tells nothing of how fast the engines take programs in.
     """
 
     def __init__(self) -> None:
-        self._admitted = _FIRST_ADMITTED
+        self._started = _FIRST_STARTED
         self._seconds = _FIRST_SECONDS
         self._busy_since: float | None = None
 
-    def note_admitted(self, now: float, others_wait: bool) -> None:
-        """Take in an admission, and whether programs still wait."""
+    def note_started(self, now: float, others_wait: bool) -> None:
+        """Take in a start, and whether programs still wait."""
         self._pass_time(now)
-        self._admitted += 1
+        self._started += 1
         if not others_wait:
             self._busy_since = None
 
@@ -119,9 +117,9 @@
             self._busy_since = now
 
     def estimate_wait(self, before: int, now: float) -> float:
-        """Return the seconds until ``before`` calls have been admitted."""
+        """Return the seconds until ``before`` programs have started."""
         self._pass_time(now)
-        return before * self._seconds / self._admitted
+        return before * self._seconds / self._started
 
     def _pass_time(self, now: float) -> None:
         if self._busy_since is None:
@@ -129,5 +127,5 @@
         passed = now - self._busy_since
         self._busy_since = now
         fading = math.exp(-passed / _WINDOW_SECONDS)
-        self._admitted *= fading
+        self._started *= fading
         self._seconds = self._seconds * fading + passed
--- a/libs/scheduling/vanillayoke/scheduling/intake.py
+++ b/libs/scheduling/vanillayoke/scheduling/intake.py
@@ -49,6 +49,7 @@
         self._backlog = admission.Backlog()
         self._checked_at = -math.inf
         self._may_have_room = False
+        self._starting: set[str] = set()
         self._known: dict[str, calls.CallDemand] = {}
         self._deadlines: list[tuple[float, str]] = []
         self._ready: collections.deque[calls.CallDemand] = collections.deque()
@@ -72,7 +73,10 @@
         queue = self._new.get(key)
         if queue is None:
             queue = self._new[key] = waiting.WaitingCalls(self._shares)
-        wait = self._backlog.estimate_wait(queue.count_before(demand), now)
+        before = queue.count_before(demand)
+        if not demand.urgent:
+            before += len(self._starting)
+        wait = self._backlog.estimate_wait(before, now)
         spare = (demand.deadline - now) * _DEADLINE_PART
         if wait > spare:
             return failures.Failure(
@@ -114,7 +118,9 @@
         hopeless = []
         interval = self._backlog.estimate_wait(1, now) * _CERTAIN_PART
         for queue in self._new.values():
-            hopeless += queue.list_hopeless(interval, now)
+            hopeless += queue.list_hopeless(
+                interval, now + interval * len(self._starting)
+            )
         for demand in hopeless:
             self.remove(demand.call)
         return hopeless
@@ -144,6 +150,13 @@
             yield from self._take_new(queue, now, True)
             yield from self._take_new(queue, now, False)
 
+    def note_finished(self, call: str, now: float) -> None:
+        """Take in that a call left its target, maybe a program's first."""
+        if call in self._starting:
+            self._starting.discard(call)
+            others = len(self._starting) + self.count_waiting()
+            self._backlog.note_started(now, others > 0)
+
     def note_change(self) -> None:
         """Let new programs be weighed again: something about targets changed.
 
@@ -198,7 +211,7 @@
             queue.remove(demand)
             self._known.pop(demand.call, None)
             if not urgent:
-                self._backlog.note_admitted(now, len(queue) > 0)
+                self._starting.add(demand.call)
                 # Service is charged when a call ends. Without a charge now,
                 # a client would get all the starts of one moment.
                 self._shares.charge(demand.client, _START_SECONDS)
--- a/libs/scheduling/vanillayoke/scheduling/policies.py
+++ b/libs/scheduling/vanillayoke/scheduling/policies.py
@@ -28,7 +28,15 @@
 
 
 class AttainedService(typing.NamedTuple):
-    """Run the program first that had the least service so far."""
+    """Order by the service that the whole program tree had so far.
+
+    The most first: a program that was started ends sooner and gives its
+    memory up. The least first favours short programs, but among programs
+    that were admitted whole it kept the long ones in memory for longer, and
+    in the bench everybody then waited longer to start.
+    """
+
+    most_first: bool = True
 
 
 class FirstCome(typing.NamedTuple):
@@ -44,7 +52,7 @@
     """
 
     fill: float = 0.75
-    depth: float = 1.0
+    depth: float = 4.0
 
 
 class OpenAdmission(typing.NamedTuple):
@@ -77,6 +85,7 @@
 }
 ORDERS: dict[str, Order] = {
     'attained_service': AttainedService(),
+    'least_attained': AttainedService(most_first=False),
     'first_come': FirstCome(),
 }
 ADMISSIONS: dict[str, Admission] = {
--- a/libs/scheduling/vanillayoke/scheduling/scheduler.py
+++ b/libs/scheduling/vanillayoke/scheduling/scheduler.py
@@ -189,6 +189,7 @@
         demand, view = placed
         view.own.discard(outcome.call)
         self._intake.note_room(view)
+        self._intake.note_finished(outcome.call, now)
         match outcome.state:
             case 'answered':
                 view.breaker.note_success(outcome.call)
