Told the scheduler of gaps and of what engines hold.

Cause: the scheduler's view of caches was only built from events, though it can take in gaps and an engine's own list. Change: a jump in event numbers is told as a gap, and each list of sessions is passed on with the time it was asked for. Conclusion: its confidence in a cache now follows what was really seen.

--- a/libs/node/vanillayoke/node/feeds.py
+++ b/libs/node/vanillayoke/node/feeds.py
@@ -220,6 +220,8 @@
         if failures.is_failure(found):
             return
         for event in found:
+            if event.number > feed.last_event + 1:
+                self._scheduler.observe_gap(name)
             feed.last_event = max(feed.last_event, event.number)
             self._scheduler.observe_cache(
                 name, event.session, event.tokens, event.kind
@@ -234,8 +236,10 @@
 
         Events can be lost; the engine's own state cannot.
         """
+        asked_at = self._clock.now()
         state = await engine.read_state()
         if failures.is_failure(state):
             return
+        self._scheduler.reconcile(name, state.sessions, asked_at)
         for session in state.sessions:
             self._reconcile(name, session)
