--- a/tools/check_binary.py
+++ b/tools/check_binary.py
@@ -95,7 +95,7 @@
     settings.write_text(json.dumps(_describe(entry, peer, platform)))
     process = binary.serve(settings)
     try:
-        ready = _wait_ready(entry)
+        ready = _wait_ready(process, entry)
         children = _watch_children(process.pid) if ready else set()
         process.send_signal(signal.SIGTERM)
         status = process.wait(_PATIENCE)
@@ -119,9 +119,9 @@
     return seen
 
 
-def _wait_ready(address: str) -> bool:
+def _wait_ready(process: subprocess.Popen, address: str) -> bool:
     deadline = time.monotonic() + _PATIENCE
-    while time.monotonic() < deadline:
+    while process.poll() is None and time.monotonic() < deadline:
         try:
             with urllib.request.urlopen(f'http://{address}/readyz'):
                 return True
