--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,17 @@
 demo: venv
 	$(PYTHON) -m vanillayoke.harness.demo
 
+bench: venv
+	$(PYTHON) -m vanillayoke.bench policy
+	$(PYTHON) -m vanillayoke.bench.gateway
+
+slopes: venv
+	$(PYTHON) -m vanillayoke.bench.slopes
+
+binary: venv
+	sh tools/build_binary.sh
+	$(PYTHON) tools/check_binary.py
+
 FAULT_FLAGS = --pairs=60
 
 faults: venv
