--- a/libs/bench/vanillayoke/bench/gateway.py
+++ b/libs/bench/vanillayoke/bench/gateway.py
@@ -112,7 +112,8 @@
                 self._site.get(self.instance.address, '/readyz')
                 return
             time.sleep(_POLL)
-        raise RuntimeError('the instance did not become ready')
+        output = self.instance.process.output.read_text()
+        raise RuntimeError(f'the instance did not become ready: {output}')
 
 
 class GatewayBench:
