--- a/libs/node/vanillayoke/node/cleaning.py
+++ b/libs/node/vanillayoke/node/cleaning.py
@@ -1,17 +1,17 @@
 """Deleting the journals of dead incarnations that no shard needs."""
 
 import random
-import typing
 
 import msgspec
 
+from vanillayoke.cluster import pacing
 from vanillayoke.cluster import rows
 from vanillayoke.core import failures
 from vanillayoke.core import ids
+from vanillayoke.core import timers
+from vanillayoke.node import segments
 from vanillayoke.platform import ports
 
-Spend = typing.Callable[[int], None]
-
 
 class Cleaner:
     """Deletes what a dead incarnation leaves in the store."""
@@ -20,13 +20,15 @@
         self,
         table: ports.TableService,
         objects: ports.ObjectStore,
+        service: timers.TimerService,
         source: random.Random,
-        spend: Spend,
+        pacer: pacing.WritePacer,
     ) -> None:
         self._table = table
         self._objects = objects
         self._random = source
-        self._spend = spend
+        self._timers = service
+        self._pacer = pacer
 
     async def delete_journal(
         self, incarnation: str
@@ -44,7 +46,7 @@
         if failures.is_failure(keys):
             return keys
         for key in keys:
-            self._spend(1)
+            await segments.wait_for_share(self._timers, self._pacer)
             failure = await self._objects.delete(key)
             if failure is not None:
                 return failure
@@ -64,7 +66,7 @@
             return found
         row = rows.decode_row(found.value, rows.InstanceRow)
         emptied = msgspec.structs.replace(row, base=row.head + 1, tail=False)
-        self._spend(1)
+        await segments.wait_for_share(self._timers, self._pacer)
         result = await self._table.transact(
             ids.make_id('clean', self._random),
             [ports.Put(key, rows.encode_row(emptied), found.version)],
@@ -81,7 +83,7 @@
             rows.name_notice_row(incarnation),
             rows.name_instance_row(incarnation),
         )
-        self._spend(1)
+        await segments.wait_for_share(self._timers, self._pacer)
         result = await self._table.transact(
             ids.make_id('clean', self._random),
             [ports.Delete(key, None) for key in named],
--- a/libs/node/vanillayoke/node/handovers.py
+++ b/libs/node/vanillayoke/node/handovers.py
@@ -16,10 +16,13 @@
 from vanillayoke.programs import records
 from vanillayoke.programs import snapshots
 
+MOVES_PER_ROUND = 256
 NOTICE_LIFETIME = 60.0
 _RETRY = 0.5
 
 ListPrograms = typing.Callable[[ids.Shard], typing.Iterable[programs.Program]]
+FindBetter = typing.Callable[[ids.Shard], str | None]
+MayMove = typing.Callable[[ids.Shard], bool]
 Heirs = dict[ids.Shard, str]
 
 
@@ -69,6 +72,23 @@
         task.add_done_callback(self._tasks.discard)
         return await asyncio.shield(task)
 
+    async def move(self, find_better: FindBetter, may_move: MayMove) -> None:
+        """Hand over some shards that other instances should have."""
+        heirs: Heirs = {}
+        serving = self._held.list_in(holdings.Phase.SERVING)
+        # Somebody may wait for a program; nobody waits for an empty shard.
+        serving.sort(key=lambda shard: not self._list_programs(shard))
+        for shard in serving:
+            heir = find_better(shard)
+            if heir is None or self._table.find(shard).sources:
+                continue
+            if may_move(shard):
+                heirs[shard] = heir
+            if len(heirs) >= MOVES_PER_ROUND:
+                break
+        if heirs:
+            await self.hand_over(heirs)
+
     async def finish(self) -> None:
         """Wait for the handovers that have begun."""
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/libs/node/vanillayoke/node/holdings.py
+++ b/libs/node/vanillayoke/node/holdings.py
@@ -3,7 +3,9 @@
 import enum
 import typing
 
+from vanillayoke.core import events
 from vanillayoke.core import ids
+from vanillayoke.core import logs
 from vanillayoke.programs import program as programs
 
 Programs = list[programs.Program]
@@ -29,7 +31,8 @@
 class Holdings:
     """Owned shards; tells subscribers which are served and which not."""
 
-    def __init__(self) -> None:
+    def __init__(self, logger: logs.Logger) -> None:
+        self._logger = logger
         self._held: dict[ids.Shard, Holding] = {}
         self._gained: list[GainedCallback] = []
         self._lost: list[LostCallback] = []
@@ -67,12 +70,16 @@
         return self._held.get(shard) == Holding(epoch, Phase.REPLAYING)
 
     def serve(
-        self, shards: typing.Iterable[ids.Shard], rebuilt: Programs
+        self, shards: typing.Collection[ids.Shard], rebuilt: Programs
     ) -> None:
         """Serve replayed shards from now on."""
         for shard in shards:
             epoch = self._held[shard].epoch
             self._held[shard] = Holding(epoch, Phase.SERVING)
+        owned = len(self.list_in(Phase.SERVING))
+        self._logger.write(
+            events.SHARDS_GAINED, count=len(shards), owned=owned
+        )
         for callback in self._gained:
             callback(rebuilt)
 
@@ -100,5 +107,7 @@
     def _tell_lost(self, served: typing.AbstractSet[ids.Shard]) -> None:
         if not served:
             return
+        owned = len(self.list_in(Phase.SERVING))
+        self._logger.write(events.SHARDS_LOST, count=len(served), owned=owned)
         for callback in self._lost:
             callback(frozenset(served))
--- a/libs/node/vanillayoke/node/journal.py
+++ b/libs/node/vanillayoke/node/journal.py
@@ -17,9 +17,12 @@
 from vanillayoke.cluster import pacing
 from vanillayoke.cluster import rows
 from vanillayoke.cluster import takeover
+from vanillayoke.core import events
 from vanillayoke.core import failures
+from vanillayoke.core import logs
 from vanillayoke.core import timers
 from vanillayoke.node import alarm
+from vanillayoke.node import backoff
 from vanillayoke.node import buffer
 from vanillayoke.node import extents
 from vanillayoke.node import leaserow
@@ -34,8 +37,6 @@
 FLUSH_PATIENCE = 2.0
 _SPILL_SHARE = 0.5
 _RENEWALS_PER_LEASE = 3
-_SHORTEST_RETRY = 0.1
-_LONGEST_RETRY = 1.0
 _INCARNATION_BITS = 32
 
 LostCallback = typing.Callable[[], None]
@@ -60,6 +61,7 @@
         source: random.Random,
         lease: process.LeaseSettings,
         store: process.StoreSettings,
+        logger: logs.Logger,
         inline_limit: int = INLINE_LIMIT,
     ) -> None:
         self.lease = leases.LeaseHolder.from_config(lease)
@@ -69,7 +71,7 @@
         self.extents = extents.JournalExtents()
         self._row = row
         self._timers = service
-        self._random = source
+        self._logger = logger
         self._renewal_interval = lease.time_to_live / _RENEWALS_PER_LEASE
         self._inline_limit = inline_limit
         self._lease_row = leaserow.LeaseRow(
@@ -90,10 +92,7 @@
         self._sealed = 0
         self._covered = 0
         self._last_sent = float('-inf')
-        self._retry_at = float('-inf')
-        self._retry_delay = _SHORTEST_RETRY
-        self._failed_since: float | None = None
-        self._is_closed = False
+        self._backoff = backoff.Backoff(source)
         self._runner: asyncio.Task | None = None
         self._spill: asyncio.Task | None = None
 
@@ -104,6 +103,7 @@
         platform: ports.Platform,
         service: timers.TimerService,
         source: random.Random,
+        logger: logs.Logger | None = None,
         inline_limit: int = INLINE_LIMIT,
     ) -> 'Journal':
         """Build the journal of a new incarnation."""
@@ -125,6 +125,7 @@
             source=source,
             lease=settings.lease,
             store=settings.store,
+            logger=logger or logs.Logger.from_config(instance.name, service),
             inline_limit=inline_limit,
         )
 
@@ -151,7 +152,7 @@
     @property
     def is_failing(self) -> bool:
         """Tell whether the last attempt to write the row failed."""
-        return self._failed_since is not None
+        return self._backoff.is_failing
 
     def subscribe_lost(self, callback: LostCallback) -> None:
         """Call back once if another instance has fenced this one."""
@@ -183,7 +184,6 @@
 
     async def stop(self) -> None:
         """Stop writing; what is not durable by now is not made so."""
-        self._is_closed = True
         tasks = [task for task in (self._runner, self._spill) if task]
         for task in tasks:
             task.cancel()
@@ -289,7 +289,7 @@
         return max(self._buffer.stored, self._covered)
 
     def _is_row_due(self, now: float) -> bool:
-        if now < self._retry_at:
+        if now < self._backoff.retry_at:
             return False
         if self._row_waiters.highest or now >= self._renewal_at:
             return True
@@ -315,7 +315,7 @@
         moment = self._renewal_at
         if self._has_new_tail() or self._has_spill():
             moment = min(moment, self.pacer.ready_at)
-        return max(moment, self._retry_at)
+        return max(moment, self._backoff.retry_at)
 
     async def _write_row(self) -> None:
         attempt = self._make_attempt()
@@ -355,12 +355,11 @@
         return self._buffer.encode_tail(attempt.row.head, count)
 
     def _confirm(self, attempt: leaserow.Attempt) -> None:
+        self._log_confirmed(attempt)
         self._confirmed = attempt.row
         self._sealed = attempt.stored
         self._covered = attempt.covered
-        self._failed_since = None
-        self._retry_delay = _SHORTEST_RETRY
-        self._retry_at = float('-inf')
+        self._backoff.note_success()
         self.lease.renew(attempt.sent_at)
         for callback in self._renewed_callbacks:
             callback(attempt.sent_at)
@@ -372,13 +371,23 @@
             self.lease.lose()
             self._fail_waiters(leaserow.make_lost())
 
+    def _log_confirmed(self, attempt: leaserow.Attempt) -> None:
+        if self._confirmed is None:
+            self._logger.write(
+                events.LEASE_GAINED, incarnation=self.incarnation
+            )
+        seconds = round(self._timers.now() - attempt.sent_at, 4)
+        count = attempt.covered - self._covered
+        if count > 0:
+            self._logger.write(
+                events.COMMITTED, records=count, seconds=seconds
+            )
+        else:
+            self._logger.write(events.LEASE_RENEWED, seconds=seconds)
+
     def _note_failure(self) -> None:
-        now = self._timers.now()
-        if self._failed_since is None:
-            self._failed_since = now
-        self._retry_at = now + self._retry_delay * self._random.uniform(0.5, 1)
-        self._retry_delay = min(self._retry_delay * 2, _LONGEST_RETRY)
-        if now - self._failed_since >= FLUSH_PATIENCE:
+        failed_for = self._backoff.note_failure(self._timers.now())
+        if failed_for >= FLUSH_PATIENCE:
             self._fail_waiters(_make_unavailable())
 
     def _has_spill(self) -> bool:
--- /dev/null
+++ b/libs/node/vanillayoke/node/lookout.py
@@ -0,0 +1,109 @@
+"""Looking out for leases that run out and for news in the table."""
+
+import asyncio
+import typing
+
+from vanillayoke.cluster import leases
+from vanillayoke.cluster import rows
+from vanillayoke.core import failures
+from vanillayoke.core import timers
+from vanillayoke.node import claims
+from vanillayoke.node import holdings
+from vanillayoke.node import neighbours
+from vanillayoke.node import notices
+from vanillayoke.node import shardtable
+from vanillayoke.node import watcher
+from vanillayoke.settings import process
+
+# Reads a second that all instances together use for looking out.
+READS_PER_SECOND = 500.0
+_SHORTEST_POLL = 0.25
+_LONGEST_POLL = 1.0
+_WATCH_SHARE = 1 / 6
+_NOTICE_SHARE = 1 / 3
+
+
+class Lookout:
+    """Polls leases under watch, and the news; often while it matters."""
+
+    def __init__(
+        self,
+        lease: leases.LeaseHolder,
+        settings: process.LeaseSettings,
+        service: timers.TimerService,
+        around: neighbours.Neighbours,
+        known: watcher.Watcher,
+        news: notices.Notices,
+        table: shardtable.ShardTable,
+        held: holdings.Holdings,
+        claimer: claims.Claimer,
+    ) -> None:
+        self._lease = lease
+        self._time_to_live = settings.time_to_live
+        self._timers = service
+        self._neighbours = around
+        self._watcher = known
+        self._notices = news
+        self._table = table
+        self._held = held
+        self._claimer = claimer
+        self._polled: dict[str, float] = {}
+
+    async def watch(self) -> None:
+        """Watch other instances' leases until the own one is lost."""
+        while not self._lease.is_lost:
+            due = self._list_due()
+            now = self._timers.now()
+            self._polled.update((incarnation, now) for incarnation in due)
+            await self._watcher.poll(due)
+            await self._timers.sleep(self._poll_interval)
+
+    def _list_due(self) -> list[str]:
+        watched = self._neighbours.list_watched()
+        self._polled = {
+            incarnation: self._polled.get(incarnation, float('-inf'))
+            for incarnation in watched
+        }
+        return [one for one in watched if self._is_due(one)]
+
+    def _is_due(self, incarnation: str) -> bool:
+        interval = self._time_to_live * _WATCH_SHARE
+        if self._neighbours.is_in_doubt(incarnation):
+            interval = self._poll_interval
+        return self._timers.now() - self._polled[incarnation] >= interval
+
+    @property
+    def _poll_interval(self) -> float:
+        interval = self._neighbours.count / READS_PER_SECOND
+        return min(max(interval, _SHORTEST_POLL), _LONGEST_POLL)
+
+    async def follow_notices(self) -> None:
+        """Follow the news of fences and handovers."""
+        while not self._lease.is_lost:
+            fresh = await self._notices.read_new()
+            if not failures.is_failure(fresh):
+                await self._take_notices(fresh)
+            await self._timers.sleep(self._find_notice_interval())
+
+    def _find_notice_interval(self) -> float:
+        if self._neighbours.is_calm and not self._expects_shards():
+            return self._time_to_live * _NOTICE_SHARE
+        return self._poll_interval
+
+    def _expects_shards(self) -> bool:
+        """Tell whether shards are due to come here by a handover."""
+        mine = self._neighbours.list_own_shards()
+        return any(shard not in self._held for shard in mine)
+
+    async def _take_notices(
+        self, fresh: typing.Iterable[rows.NoticeRow]
+    ) -> None:
+        handed = set()
+        for notice in fresh:
+            if notice.fenced:
+                self._watcher.mark_fenced(notice.incarnation)
+            handed.update(notice.handed.get(self._claimer.claimant, ()))
+        handed = {shard for shard in handed if shard not in self._held}
+        await asyncio.gather(*map(self._table.refresh, sorted(handed)))
+        if handed:
+            self._claimer.adopt()
--- a/libs/node/vanillayoke/node/ownership.py
+++ b/libs/node/vanillayoke/node/ownership.py
@@ -11,10 +11,10 @@
 
 from vanillayoke.cluster import messages
 from vanillayoke.cluster import rows
-from vanillayoke.cluster import shards as shardmaps
 from vanillayoke.cluster import takeover
 from vanillayoke.core import failures
 from vanillayoke.core import ids
+from vanillayoke.core import logs
 from vanillayoke.core import timers
 from vanillayoke.node import alarm
 from vanillayoke.node import claims
@@ -23,6 +23,8 @@
 from vanillayoke.node import handovers
 from vanillayoke.node import holdings
 from vanillayoke.node import journal as journals
+from vanillayoke.node import lookout
+from vanillayoke.node import neighbours
 from vanillayoke.node import notices
 from vanillayoke.node import replayer
 from vanillayoke.node import shardtable
@@ -31,7 +33,6 @@
 from vanillayoke.programs import program as programs
 from vanillayoke.settings import process
 
-MOVES_PER_ROUND = 256
 _MOVE_INTERVAL = 1.0
 _SCAN_READS_PER_SECOND = 100.0
 _READS_AFTER_DEATH = 1000.0
@@ -39,10 +40,6 @@
 _SHORTEST_SCAN_INTERVAL = 10.0
 _RETRY = 0.5
 
-_EXPECTED = frozenset((messages.State.ALIVE, messages.State.SUSPECTED))
-_NORMAL = frozenset((messages.State.ALIVE, messages.State.LEFT))
-
-MayMove = typing.Callable[[ids.Shard], bool]
 FencedCallback = typing.Callable[[str, str], None]
 
 
@@ -59,18 +56,15 @@
         source: random.Random,
         lease: process.LeaseSettings,
         retention: float,
+        logger: logs.Logger,
     ) -> None:
         self._journal = journal
         self._timers = service
         self._random = source
-        self._lease_settings = lease
         self._retention = retention
-        self._members: dict[str, messages.Member] = {}
-        self._map = shardmaps.ShardMap()
         self._list_programs: handovers.ListPrograms = _list_nothing
-        self._may_move: MayMove = _allow
-        self._is_leaving = False
-        self._held = holdings.Holdings()
+        self._may_move: handovers.MayMove = _allow
+        self._held = holdings.Holdings(logger)
         self._table = shardtable.ShardTable(
             table, service, source, self._spend
         )
@@ -80,6 +74,7 @@
         self._watcher = watcher.Watcher(
             journal.incarnation, table, service, source, lease, self._spend
         )
+        self._neighbours = neighbours.Neighbours(journal.row, self._watcher)
         self._claimer = claims.Claimer(
             journal,
             self._table,
@@ -88,6 +83,7 @@
             service,
             source,
             self._keeps,
+            logger,
         )
         self._giver = handovers.Giver(
             journal,
@@ -106,9 +102,23 @@
             self._keeps,
             lambda: self._giver.first_pinned,
         )
-        self._cleaner = cleaning.Cleaner(table, objects, source, self._spend)
+        self._cleaner = cleaning.Cleaner(
+            table, objects, service, source, journal.pacer
+        )
+        self._lookout = lookout.Lookout(
+            journal.lease,
+            lease,
+            service,
+            self._neighbours,
+            self._watcher,
+            self._notices,
+            self._table,
+            self._held,
+            self._claimer,
+        )
         self._claim_alarm = alarm.Alarm(service)
         self._scan_at = float('-inf')
+        self._look_at = float('inf')
         self._tasks: list[asyncio.Task] = []
         self._watcher.subscribe_final(self._note_final)
         journal.subscribe_renewed(self._watcher.note_renewal)
@@ -122,6 +132,7 @@
         platform: ports.Platform,
         service: timers.TimerService,
         source: random.Random,
+        logger: logs.Logger | None = None,
     ) -> 'Ownership':
         """Build the ownership that goes with a journal."""
         return cls(
@@ -132,6 +143,8 @@
             source=source,
             lease=settings.lease,
             retention=settings.store.retention,
+            logger=logger
+            or logs.Logger.from_config(settings.instance.name, service),
         )
 
     def _spend(self, writes: int) -> None:
@@ -165,7 +178,7 @@
         """Ask this callback for the programs of an owned shard."""
         self._list_programs = callback
 
-    def provide_may_move(self, callback: MayMove) -> None:
+    def provide_may_move(self, callback: handovers.MayMove) -> None:
         """Ask this callback whether a shard may move to a better owner now.
 
         It says no while calls of the shard's programs are under way.
@@ -191,8 +204,7 @@
         row = self._table.find(ids.Shard(shard))
         if row.owner and not self._watcher.is_final(row.owner):
             return row.owner
-        expected = self._map.find_owner(ids.Shard(shard))
-        return self._find_incarnation(expected)
+        return self._neighbours.find_heir(ids.Shard(shard))
 
     def find_instance(self, incarnation: str) -> rows.InstanceRow | None:
         """Return what the table says of an incarnation, if known here."""
@@ -217,11 +229,10 @@
         self, members: typing.Sequence[messages.Member]
     ) -> None:
         """Take over what membership knows of the other instances."""
-        self._members = {member.instance: member for member in members}
-        known = {one.row.name for one in self._watcher.known.values()}
-        if not known.issuperset(self._members):
-            self._scan_at = float('-inf')
-        self._update_map()
+        self._neighbours.update(members)
+        if self._neighbours.list_unknown():
+            self._look_at = min(self._look_at, self._timers.now())
+        self._share_work()
 
     def leave(self) -> None:
         """Begin to hand over the shards that may move, a few at a time.
@@ -229,36 +240,22 @@
         Programs between two turns so go on elsewhere at once, while calls
         that are under way come to their end here.
         """
-        self._is_leaving = True
-        self._update_map()
-
-    def _update_map(self) -> None:
-        name = self._journal.row.name
-        expected = {
-            member.instance
-            for member in self._members.values()
-            if member.state in _EXPECTED
-            and self._watcher.find_live(member.instance) is not None
-        }
-        own = set() if self._is_leaving else {name}
-        self._map.update((expected - {name}) | own)
-        self._journal.pacer.share_with(len(expected | {name}))
+        self._neighbours.leave()
+        self._share_work()
+
+    def _share_work(self) -> None:
+        self._journal.pacer.share_with(self._neighbours.count)
         self._claim_alarm.ring()
 
     def _note_final(self, incarnation: str) -> None:
         # The rows of a dead instance's shards may have changed since they
         # were read here; all instances read them again, not all at once.
-        live = len(self._map.members)
-        spread = max(live * _READS_PER_SCAN / _READS_AFTER_DEATH, 1.0)
+        reads = self._neighbours.count * _READS_PER_SCAN
+        spread = max(reads / _READS_AFTER_DEATH, 1.0)
         delay = spread * self._random.random()
         self._scan_at = min(self._scan_at, self._timers.now() + delay)
-        self._update_map()
-
-    def _find_incarnation(self, name: str) -> str | None:
-        if name == self._journal.row.name:
-            return self._journal.incarnation
-        live = self._watcher.find_live(name)
-        return live.incarnation if live else None
+        self._neighbours.update_map()
+        self._share_work()
 
     async def start(self) -> None | failures.Failure:
         """Read the table and begin to claim, watch and hand over.
@@ -272,8 +269,8 @@
             asyncio.ensure_future(work)
             for work in (
                 self._run_claims(),
-                self._run_watch(),
-                self._run_notices(),
+                self._lookout.watch(),
+                self._lookout.follow_notices(),
                 self._run_upkeep(),
                 self._run_moves(),
                 self._compactor.run(),
@@ -302,7 +299,7 @@
         await self._journal.change_row(state=rows.InstanceState.LEAVING)
         await self._giver.finish()
         heirs = {
-            shard: self._find_incarnation(self._map.find_owner(shard)) or ''
+            shard: self._neighbours.find_heir(shard) or ''
             for phase in (holdings.Phase.SERVING, holdings.Phase.REPLAYING)
             for shard in self._held.list_in(phase)
         }
@@ -317,11 +314,11 @@
             failure = await self._table.scan()
         if failure is None:
             self._giver.unpin()
-            self._update_map()
+            self._neighbours.update_map()
+            self._share_work()
             self._claimer.adopt()
-        live = len(self._map.members)
-        interval = live * _READS_PER_SCAN / _SCAN_READS_PER_SECOND
-        interval = max(interval, _SHORTEST_SCAN_INTERVAL)
+        reads = self._neighbours.count * _READS_PER_SCAN
+        interval = max(reads / _SCAN_READS_PER_SECOND, _SHORTEST_SCAN_INTERVAL)
         if failure is not None:
             interval = _RETRY
         jitter = self._random.uniform(0.8, 1.0)
@@ -335,7 +332,7 @@
             return _make_not_held()
         if not self._table.is_known:
             return None
-        wanted = self._map.list_shards(self._journal.row.name)
+        wanted = self._neighbours.list_own_shards()
         unknown = {
             owner
             for shard in wanted
@@ -364,87 +361,24 @@
                 moment = self._timers.now() + _RETRY
             await self._claim_alarm.wait_until(moment)
 
-    async def _run_watch(self) -> None:
-        slow = self._lease_settings.time_to_live / 6
-        polled: dict[str, float] = {}
-        while not self._journal.lease.is_lost:
-            fast = self._watcher.find_poll_interval(len(self._map.members))
-            now = self._timers.now()
-            due = [
-                incarnation
-                for incarnation in self._list_watched()
-                if now - polled.get(incarnation, float('-inf'))
-                >= (fast if self._is_in_doubt(incarnation) else slow)
-            ]
-            polled.update((incarnation, now) for incarnation in due)
-            await self._watcher.poll(due)
-            await self._timers.sleep(fast)
-
-    def _list_watched(self) -> list[str]:
-        """Return the incarnations whose leases are watched from here."""
-        me = self._journal.row.name
-        found = []
-        for incarnation, known in self._watcher.known.items():
-            if known.row.state.is_final:
-                continue
-            name = known.row.name
-            # An instance that restarted does watch its earlier incarnation.
-            is_current = self._find_incarnation(name) == incarnation
-            left_out = name if is_current else ''
-            if me in self._map.list_watchers(incarnation, left_out):
-                found.append(incarnation)
-        return found
-
-    def _is_in_doubt(self, incarnation: str) -> bool:
-        known = self._watcher.known[incarnation]
-        member = self._members.get(known.row.name)
-        return member is None or member.state not in _NORMAL
-
-    async def _run_notices(self) -> None:
-        while not self._journal.lease.is_lost:
-            fresh = await self._notices.read_new()
-            if not failures.is_failure(fresh):
-                for notice in fresh:
-                    await self._take_notice(notice)
-            await self._timers.sleep(self._find_notice_interval())
-
-    def _find_notice_interval(self) -> float:
-        live = len(self._map.members)
-        interval = self._watcher.find_poll_interval(live)
-        is_calm = all(one.state in _NORMAL for one in self._members.values())
-        if is_calm and not self._expects_shards():
-            interval = max(interval, self._lease_settings.time_to_live / 3)
-        return interval
-
-    def _expects_shards(self) -> bool:
-        """Tell whether shards are due to come here by a handover."""
-        mine = self._map.list_shards(self._journal.row.name)
-        return any(shard not in self._held for shard in mine)
-
-    async def _take_notice(self, notice: rows.NoticeRow) -> None:
-        if notice.fenced:
-            self._watcher.mark_fenced(notice.incarnation)
-        handed = notice.handed.get(self._journal.incarnation, ())
-        fresh = [shard for shard in handed if shard not in self._held]
-        await asyncio.gather(*map(self._table.refresh, fresh))
-        if fresh:
-            self._claimer.adopt()
-
     async def _run_upkeep(self) -> None:
         while not self._journal.lease.is_lost:
             if self._timers.now() >= self._scan_at:
-                final = self._list_final()
+                final = self._watcher.list_final()
                 if await self._scan() is None:
-                    self._claim_alarm.ring()
                     await self._clean(final)
+            elif self._timers.now() >= self._look_at:
+                await self._look()
             await self._timers.sleep(_RETRY)
 
-    def _list_final(self) -> list[str]:
-        return [
-            incarnation
-            for incarnation in self._watcher.known
-            if self._watcher.is_final(incarnation)
-        ]
+    async def _look(self) -> None:
+        """Read the rows of instances that membership has just met."""
+        self._look_at = float('inf')
+        for name in self._neighbours.list_unknown():
+            if await self._watcher.scan_name(name) is not None:
+                self._look_at = self._timers.now() + _RETRY
+        self._neighbours.update_map()
+        self._share_work()
 
     async def _clean(self, final: list[str]) -> None:
         """Delete dead journals that no row names.
@@ -453,40 +387,18 @@
         name one of them that it has not named then.
         """
         named = takeover.list_named(self._table.list_rows())
-        me = self._journal.row.name
         for incarnation in final:
-            watchers = self._map.list_watchers(incarnation, '', 1)
-            if incarnation not in named and me in watchers:
+            is_mine = self._neighbours.cleans(incarnation)
+            if incarnation not in named and is_mine:
                 if await self._cleaner.delete_journal(incarnation) is None:
                     self._watcher.forget(incarnation)
 
     async def _run_moves(self) -> None:
         while not self._journal.lease.is_lost:
             await self._timers.sleep(_MOVE_INTERVAL)
-            heirs = self._plan_moves()
-            if heirs:
-                await self._giver.hand_over(heirs)
-
-    def _plan_moves(self) -> handovers.Heirs:
-        heirs: handovers.Heirs = {}
-        serving = self._held.list_in(holdings.Phase.SERVING)
-        # Somebody may wait for a program; nobody waits for an empty shard.
-        serving.sort(key=lambda shard: not self._list_programs(shard))
-        for shard in serving:
-            name = self._map.find_owner(shard)
-            if name == self._journal.row.name:
-                continue
-            member = self._members.get(name)
-            heir = self._find_incarnation(name)
-            if member is None or member.state is not messages.State.ALIVE:
-                continue
-            if heir is None or self._table.find(shard).sources:
-                continue
-            if self._may_move(shard):
-                heirs[shard] = heir
-            if len(heirs) >= MOVES_PER_ROUND:
-                break
-        return heirs
+            await self._giver.move(
+                self._neighbours.find_better_owner, self._may_move
+            )
 
 
 def _make_not_held() -> failures.Failure:
--- a/libs/node/vanillayoke/node/segments.py
+++ b/libs/node/vanillayoke/node/segments.py
@@ -6,12 +6,10 @@
 from vanillayoke.cluster import pacing
 from vanillayoke.cluster import rows
 from vanillayoke.core import timers
+from vanillayoke.node import backoff
 from vanillayoke.node import buffer
 from vanillayoke.platform import ports
 
-_SHORTEST_RETRY = 0.1
-_LONGEST_RETRY = 1.0
-
 
 class SegmentStore:
     """This incarnation's segment objects."""
@@ -40,13 +38,13 @@
         """
         blob = buffer.encode_segment(self._incarnation, number, taken)
         key = rows.name_segment(self._incarnation, number)
-        delay = _SHORTEST_RETRY
+        delays = backoff.Backoff(self._random)
         while True:
             self._pacer.spend(self._timers.now())
             if await self._objects.put(key, blob) is None:
                 return
-            await self._timers.sleep(delay * self._random.uniform(0.5, 1.0))
-            delay = min(delay * 2, _LONGEST_RETRY)
+            delays.note_failure(self._timers.now())
+            await self._timers.sleep(delays.retry_at - self._timers.now())
 
     async def delete(self, numbers: typing.Iterable[int]) -> None:
         """Delete segments, paced behind the commits.
@@ -54,8 +52,14 @@
         What cannot be deleted stays until the whole journal goes.
         """
         for number in numbers:
-            wait = self._pacer.ready_at - self._timers.now()
-            await self._timers.sleep(max(wait, 0.0))
-            self._pacer.spend(self._timers.now())
+            await wait_for_share(self._timers, self._pacer)
             key = rows.name_segment(self._incarnation, number)
             await self._objects.delete(key)
+
+
+async def wait_for_share(
+    service: timers.TimerService, pacer: pacing.WritePacer
+) -> None:
+    """Wait until a write that is not urgent fits the share, and count it."""
+    await service.sleep(max(pacer.ready_at - service.now(), 0.0))
+    pacer.spend(service.now())
--- a/libs/node/vanillayoke/node/watcher.py
+++ b/libs/node/vanillayoke/node/watcher.py
@@ -14,10 +14,6 @@
 from vanillayoke.platform import ports
 from vanillayoke.settings import process
 
-# Reads a second that all instances together use for watching.
-READS_PER_SECOND = 500.0
-_SHORTEST_POLL = 0.25
-_LONGEST_POLL = 1.0
 _PAGE = 1000
 
 
@@ -80,6 +76,10 @@
         known = self._known.get(incarnation)
         return known is not None and known.row.state.is_final
 
+    def list_final(self) -> list[str]:
+        """Return the known incarnations that can write no more."""
+        return [one for one in self._known if self.is_final(one)]
+
     def find_live(self, name: str) -> rows.InstanceRow | None:
         """Return the row of an instance's live incarnation, if known.
 
@@ -94,19 +94,29 @@
 
     async def scan(self) -> None | failures.Failure:
         """Read the rows of all incarnations."""
-        found: dict[str, ports.Row] = {}
+        found = await self._read_all(rows.INSTANCE_PREFIX)
+        if failures.is_failure(found):
+            return found
+        return await self._confirm_absent(found)
+
+    async def scan_name(self, name: str) -> None | failures.Failure:
+        """Read the rows of all incarnations of an instance."""
+        found = await self._read_all(rows.name_instance_row(f'{name}-'))
+        return found if failures.is_failure(found) else None
+
+    async def _read_all(self, prefix: str) -> set[str] | failures.Failure:
+        found: set[str] = set()
         after = ''
         while True:
-            page = await self._table.scan(rows.INSTANCE_PREFIX, after, _PAGE)
+            page = await self._table.scan(prefix, after, _PAGE)
             if failures.is_failure(page):
                 return page
-            found.update((row.key, row) for row in page)
+            for row in page:
+                self._take(row)
+                found.add(row.key)
             if len(page) < _PAGE:
-                break
+                return found
             after = page[-1].key
-        for row in found.values():
-            self._take(row)
-        return await self._confirm_absent(found)
 
     async def _confirm_absent(
         self, found: typing.Container[str]
@@ -182,11 +192,6 @@
         for callback in self._callbacks:
             callback(incarnation)
 
-    def find_poll_interval(self, live: int) -> float:
-        """Return the seconds between reads that are urgent."""
-        interval = live / READS_PER_SECOND
-        return min(max(interval, _SHORTEST_POLL), _LONGEST_POLL)
-
     async def poll(self, incarnations: typing.Iterable[str]) -> None:
         """Read leases under watch and fence those that have run out."""
         await asyncio.gather(*map(self._poll_one, incarnations))
--- a/tests/node/machines.py
+++ b/tests/node/machines.py
@@ -12,6 +12,7 @@
 from vanillayoke.core import ids
 from vanillayoke.core import timers
 from vanillayoke.fakes import platform_memory
+from vanillayoke.harness import gates
 from vanillayoke.node import hosted
 from vanillayoke.node import journal as journals
 from vanillayoke.node import ownership as ownerships
@@ -23,113 +24,30 @@
 BUDGET = records.Budget(1_000_000, 1000, 3600.0, 1_000_000)
 
 
-class Gate:
-    """Holds an instance up: while closed, none of its tasks goes on."""
+class Gate(gates.Gate):
+    """Counts what passes, and can close at a given passage."""
 
     def __init__(self) -> None:
-        self._open = asyncio.Event()
-        self._open.set()
+        super().__init__()
         self.is_dead = False
         self.passed = 0
         self.pause_at: int | None = None
         self.on_pause: typing.Callable[[], None] = lambda: None
 
-    def close(self) -> None:
-        self._open.clear()
-
     def open(self) -> None:
         if not self.is_dead:
-            self._open.set()
+            super().open()
 
     def die(self) -> None:
         self.is_dead = True
-        self._open.clear()
+        self.close()
 
-    async def wait(self) -> None:
+    async def pass_through(self) -> None:
         self.passed += 1
         if self.passed == self.pause_at:
             self.close()
             self.on_pause()
-        await self._open.wait()
-
-
-class GatedTimers(timers.TimerService):
-    """Timers of an instance whose clock runs at a rate of its own.
-
-    The clock goes on through a pause, as a machine's does.
-    """
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        gate: Gate,
-        rate: float = 1.0,
-        wall: float = 1e9,
-    ) -> None:
-        self._inner = timers.LoopTimers(loop)
-        self._gate = gate
-        self._rate = rate
-        self._wall = wall
-
-    def now(self) -> float:
-        return self._inner.now() * self._rate
-
-    def wall(self) -> float:
-        return self._wall + self._inner.now()
-
-    def call_after(self, delay, callback):
-        async def fire() -> None:
-            await self._gate.wait()
-            callback()
-
-        def begin() -> None:
-            subscription.firing = asyncio.ensure_future(fire())
-
-        subscription = _GatedSubscription()
-        subscription.inner = self._inner.call_after(delay / self._rate, begin)
-        return subscription
-
-    def call_every(self, interval, callback):
-        def fire() -> None:
-            callback()
-            subscription.inner = self.call_after(interval, fire)
-
-        subscription = _GatedSubscription()
-        subscription.inner = self.call_after(interval, fire)
-        return subscription
-
-    async def sleep(self, delay: float) -> None:
-        await self._inner.sleep(delay / self._rate)
-        await self._gate.wait()
-
-
-class _GatedSubscription(timers.Subscription):
-    inner: timers.Subscription
-    firing: asyncio.Task | None = None
-
-    def cancel(self) -> None:
-        self.inner.cancel()
-        if self.firing is not None:
-            self.firing.cancel()
-
-
-class GatedPort:
-    """A port of the platform whose replies wait behind the gate."""
-
-    def __init__(self, inner: typing.Any, gate: Gate) -> None:
-        self._inner = inner
-        self._gate = gate
-
-    def __getattr__(self, name: str) -> typing.Callable:
-        method = getattr(self._inner, name)
-
-        async def call(*arguments, **named):
-            await self._gate.wait()
-            result = await method(*arguments, **named)
-            await self._gate.wait()
-            return result
-
-        return call
+        await super().pass_through()
 
 
 class Machine:
@@ -147,13 +65,13 @@
         self.zone = zone
         self.gate = Gate()
         self.cluster = cluster
-        self.timers = GatedTimers(cluster.loop, self.gate, rate)
+        self.timers = gates.GatedTimers(cluster.timers, self.gate, rate)
         self.source = random.Random(f'{name} {len(cluster.started)}')
         self.is_up = False
         port = cluster.platform.for_caller(name)
         self.platform = port._replace(
-            table=GatedPort(port.table, self.gate),
-            objects=GatedPort(port.objects, self.gate),
+            table=gates.GatedPort(port.table, self.gate),
+            objects=gates.GatedPort(port.objects, self.gate),
         )
         self.settings = process.ProcessSettings(
             instance=process.InstanceSettings(
@@ -278,8 +196,9 @@
         self.loop = loop
         self.lease = lease or process.LeaseSettings()
         self.store = store or process.StoreSettings(retention=RETENTION)
+        self.timers = timers.LoopTimers(loop, lambda: 1e9 + loop.time())
         self.platform = platform_memory.MemoryPlatform(
-            timers.LoopTimers(loop), random.Random(seed)
+            self.timers, random.Random(seed)
         )
         self.faults = self.platform.faults
         self.faults.delay = delay
@@ -406,7 +325,7 @@
         if await machine.journal.flush() is not None:
             return
         self.opened.add(program)
-        await machine.gate.wait()
+        await machine.gate.pass_through()
         if machine.ownership.epoch_of(shard) == epoch:
             now = self._cluster.loop.time()
             act = Act(now, machine.name, program, epoch, target)
