Refusals came to count against a target, cancelled calls do not.

Cause: a target that is down refuses connections; its circuit breaker stayed closed, since a refused call has not run.

Change: only a call that its caller cancelled says nothing of the target; outcomes have a state for it.

Conclusion: a refusing target is left alone for a while.

--- a/libs/bench/vanillayoke/bench/policy_simulation.py
+++ b/libs/bench/vanillayoke/bench/policy_simulation.py
@@ -290,7 +290,7 @@
         if target in self._engines:
             if not self._engines[target].cancel(call):
                 return
-            outcome = calls.Outcome(call, target, 'refused', 0.0, 0, 0, 0)
+            outcome = calls.Outcome(call, target, 'cancelled', 0.0, 0, 0, 0)
             self._calls.pop(call)
             self._finish(program, outcome)
             program.fail('deadline')
--- a/libs/scheduling/vanillayoke/scheduling/calls.py
+++ b/libs/scheduling/vanillayoke/scheduling/calls.py
@@ -115,8 +115,9 @@
 class Outcome(typing.NamedTuple):
     """How a placed call ended on its target.
 
-    ``state`` is ``answered``, ``refused`` (not run), ``failed`` or
-    ``unknown``; tokens are what the target reported.
+    ``state`` is ``answered``, ``refused`` (not run), ``failed``,
+    ``unknown`` or ``cancelled`` (by the caller, which says nothing of the
+    target); tokens are what the target reported.
     """
 
     call: str
--- a/libs/scheduling/vanillayoke/scheduling/scheduler.py
+++ b/libs/scheduling/vanillayoke/scheduling/scheduler.py
@@ -193,7 +193,7 @@
         match outcome.state:
             case 'answered':
                 view.breaker.note_success(outcome.call)
-            case 'refused':
+            case 'cancelled':
                 view.breaker.note_withdrawn(outcome.call)
             case _:
                 view.breaker.note_failure(outcome.call, now)
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -278,6 +278,28 @@
     _place_one(made, 'c7', 2.6, attained=1.0)
 
 
+def test_target_that_refuses_is_left_alone_for_a_while(case):
+    """Calls run out of attempts within a second of an engine's restart.
+
+    The engine is down and refuses connections; each call is sent there at
+    once as often as it may be and then fails. Cause: refusals did not count
+    against the target, since the calls had not run.
+    """
+    made = _make_scheduler([samples.make_engine('e1')])
+    for number in range(3):
+        _place_one(made, f'c{number}', 0.0, attained=1.0)
+        made.finish(_outcome(f'c{number}', 'e1', 'refused'), 0.0)
+    (refusal,) = _submit(made, 'c4', 0.1, attained=1.0)
+    case.assertEqual(failures.Kind.NO_TARGET, refusal.failure.kind)
+
+
+def test_cancelled_calls_do_not_count_against_a_target(case):
+    made = _make_scheduler([samples.make_engine('e1')])
+    for number in range(9):
+        _place_one(made, f'c{number}', 0.0, attained=1.0)
+        made.finish(_outcome(f'c{number}', 'e1', 'cancelled'), 0.0)
+
+
 def test_service_limit_holds_and_keeps_room_for_urgent(case):
     made = _make_scheduler([samples.make_service('s1')], urgent_reserve=0.25)
     placed = []
