Put the published policy in force.

Cause: the scheduler is built before a configuration is known and kept the default policies for ever. Change: it takes over the policies of each version that comes into force. Measured: a whole-instance test that publishes another placement finds its reasons in the placements. Conclusion: settings choose the policies, as documented.

--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -275,6 +275,7 @@
         self, published: settings_configuration.PublishedConfiguration
     ) -> None:
         in_force = published.configuration
+        self.scheduler.set_policy(in_force.policy)
         self.scheduler.set_targets(
             [
                 _make_spec(name, target)
--- a/libs/scheduling/vanillayoke/scheduling/intake.py
+++ b/libs/scheduling/vanillayoke/scheduling/intake.py
@@ -56,6 +56,11 @@
         self._new: dict[tuple[str, str], waiting.WaitingCalls] = {}
         self._services: dict[str, collections.deque[calls.CallDemand]] = {}
 
+    def set_policy(self, policy: policies.Policies) -> None:
+        """Admit by other policies from now on."""
+        self._policy = policy
+        self.note_change()
+
     def add_ready(self, demand: calls.CallDemand) -> None:
         """Queue a call of a started program, or a service call."""
         self._known[demand.call] = demand
--- a/libs/scheduling/vanillayoke/scheduling/memory.py
+++ b/libs/scheduling/vanillayoke/scheduling/memory.py
@@ -41,6 +41,10 @@
         self._releases = releases.ReleaseBook()
         self._pauses: list[_Pause] = []
 
+    def set_policy(self, policy: policies.CacheLifetime) -> None:
+        """Keep what is cached by another policy from now on."""
+        self._policy = policy
+
     def set_cached(
         self, member: trees.Member, target: str, tokens: int
     ) -> None:
--- a/libs/scheduling/vanillayoke/scheduling/scheduler.py
+++ b/libs/scheduling/vanillayoke/scheduling/scheduler.py
@@ -66,6 +66,15 @@
             source,
         )
 
+    def set_policy(self, policy: configuration.PolicySettings) -> None:
+        """Take over the policies in force for what is decided from now on.
+
+        Programs that were admitted stay admitted.
+        """
+        self._policy = policies.Policies.from_config(policy)
+        self._memory.set_policy(self._policy.cache_lifetime)
+        self._intake.set_policy(self._policy)
+
     def set_targets(self, specs: typing.Sequence[calls.TargetSpec]) -> None:
         """Take over the configured targets."""
         gone = self._targets.list_names() - {spec.target for spec in specs}
