Bounded refused attempts by time and imported exported caches.

Cause: engines that refuse at once used up a call's four attempts within a second, so a run ended though engines came back five seconds later; two tests were red since refusals count against a target. Caches were exported in tool pauses, but nobody kept the handle or imported them. Change: attempts that may have run are counted, refusals are bounded by the ten seconds that a call waits for a target anyhow; a handle is kept and imported before the call that is placed to restore it, for two seconds at most. Conclusion: what the scheduler decides about caches is carried out.

--- a/libs/node/vanillayoke/node/attempts.py
+++ b/libs/node/vanillayoke/node/attempts.py
@@ -25,12 +25,15 @@
 class Attempts:
     """How far one call has come with its targets.
 
-    ``proven_not_run`` holds while every attempt was refused unrun.
+    ``ran`` counts attempts that may have run; ``proven_not_run`` holds
+    while every attempt was refused unrun.
     """
 
     program: programs.Program
     call: program_calls.Call
     deadline: float
+    began: float
+    ran: int = 0
     avoid: frozenset[str] = frozenset()
     proven_not_run: bool = True
 
@@ -60,9 +63,8 @@
         # here can prove that they did not run: an order that it sent would
         # be sent again.
         unsent = call.attempts == 0
-        return Attempts(
-            program, call, clock.now() + left, proven_not_run=unsent
-        )
+        now = clock.now()
+        return Attempts(program, call, now + left, now, proven_not_run=unsent)
 
     def find_epoch(self, program: programs.Program) -> int | None:
         """Return the epoch held for a program, whether it may act or not."""
@@ -213,13 +215,22 @@
     async def wait_before_retry(
         self, attempts: Attempts, failure: failures.Failure, target: str
     ) -> bool:
-        """Wait before another attempt; ``False`` where none may follow."""
-        if attempts.call.attempts >= MOST_ATTEMPTS:
-            return False
+        """Wait before another attempt; ``False`` where none may follow.
+
+        Attempts that may have run are counted. Refusals cost the targets
+        nothing and come in no time, so the time bounds those instead.
+        """
+        refused = failure.kind is failures.Kind.TARGET_REFUSED
         delay = min(
             FIRST_DELAY * 2 ** (attempts.call.attempts - 1), LONGEST_DELAY
         )
-        if self._parts.clock.now() + delay >= attempts.deadline:
+        next_try = self._parts.clock.now() + delay
+        if next_try >= attempts.deadline:
+            return False
+        if refused and next_try > attempts.began + NO_TARGET_PATIENCE:
+            return False
+        attempts.ran += not refused
+        if attempts.ran >= MOST_ATTEMPTS:
             return False
         attempts.avoid |= {target}
         self._parts.logger.write(
--- a/libs/node/vanillayoke/node/caches.py
+++ b/libs/node/vanillayoke/node/caches.py
@@ -42,6 +42,7 @@
         self._logger = logger
         self._scheduler = decisions
         self._tasks: dict[tuple[str, str], asyncio.Task] = {}
+        self.exports: dict[str, str] = {}
 
     def release(self, target: str, program: str) -> None:
         """Start freeing a program's memory on a target."""
@@ -78,6 +79,10 @@
             lambda _: self._tasks.pop((target, f'export {program}'), None)
         )
 
+    def forget(self, program: str) -> None:
+        """Forget the exported cache of a program that is not here any more."""
+        self.exports.pop(program, None)
+
     def stop(self) -> None:
         """Stop; the next owner of the programs goes on."""
         for task in list(self._tasks.values()):
@@ -86,7 +91,9 @@
     async def _export(self, target: str, program: str) -> None:
         engine = self._adapters.get_engine(target)
         if engine is not None:
-            await engine.export_cache(program)
+            handle = await engine.export_cache(program)
+            if not failures.is_failure(handle):
+                self.exports[program] = handle
         self.release(target, program)
 
     async def _release(self, target: str, program: str) -> None:
--- a/libs/node/vanillayoke/node/host.py
+++ b/libs/node/vanillayoke/node/host.py
@@ -264,6 +264,7 @@
         )
         self._runner.cancel(program, failure)
         self._parts.dispatcher.end(program.id)
+        self._parts.exports.pop(program.id, None)
         self._parts.logger.write(
             events.PROGRAM_ENDED,
             program=program.id,
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -155,6 +155,7 @@
             dispatcher=self.dispatcher,
             adapters=outside.adapters,
             configuration=self.configuration,
+            exports=self.releaser.exports,
         )
         self.runner = runs.Runner(
             self.parts, services.StorePolicy(settings.store.unavailable)
@@ -350,6 +351,7 @@
         for program in self.programs.drop(shards):
             self.runner.cancel(program, attempts.make_lost())
             self.dispatcher.forget(program.id)
+            self.releaser.forget(program.id)
 
     def _is_engine(self, target: str) -> bool:
         settings = self.configuration.current.targets.get(target)
--- a/libs/node/vanillayoke/node/models.py
+++ b/libs/node/vanillayoke/node/models.py
@@ -27,6 +27,7 @@
     )
 )
 _RETRY_AFTER = 1.0
+_RESTORE_LIMIT = 2.0
 
 
 class ModelCalls:
@@ -77,6 +78,8 @@
     ) -> None | failures.Failure:
         """Record the failure; what may be repeated is told as such."""
         if attempts.proven_not_run:
+            if failure.answer.may_retry and failure.retry_after is None:
+                failure = failure._replace(retry_after=_RETRY_AFTER)
             return self._settler.fail(attempts, failure, not_run=True)
         if failure.kind in _REPEATABLE:
             failure = failures.Failure(
@@ -112,8 +115,10 @@
             )
             self._finish(demand, placed, result, 0.0)
             return result
-        request = self._make_request(attempts, agent, placed)
         started = clock.now()
+        if placed.restore:
+            await self._restore(engine, attempts.program.id)
+        request = self._make_request(attempts, agent, placed)
         try:
             result = await self._read(
                 attempts, engine.stream(request), stream, placed.target
@@ -135,6 +140,21 @@
         self._finish(demand, placed, result, clock.now() - started)
         return result
 
+    async def _restore(self, engine: ports.Engine, program: str) -> None:
+        """Import an exported cache; without it the engine computes it anew.
+
+        A slow or failing import must not cost more than it saves, so it is
+        given up after a short time.
+        """
+        handle = self._parts.exports.pop(program, None)
+        if handle is None:
+            return
+        try:
+            async with asyncio.timeout(_RESTORE_LIMIT):
+                await engine.import_cache(program, handle)
+        except TimeoutError:
+            return
+
     async def _read(
         self,
         attempts: call_attempts.Attempts,
--- a/libs/node/vanillayoke/node/parts.py
+++ b/libs/node/vanillayoke/node/parts.py
@@ -48,7 +48,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
-    """The parts of one process that drive calls together."""
+    """The parts of one process that drive calls together.
+
+    ``exports`` maps programs to the handles of their exported caches.
+    """
 
     clock: timers.TimerService
     logger: logs.Logger
@@ -59,6 +62,7 @@
     dispatcher: dispatcher.Dispatcher
     adapters: Adapters
     configuration: configuration.ConfigurationHolder
+    exports: dict[str, str]
     tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
 
     def start_task(self, work: typing.Coroutine) -> asyncio.Task:
