Stopped refusing programs while engines have room.

Cause: with 28 ms between tokens first calls last eleven seconds; all of them counted as a backlog, and a program was refused as overload ("about 97 s of programs wait") before engines with 1,024 places of which 180 were in use. Change: they count unless a sampled engine would run the call at once. The new test fails without the change.

--- a/libs/scheduling/vanillayoke/scheduling/intake.py
+++ b/libs/scheduling/vanillayoke/scheduling/intake.py
@@ -79,7 +79,7 @@
         if queue is None:
             queue = self._new[key] = waiting.WaitingCalls(self._shares)
         before = queue.count_before(demand)
-        if not demand.urgent:
+        if not demand.urgent and not self._has_free_engine(demand, now):
             before += len(self._starting)
         wait = self._backlog.estimate_wait(before, now)
         spare = (demand.deadline - now) * _DEADLINE_PART
@@ -95,6 +95,16 @@
         self._may_have_room = True
         return None
 
+    def _has_free_engine(self, demand: calls.CallDemand, now: float) -> bool:
+        """Tell whether a call would run at once on an engine.
+
+        First calls that run for many seconds on engines with room are no
+        backlog: without this they would be taken for one, and programs be
+        refused as overload by half-empty engines.
+        """
+        able = self._targets.sample(demand, _ADMISSION_CHOICES, now)
+        return any(view.estimate_load() < view.spec.slots for view in able)
+
     def remove(self, call: str) -> None:
         """Take a call out, wherever it waits."""
         demand = self._known.pop(call, None)
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -53,6 +53,20 @@
     case.assertEqual(target, again)
 
 
+def test_running_first_calls_are_no_backlog(case):
+    """A program is refused as overloaded though engines are half empty.
+
+    Many programs' first calls run, each for many seconds. None of them
+    waits, so the next program can start at once.
+    """
+    big = samples.make_engine('big', slots=1024, cache_tokens=10**8)
+    engines = _make_scheduler([big])
+    engines.observe_report(samples.make_report('big', 0.0, cache_size=10**8))
+    for number in range(200):
+        name = f'prg-{number}'
+        _place_one(engines, name, 1.0, program=name, root=name)
+
+
 def test_leaving_target_gets_nothing(case, engines):
     """A program fails in the middle of a planned stop of its engine.
 
