Moved upkeep out of the composition.

Change: what is done now and then has a module of its own. Conclusion: composing and keeping up are two jobs.

--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -28,6 +28,7 @@
 from vanillayoke.node import recovery
 from vanillayoke.node import runs
 from vanillayoke.node import services
+from vanillayoke.node import upkeep
 from vanillayoke.peers import ports as peer_ports
 from vanillayoke.platform import ports as platform_ports
 from vanillayoke.platform import watching
@@ -71,7 +72,6 @@
         self._settings = settings
         self._outside = outside
         self._stop_request: StopRequest = lambda reason: None
-        self._upkeep: list[timers.Subscription] = []
         platform = watching.watch_platform(
             outside.platform,
             watching.Reporters(
@@ -191,6 +191,16 @@
             self.operations,
             self._outside.source,
         )
+        self.upkeep = upkeep.Upkeep(
+            self._outside.clock,
+            self._outside.registry,
+            self.programs,
+            self.journal,
+            self.directory,
+            self.runner,
+            self.host.expire_programs,
+            self._settings.store.retention,
+        )
 
     def _spend_writes(self, writes: int) -> None:
         self.journal.pacer.spend(self._outside.clock.now(), writes)
@@ -205,12 +215,7 @@
         A failure says that the store cannot be reached yet; all parts go
         on trying, and requests are passed on to their owners meanwhile.
         """
-        clock = self._outside.clock
-        self._upkeep = [
-            clock.call_every(_PURGE_INTERVAL, self._purge),
-            clock.call_every(_MEASURE_INTERVAL, self._measure),
-            clock.call_every(_EXPIRY_INTERVAL, self.host.expire_programs),
-        ]
+        self.upkeep.start()
         self.orders.start()
         await self.members.start()
         await self.configuration.start()
@@ -239,8 +244,7 @@
 
     async def stop(self) -> None:
         """Close all parts without handing anything over."""
-        for subscription in self._upkeep:
-            subscription.cancel()
+        self.upkeep.stop()
         self.feeds.stop()
         self.configuration.stop()
         self.releaser.stop()
@@ -357,20 +361,6 @@
         settings = self.configuration.current.targets.get(target)
         return settings is not None and settings.kind == 'engine'
 
-    def _measure(self) -> None:
-        registry = self._outside.registry
-        registry.programs_open.set(len(self.programs.known))
-        registry.shards.set(self.directory.count_shards())
-        registry.streams.set(self.runner.count)
-        deadline = self.journal.lease.deadline
-        if deadline is not None:
-            left = deadline - self._outside.clock.now()
-            registry.lease_remaining.set(round(left, 3))
-
-    def _purge(self) -> None:
-        retention = self._settings.store.retention
-        self.programs.purge(self._outside.clock.wall() - retention)
-
     def _is_idle(self, shard: ids.Shard) -> bool:
         """Tell whether no call of a shard's programs is under way."""
         return all(
@@ -393,9 +383,6 @@
 
 _RUN_POLL = 0.05
 _PEERS_ASKED = 3
-_PURGE_INTERVAL = 30.0
-_MEASURE_INTERVAL = 2.0
-_EXPIRY_INTERVAL = 1.0
 # The reason given where the instance has to begin anew.
 LEASE_LOST = 'the lease is lost'
 
