Let operators choose the order that serves the least first.

Cause: the scheduler gained a policy that the settings did not list; a test that holds the two equal was red. Measured: the test passes. Conclusion: settings and scheduler agree.

--- a/libs/settings/vanillayoke/settings/configuration.py
+++ b/libs/settings/vanillayoke/settings/configuration.py
@@ -10,7 +10,7 @@
 TARGET_KINDS = ('engine', 'service')
 FENCING = ('checks', 'ignores')
 PLACEMENTS = ('expected_completion', 'least_load')
-ORDERS = ('attained_service', 'first_come')
+ORDERS = ('attained_service', 'least_attained', 'first_come')
 ADMISSIONS = ('working_set', 'open')
 CACHE_LIFETIMES = ('learned_return', 'release', 'keep')
 
