--- a/libs/node/vanillayoke/node/lookout.py
+++ b/libs/node/vanillayoke/node/lookout.py
@@ -26,6 +26,12 @@
 _NOTICE_SHARE = 1 / 3
 
 
+def find_watch_interval(instances: int, time_to_live: float) -> float:
+    """Return how often a lease is looked at while nothing is in doubt."""
+    reads = instances * neighbours.WATCHERS_PER_LEASE
+    return max(reads / READS_PER_SECOND, time_to_live * _WATCH_SHARE)
+
+
 class Lookout:
     """Polls leases under watch, and the news; often while it matters."""
 
@@ -80,9 +86,8 @@
         return [one for one in watched if self._is_due(one)]
 
     def _is_due(self, incarnation: str) -> bool:
-        reads = self._neighbours.count * neighbours.WATCHERS_PER_LEASE
-        interval = max(
-            reads / READS_PER_SECOND, self._time_to_live * _WATCH_SHARE
+        interval = find_watch_interval(
+            self._neighbours.count, self._time_to_live
         )
         if self._neighbours.is_in_doubt(incarnation):
             interval = self._poll_interval
