--- a/libs/cluster/vanillayoke/cluster/leases.py
+++ b/libs/cluster/vanillayoke/cluster/leases.py
@@ -92,6 +92,11 @@
         """Return the row version under watch."""
         return self._seen.version if self._seen else None
 
+    @property
+    def expires_at(self) -> float | None:
+        """Return when the lease will have run out unless it is renewed."""
+        return self._seen.since + self._span if self._seen else None
+
     def observe(self, version: int, now: float) -> None:
         """Take in a read of the row; ``now`` is after its reply came.
 
--- a/libs/node/vanillayoke/node/lookout.py
+++ b/libs/node/vanillayoke/node/lookout.py
@@ -24,6 +24,7 @@
 _SHORTEST_SHARE = 0.8
 _WATCH_SHARE = 1 / 12
 _NOTICE_SHARE = 1 / 3
+_NEVER = float('inf')
 
 
 def find_watch_interval(instances: int, time_to_live: float) -> float:
@@ -75,7 +76,17 @@
             now = self._timers.now()
             self._polled.update((incarnation, now) for incarnation in due)
             await self._watcher.poll(due)
-            await self._wait_about(self._watch_alarm, self._poll_interval)
+            await self._wait_about(
+                self._watch_alarm,
+                self._poll_interval,
+                self._find_next_expiry(),
+            )
+
+    def _find_next_expiry(self) -> float:
+        """Return when the next lease under watch may run out."""
+        now = self._timers.now()
+        expiries = map(self._watcher.find_expiry, self._polled)
+        return min((one for one in expiries if one > now), default=_NEVER)
 
     def _list_due(self) -> list[str]:
         watched = self._neighbours.list_watched()
@@ -108,10 +119,13 @@
                 self._notice_alarm, self._find_notice_interval()
             )
 
-    async def _wait_about(self, bell: alarm.Alarm, interval: float) -> None:
+    async def _wait_about(
+        self, bell: alarm.Alarm, interval: float, latest: float = _NEVER
+    ) -> None:
         # Instances that started together would else read all at once.
         jitter = self._random.uniform(_SHORTEST_SHARE, 1.0)
-        await bell.wait_until(self._timers.now() + interval * jitter)
+        moment = self._timers.now() + interval * jitter
+        await bell.wait_until(min(moment, latest))
 
     def _find_notice_interval(self) -> float:
         if self._neighbours.is_calm and not self._expects_shards():
--- a/libs/node/vanillayoke/node/watcher.py
+++ b/libs/node/vanillayoke/node/watcher.py
@@ -192,6 +192,12 @@
         for callback in self._callbacks:
             callback(incarnation)
 
+    def find_expiry(self, incarnation: str) -> float:
+        """Return when a watched lease may run out; never, if unknown."""
+        watch = self._watches.get(incarnation)
+        expires_at = watch.expires_at if watch else None
+        return float('inf') if expires_at is None else expires_at
+
     async def poll(self, incarnations: typing.Iterable[str]) -> None:
         """Read leases under watch and fence those that have run out."""
         await asyncio.gather(*map(self._poll_one, incarnations))
--- a/tests/node/machines.py
+++ b/tests/node/machines.py
@@ -379,3 +379,14 @@
     """Return all shard rows of the table."""
     found = await cluster.platform.table.scan(rows.SHARD_PREFIX, limit=9999)
     return [rows.decode_row(row.value, rows.ShardRow) for row in found]
+
+
+async def wait_for_fence(cluster: Cluster, dead: Machine) -> None:
+    """Wait until another machine has fenced a dead one."""
+    key = rows.name_instance_row(dead.incarnation)
+    for _ in range(5000):
+        found = await cluster.platform.table.read(key)
+        row = rows.decode_row(found.value, rows.InstanceRow)
+        if row.state is rows.InstanceState.FENCED:
+            return
+    raise AssertionError(f'{dead.incarnation} was not fenced')
--- a/tests/node/test_ownership_faults.py
+++ b/tests/node/test_ownership_faults.py
@@ -113,7 +113,7 @@
     taker = await cluster.add('two')
     cluster.set_state('one', messages.State.FAILED)
     load.start(taker)
-    await asyncio.sleep(6.5)
+    await machines.wait_for_fence(cluster, first)
     taker.gate.pause_at = taker.gate.passed + pass_number
     taker.gate.on_pause = taker.gate.die
     await asyncio.sleep(3.0)
@@ -142,7 +142,7 @@
     """
     ends = {
         await _run_half_way(case, loop, pass_number)
-        for pass_number in (5, 60, 150, 156, 162, 170, 220, 280)
+        for pass_number in (3, 60, 128, 132, 136, 140, 160, 250)
     }
     whole = ids.SHARD_COUNT
     case.assertTrue(any(0 < claimed < whole for claimed, _ in ends), ends)
