--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -92,11 +92,11 @@
             platform.table, platform.objects, clock, self._ask_peers
         )
         self.journal = journal.Journal.from_config(
-            settings, platform, clock, source
+            settings, platform, clock, source, outside.logger
         )
         self.programs = hosted.HostedPrograms(self.journal)
         self.ownership = ownership.Ownership.from_config(
-            settings, self.journal, platform, clock, source
+            settings, self.journal, platform, clock, source, outside.logger
         )
         self.members = members.Members.from_config(
             settings.instance,
