Told a caller soon of an order that the store's silence stopped.

Cause: trying the promises by hand on real processes, an order sent three seconds into an outage got no answer for 60 s. A store that gives no reply fails a write only after some seconds, so the order got its place first; its failure then waited to be durable up to the program's deadline. Ruled out: the adapter's timeout, which works as set. Change: a write that takes over a second counts as failing; only answers wait for the store, a failure is told after one try as store_uncertain with the time to come back; a key with a record that may yet become durable is not told "not run". Conclusion: what is given up is answered at once, also in an outage.

--- a/libs/harness/vanillayoke/harness/matrix/guards.py
+++ b/libs/harness/vanillayoke/harness/matrix/guards.py
@@ -15,6 +15,7 @@
 from vanillayoke.node import attempts
 from vanillayoke.node import caches
 from vanillayoke.node import feeds
+from vanillayoke.node import results
 from vanillayoke.node import runs
 from vanillayoke.node import services
 
@@ -124,7 +125,8 @@
 
 def _skip_commit() -> contextlib.AbstractContextManager:
     async def skip(self, run):
-        return None
+        first = run.program.find_call(run.first)
+        return results.make_final(run.program, first)
 
     return _patch(runs.Runner, '_commit', skip)
 
--- a/libs/node/vanillayoke/node/commitloop.py
+++ b/libs/node/vanillayoke/node/commitloop.py
@@ -21,6 +21,8 @@
 
 FLUSH_PATIENCE = 2.0
 _RENEWALS_PER_LEASE = 3
+# A write that takes longer is taken for one that fails, in seconds.
+_SLOW_WRITE = 1.0
 
 LostCallback = typing.Callable[[], None]
 RenewedCallback = typing.Callable[[float], None]
@@ -63,14 +65,22 @@
         self._backoff = backoff.Backoff(source)
         self._confirmed: rows.InstanceRow | None = None
         self._last_sent = float('-inf')
+        self._writing_since: float | None = None
         self._runner: asyncio.Task | None = None
         self._lost_callbacks: list[LostCallback] = []
         self._renewed_callbacks: list[RenewedCallback] = []
 
     @property
     def is_failing(self) -> bool:
-        """Tell whether the last attempt to write the row failed."""
-        return self._backoff.is_failing
+        """Tell whether the row cannot be written, as far as is known.
+
+        A store that gives no answer at all shows by a write that takes
+        long, some seconds before that write counts as failed.
+        """
+        if self._backoff.is_failing:
+            return True
+        since = self._writing_since
+        return since is not None and self._timers.now() - since > _SLOW_WRITE
 
     def subscribe_lost(self, callback: LostCallback) -> None:
         """Call back once if the lease is lost for good."""
@@ -168,7 +178,9 @@
         self._last_sent = attempt.sent_at
         self._pacer.spend(attempt.sent_at)
         encoded = self._encode_tail(attempt)
+        self._writing_since = attempt.sent_at
         result = await self._lease_row.write(attempt, encoded)
+        self._writing_since = None
         match result:
             case leaserow.Attempt():
                 self._confirm(result)
--- a/libs/node/vanillayoke/node/runs.py
+++ b/libs/node/vanillayoke/node/runs.py
@@ -79,12 +79,9 @@
         )
         if failures.is_failure(proposal):
             return proposal
-        if self._store_refuses(program, proposal):
-            return failures.Failure(
-                failures.Kind.STORE_UNAVAILABLE,
-                'its intent cannot be made durable now',
-                _STORE_RETRY,
-            )
+        refused = self._check_store(program, proposal)
+        if refused is not None:
+            return refused
         accepted = self._accept(program, proposal, epoch)
         match accepted:
             case failures.Failure():
@@ -93,22 +90,31 @@
                 return self.join(program, number)
         return self._drive_soon(program, accepted).stream
 
-    def _store_refuses(
+    def _check_store(
         self, program: programs.Program, proposal: checks.CallProposal
-    ) -> bool:
-        """Tell whether a call is refused before it gets its place.
+    ) -> failures.Failure | None:
+        """Refuse a non-idempotent call before it gets its place.
 
         An accepted call may become durable any time; a successor would
         then run what its caller was told did not run. Without a record
-        nobody ever will.
+        nobody ever will. A key that has a record already may yet become
+        durable, so of that one "not run" is not said.
         """
         known = program.find_key(proposal.key)
         is_new = known is None or decisions.may_begin_again(program, known)
-        return (
-            is_new
-            and not proposal.idempotent
-            and self._store_policy is services.StorePolicy.REFUSE
-            and self._parts.journal.is_failing
+        if proposal.idempotent or not is_new:
+            return None
+        if self._store_policy is not services.StorePolicy.REFUSE:
+            return None
+        if not self._parts.journal.is_failing:
+            return None
+        kind = (
+            failures.Kind.STORE_UNAVAILABLE
+            if known is None
+            else failures.Kind.STORE_UNCERTAIN
+        )
+        return failures.Failure(
+            kind, 'its intent cannot be made durable now', _STORE_RETRY
         )
 
     def join(
@@ -201,15 +207,7 @@
 
     async def _drive(self, run: Run) -> None:
         try:
-            failure = await self._run_steps(run)
-            if failure is None:
-                failure = await self._commit(run)
-            if failure is None:
-                self._log_committed(run)
-                first = run.program.find_call(run.first)
-                final = results.make_final(run.program, first)
-            else:
-                final = failure
+            final = await self._run_steps(run) or await self._commit(run)
         except Exception:
             self._give_up(run)
             raise
@@ -345,24 +343,29 @@
             reason=reason,
         )
 
-    async def _commit(self, run: Run) -> None | failures.Failure:
-        """Wait until the answer is durable, up to the program's deadline.
+    async def _commit(self, run: Run) -> host.FinalAnswer | failures.Failure:
+        """Wait until the run's end is durable and return it.
 
         An answer told before that could be gone with this instance, and
-        the caller would hold a text that the history does not have.
+        the caller would hold a text that the history does not have; it is
+        waited for up to the program's deadline. A failure is not: its
+        caller is told at once to come back with its key.
         """
         clock = self._parts.clock
         deadline = clock.now() + run.program.deadline - clock.wall()
+        first = run.program.find_call(run.first)
+        final = results.make_final(run.program, first)
         while True:
             failure = await self._parts.journal.flush()
             if failure is None:
-                return None
+                self._log_committed(run)
+                return final
             if failure.kind is not failures.Kind.STORE_UNAVAILABLE:
                 return call_attempts.make_lost()
-            if clock.now() >= deadline:
+            if failures.is_failure(final) or clock.now() >= deadline:
                 return failures.Failure(
                     failures.Kind.STORE_UNCERTAIN,
-                    'the answer is there but not durable yet',
-                    retry_after=1.0,
+                    'the end of the call is not durable yet',
+                    retry_after=_STORE_RETRY,
                 )
             await clock.sleep(_STORE_PAUSE)
--- a/tests/node/test_store_faults.py
+++ b/tests/node/test_store_faults.py
@@ -53,6 +53,35 @@
     case.assertEqual({}, site.services['orders-1'].executions)
 
 
+async def test_order_of_the_moment_the_store_goes_down_is_answered_soon(
+    case, site, caller
+):
+    """A surveyor waits two minutes for a refusal that was decided at once.
+
+    The store stops answering just before the order: nothing has failed
+    yet, so the order gets its place, cannot be sent, and its failure
+    cannot be made durable. The caller is told within seconds to come back
+    with its key, is not told "not run" of it, and it runs once later.
+    """
+    await sites.start_three(site)
+    opened = await caller.open('open-1')
+    owner = site.instances[opened['instance']].served.host
+    site.platform.faults.down = True
+    request = _ask_for_order('order-1')
+    began = site.clock.now()
+    stream = await owner.start_call(virtual.CLIENT, opened['program'], request)
+    told = await stream.wait()
+    case.assertIs(failures.Kind.STORE_UNCERTAIN, told.kind)
+    case.assertLess(site.clock.now() - began, 10.0)
+    again = await owner.start_call(virtual.CLIENT, opened['program'], request)
+    case.assertIs(failures.Kind.STORE_UNCERTAIN, again.kind)
+    site.platform.faults.down = False
+    await site.clock.sleep(5.0)
+    stream = await owner.start_call(virtual.CLIENT, opened['program'], request)
+    case.assertIsInstance(await stream.wait(), host.FinalAnswer)
+    case.assertEqual([1], list(site.services['orders-1'].executions.values()))
+
+
 async def test_refused_order_runs_under_its_key_later(case, site, caller):
     """The surveyor repeats the refused order when the store is back."""
     program, owner = await _open_during_outage(site, caller)
