--- a/libs/harness/vanillayoke/harness/virtual.py
+++ b/libs/harness/vanillayoke/harness/virtual.py
@@ -21,6 +21,7 @@
 from vanillayoke.harness import gates
 from vanillayoke.node import configuration as node_configuration
 from vanillayoke.node import instance
+from vanillayoke.node import surroundings
 from vanillayoke.platform import ports as platform_ports
 from vanillayoke.settings import configuration
 from vanillayoke.settings import process
@@ -280,12 +281,12 @@
         settings: process.InstanceSettings,
         gate: gates.Gate,
         clock: timers.TimerService,
-    ) -> instance.Surroundings:
+    ) -> surroundings.Surroundings:
         ports = self.platform.for_caller(settings.name)
         transport = self.network.open(settings.peer_address, settings.region)
         receive = transport.receive
         transport.receive = lambda message: gate.call(lambda: receive(message))
-        return instance.Surroundings(
+        return surroundings.Surroundings(
             platform=platform_ports.Platform(
                 *(gates.GatedPort(port, gate) for port in ports)
             ),
--- a/libs/node/vanillayoke/node/attempts.py
+++ b/libs/node/vanillayoke/node/attempts.py
@@ -14,12 +14,14 @@
 from vanillayoke.scheduling import calls
 
 MOST_ATTEMPTS = 4
-FIRST_DELAY = 0.05
-LONGEST_DELAY = 2.0
 NO_TARGET_PAUSE = 0.5
 NO_TARGET_PATIENCE = 10.0
 _TOKENS_PER_CHARACTER = 0.3
 
+Decide = typing.Callable[
+    [tuple[programs.Program, ...], int], list[records.AnyRecord]
+]
+
 
 @dataclasses.dataclass(slots=True)
 class Attempts:
@@ -140,6 +142,8 @@
         if failures.is_failure(decided):
             return decided
         self._parts.programs.write(decided)
+        if call.attempts == 1:
+            self._parts.retries.note_call()
         self._parts.logger.write(
             events.CALL_DISPATCHED,
             program=attempts.program.id,
@@ -158,24 +162,24 @@
         target: str,
     ) -> None | failures.Failure:
         """Record a call's answer; a failure where the program moved."""
-        program = attempts.program
-        epoch = self.find_epoch(program)
-        if epoch is None:
-            return make_lost()
-        decided = decisions.answer_call(
-            program,
-            self._parts.programs.list_ancestors(program),
-            attempts.call.number,
-            message,
-            finish_reason,
-            spent,
-            target,
-            epoch,
+        failure = self._record(
+            attempts,
+            lambda above, epoch: decisions.answer_call(
+                attempts.program,
+                above,
+                attempts.call.number,
+                message,
+                finish_reason,
+                spent,
+                target,
+                epoch,
+            ),
         )
-        self._parts.programs.write(decided)
+        if failure is not None:
+            return failure
         self._parts.logger.write(
             events.CALL_ANSWERED,
-            program=program.id,
+            program=attempts.program.id,
             call=attempts.call.number,
             target=target,
             seconds=round(spent.seconds, 4),
@@ -189,22 +193,22 @@
         not_run: bool = False,
     ) -> None | failures.Failure:
         """Record a call's final error; a failure where the program moved."""
-        program = attempts.program
-        epoch = self.find_epoch(program)
-        if epoch is None:
-            return make_lost()
-        decided = decisions.fail_call(
-            program,
-            self._parts.programs.list_ancestors(program),
-            attempts.call.number,
-            failure,
-            epoch,
-            not_run=not_run and attempts.proven_not_run,
+        lost = self._record(
+            attempts,
+            lambda above, epoch: decisions.fail_call(
+                attempts.program,
+                above,
+                attempts.call.number,
+                failure,
+                epoch,
+                not_run=not_run and attempts.proven_not_run,
+            ),
         )
-        self._parts.programs.write(decided)
+        if lost is not None:
+            return lost
         self._parts.logger.write(
             events.CALL_FAILED,
-            program=program.id,
+            program=attempts.program.id,
             call=attempts.call.number,
             target=attempts.call.target or None,
             kind=failure.kind.value,
@@ -212,18 +216,29 @@
         )
         return None
 
+    def _record(
+        self, attempts: Attempts, decide: Decide
+    ) -> None | failures.Failure:
+        """Write what is decided of a call; a failure where it moved away."""
+        epoch = self.find_epoch(attempts.program)
+        if epoch is None:
+            return make_lost()
+        above = self._parts.programs.list_ancestors(attempts.program)
+        self._parts.programs.write(decide(above, epoch))
+        return None
+
     async def wait_before_retry(
         self, attempts: Attempts, failure: failures.Failure, target: str
     ) -> bool:
         """Wait before another attempt; ``False`` where none may follow.
 
-        Attempts that may have run are counted. Refusals cost the targets
-        nothing and come in no time, so the time bounds those instead.
+        Attempts that may have run are counted, and all of them together
+        are bounded by the retry budget. Refusals cost the targets nothing
+        and come in no time, so the time bounds those instead.
         """
         refused = failure.kind is failures.Kind.TARGET_REFUSED
-        delay = min(
-            FIRST_DELAY * 2 ** (attempts.call.attempts - 1), LONGEST_DELAY
-        )
+        budget = self._parts.retries
+        delay = budget.draw_backoff(attempts.call.attempts)
         next_try = self._parts.clock.now() + delay
         if next_try >= attempts.deadline:
             return False
@@ -232,6 +247,8 @@
         attempts.ran += not refused
         if attempts.ran >= MOST_ATTEMPTS:
             return False
+        if not refused and not budget.take():
+            return False
         attempts.avoid |= {target}
         self._parts.logger.write(
             events.CALL_RETRIED,
@@ -239,7 +256,7 @@
             call=attempts.call.number,
             target=target,
             kind=failure.kind.value,
-            delay=delay,
+            delay=round(delay, 3),
         )
         await self._parts.clock.sleep(delay)
         return True
--- a/libs/node/vanillayoke/node/configuration.py
+++ b/libs/node/vanillayoke/node/configuration.py
@@ -4,6 +4,7 @@
 import hashlib
 import typing
 
+from vanillayoke.cluster import versions
 from vanillayoke.core import failures
 from vanillayoke.core import timers
 from vanillayoke.platform import ports
@@ -37,7 +38,7 @@
         self._objects = objects
         self._clock = clock
         self._ask_peers = ask_peers
-        self._heard = 0
+        self._versions = versions.VersionTracker()
         self._published = configuration.PublishedConfiguration(
             version=0, author='', configuration=configuration.Configuration()
         )
@@ -50,7 +51,7 @@
     @property
     def version(self) -> int:
         """Return the version in force; 0 before any is known."""
-        return self._published.version
+        return self._versions.in_force
 
     @property
     def published(self) -> configuration.PublishedConfiguration:
@@ -80,8 +81,7 @@
 
     def hear(self, version: int) -> None:
         """Take news from a peer that a version exists."""
-        if version > self.version:
-            self._heard = max(self._heard, version)
+        if self._versions.hear(version):
             self._refresh_soon()
 
     async def refresh(self) -> None | failures.Failure:
@@ -92,7 +92,7 @@
         return failure
 
     def _may_be_behind(self) -> bool:
-        return self.version == 0 or self._heard > self.version
+        return self.version == 0 or self._versions.missing is not None
 
     async def _read_from_peer(self) -> None:
         """Take a peer's version while the table cannot be reached.
@@ -121,7 +121,7 @@
 
     def offer(self, published: configuration.PublishedConfiguration) -> bool:
         """Take a configuration if it is newer than the one in force."""
-        if published.version <= self.version:
+        if not self._versions.adopt(published.version):
             return False
         self._put_in_force(published)
         return True
--- a/libs/node/vanillayoke/node/instance.py
+++ b/libs/node/vanillayoke/node/instance.py
@@ -1,15 +1,11 @@
 """One instance: its parts, built from ports, started and drained."""
 
-import random
 import typing
 
 from vanillayoke.cluster import messages
 from vanillayoke.core import events
 from vanillayoke.core import failures
 from vanillayoke.core import ids
-from vanillayoke.core import logs
-from vanillayoke.core import metrics
-from vanillayoke.core import timers
 from vanillayoke.node import attempts
 from vanillayoke.node import caches
 from vanillayoke.node import configuration
@@ -28,11 +24,12 @@
 from vanillayoke.node import recovery
 from vanillayoke.node import runs
 from vanillayoke.node import services
+from vanillayoke.node import surroundings
 from vanillayoke.node import upkeep
-from vanillayoke.peers import ports as peer_ports
 from vanillayoke.platform import ports as platform_ports
 from vanillayoke.platform import watching
 from vanillayoke.scheduling import calls
+from vanillayoke.scheduling import retries
 from vanillayoke.scheduling import scheduler
 from vanillayoke.settings import configuration as settings_configuration
 from vanillayoke.settings import process
@@ -40,34 +37,13 @@
 StopRequest = typing.Callable[[str], None]
 
 
-class TargetAdapters(parts.Adapters, typing.Protocol):
-    """Adapters that follow the configuration."""
-
-    async def apply(
-        self,
-        targets: typing.Mapping[str, settings_configuration.TargetSettings],
-    ) -> None:
-        """Build and close adapters to fit the configured targets."""
-
-
-class Surroundings(typing.NamedTuple):
-    """All that an instance takes from outside; tests pass stand-ins."""
-
-    platform: platform_ports.Platform
-    transport: peer_ports.PeerTransport
-    adapters: TargetAdapters
-    operators: operations.PeerOperations
-    clock: timers.TimerService
-    source: random.Random
-    logger: logs.Logger
-    registry: metrics.Metrics
-
-
 class Instance:
     """The composition of one process, without its HTTP server."""
 
     def __init__(
-        self, settings: process.ProcessSettings, outside: Surroundings
+        self,
+        settings: process.ProcessSettings,
+        outside: surroundings.Surroundings,
     ) -> None:
         self._settings = settings
         self._outside = outside
@@ -119,6 +95,10 @@
             settings.instance.region,
             outside.source,
         )
+        self.retries = retries.RetryBudget(
+            settings_configuration.PolicySettings().retry_fraction,
+            outside.source,
+        )
         self.releaser = caches.CacheReleaser(
             self.programs,
             outside.adapters,
@@ -155,6 +135,7 @@
             dispatcher=self.dispatcher,
             adapters=outside.adapters,
             configuration=self.configuration,
+            retries=self.retries,
             exports=self.releaser.exports,
         )
         self.runner = runs.Runner(
@@ -281,6 +262,7 @@
     ) -> None:
         in_force = published.configuration
         self.scheduler.set_policy(in_force.policy)
+        self.retries.set_fraction(in_force.policy.retry_fraction)
         self.scheduler.set_targets(
             [
                 _make_spec(name, target)
--- a/libs/node/vanillayoke/node/parts.py
+++ b/libs/node/vanillayoke/node/parts.py
@@ -12,6 +12,7 @@
 from vanillayoke.node import configuration
 from vanillayoke.node import dispatcher
 from vanillayoke.node import hosted
+from vanillayoke.scheduling import retries
 from vanillayoke.targets import ports
 
 
@@ -62,6 +63,7 @@
     dispatcher: dispatcher.Dispatcher
     adapters: Adapters
     configuration: configuration.ConfigurationHolder
+    retries: retries.RetryBudget
     exports: dict[str, str]
     tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
 
--- a/libs/node/vanillayoke/node/process.py
+++ b/libs/node/vanillayoke/node/process.py
@@ -18,6 +18,7 @@
 from vanillayoke.entry import app
 from vanillayoke.node import instance
 from vanillayoke.node import operations
+from vanillayoke.node import surroundings
 from vanillayoke.peers import nng
 from vanillayoke.platform import http
 from vanillayoke.settings import process
@@ -140,7 +141,7 @@
         meters = metrics.Metrics()
         served = instance.Instance(
             settings,
-            instance.Surroundings(
+            surroundings.Surroundings(
                 platform=platform.ports,
                 transport=transport,
                 adapters=adapters,
--- a/libs/scheduling/vanillayoke/scheduling/retries.py
+++ b/libs/scheduling/vanillayoke/scheduling/retries.py
@@ -1,22 +1,15 @@
-"""Whether and when a failed call is sent again."""
+"""How often failed calls of one instance may be sent again, and when.
 
-import random
-import typing
+What may be sent again at all is decided with the program's record, see
+``vanillayoke.programs.decisions``.
+"""
 
-from vanillayoke.core import failures
-from vanillayoke.scheduling import calls
+import random
 
 _FIRST_BACKOFF = 0.05
-_LONGEST_BACKOFF = 5.0
+_LONGEST_BACKOFF = 2.0
+_MOST_DOUBLINGS = 10
 _MOST_SAVED = 20.0
-_NOT_RUN = 'refused'
-
-
-class Retry(typing.NamedTuple):
-    """Send the call again after some seconds, with the new demand."""
-
-    demand: calls.CallDemand
-    after: float
 
 
 class RetryBudget:
@@ -32,54 +25,26 @@
         self._source = source
         self._saved = _MOST_SAVED
 
+    def set_fraction(self, fraction: float) -> None:
+        """Take over the fraction in force."""
+        self._fraction = fraction
+
     def note_call(self) -> None:
         """Count a first attempt."""
         self._saved = min(_MOST_SAVED, self._saved + self._fraction)
 
-    def plan(
-        self,
-        demand: calls.CallDemand,
-        outcome: calls.Outcome,
-        attempt: int,
-        now: float,
-    ) -> Retry | failures.Failure:
-        """Plan a retry of a call whose ``attempt`` (from 1) failed.
-
-        Only an idempotent call, or one that has proven not to have run, is
-        sent again.
-        """
-        if outcome.state != _NOT_RUN and not demand.idempotent:
-            return failures.Failure(
-                failures.Kind.OUTCOME_UNKNOWN, 'the call may not be repeated'
-            )
-        after = self._draw_backoff(attempt)
-        if now + after >= demand.deadline:
-            return self._give_up(outcome, 'the deadline is too near')
+    def take(self) -> bool:
+        """Take one retry out of the budget; tell whether there was one."""
         if self._saved < 1:
-            return self._give_up(outcome, 'too many calls are being retried')
-        self._saved -= 1
-        avoid = demand.avoid | {outcome.target}
-        return Retry(demand._replace(avoid=avoid), after)
-
-    def may_hedge(self, demand: calls.CallDemand) -> bool:
-        """Tell whether a slow call may be sent to a second target."""
-        if not demand.idempotent or self._saved < 1:
             return False
         self._saved -= 1
         return True
 
-    def _draw_backoff(self, attempt: int) -> float:
-        longest = _FIRST_BACKOFF * 2 ** min(attempt, 10)
-        return self._source.uniform(0, min(longest, _LONGEST_BACKOFF))
+    def draw_backoff(self, attempt: int) -> float:
+        """Return the seconds to wait behind an attempt, counted from 1.
 
-    def _give_up(
-        self, outcome: calls.Outcome, reason: str
-    ) -> failures.Failure:
-        match outcome.state:
-            case 'refused':
-                return failures.Failure(
-                    failures.Kind.TARGET_REFUSED, reason, 1.0
-                )
-            case 'failed':
-                return failures.Failure(failures.Kind.TARGET_FAILED, reason)
-        return failures.Failure(failures.Kind.OUTCOME_UNKNOWN, reason)
+        They are drawn from the whole range, since instances that failed
+        together would else come back together.
+        """
+        longest = _FIRST_BACKOFF * 2 ** min(attempt, _MOST_DOUBLINGS)
+        return self._source.uniform(0, min(longest, _LONGEST_BACKOFF))
--- a/tests/scheduling/test_retries.py
+++ b/tests/scheduling/test_retries.py
@@ -1,10 +1,7 @@
-"""Tests of the retry budget and of what may be sent again."""
+"""Tests of the retry budget."""
 
 import random
 
-from tests.scheduling import samples
-from vanillayoke.core import failures
-from vanillayoke.scheduling import calls
 from vanillayoke.scheduling import retries
 from vanillayoke.testing import fixtures
 
@@ -14,41 +11,28 @@
     return retries.RetryBudget(0.1, random.Random(1))
 
 
-def _outcome(state: str) -> calls.Outcome:
-    return calls.Outcome('c', 'e1', state, 0.0, 0, 0, 0)
-
-
-def test_an_order_that_may_have_run_is_not_repeated(case, budget):
-    demand = samples.make_demand('c', idempotent=False)
-    for state in ('failed', 'unknown'):
-        planned = budget.plan(demand, _outcome(state), 1, 0.0)
-        case.assertEqual(failures.Kind.OUTCOME_UNKNOWN, planned.kind)
-    planned = budget.plan(demand, _outcome('refused'), 1, 0.0)
-    case.assertEqual(frozenset(('e1',)), planned.demand.avoid)
-    case.assertFalse(budget.may_hedge(demand))
-
-
 def test_retries_stay_a_fraction_of_the_calls(case, budget):
     """Engines that are slow to come back are kept down by retries.
 
     All calls fail for a while, and each is sent four times. Cause: retries
     are bounded for each call, not over all of them.
     """
-    demand = samples.make_demand('c')
     retried = 0
     for _ in range(1000):
         budget.note_call()
-        for attempt in range(1, 4):
-            planned = budget.plan(demand, _outcome('failed'), attempt, 0.0)
-            retried += isinstance(planned, retries.Retry)
+        retried += sum(budget.take() for _ in range(3))
     case.assertLessEqual(retried, 120)
     case.assertGreaterEqual(retried, 100)
 
 
-def test_no_retry_beyond_the_deadline(case, budget):
-    demand = samples.make_demand('c', deadline=5.0)
-    planned = budget.plan(demand, _outcome('refused'), 1, 5.0)
-    case.assertEqual(failures.Kind.TARGET_REFUSED, planned.kind)
+def test_waits_grow_and_differ(case, budget):
+    """Instances that failed together come back together, again and again."""
+    early = [budget.draw_backoff(1) for _ in range(50)]
+    late = [budget.draw_backoff(12) for _ in range(50)]
+    case.assertLess(max(early), 0.2)
+    case.assertGreater(max(late), 1.0)
+    case.assertLessEqual(max(late), 2.0)
+    case.assertGreater(len(set(early)), 40)
 
 
 load_tests = fixtures.adapt(__name__)
