Let streams that may be resumed go on, and spread rows over many parts.

Change: a broken stream of a resumable route goes on behind its last whole event at a server where it may have run; a row's part follows from its own key over 256 parts, so a turn is found by one read whatever program left it; each silence of the store doubles the patience for its next answer. Tests on a network in memory in virtual time, with stand-ins that speak the platform's wire.

--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -15,6 +15,9 @@
 # How long a request waits for a service without any target: targets that are
 # replaced in turn may leave a gap. Seconds.
 ABSENCE_PATIENCE = 0.3
+# How often one request is sent again after its answer broke off. More would
+# be a server that can't answer it.
+MOST_BREAKS = 2
 # The share of a program's time that the request at hand takes at least,
 # where nothing better is known. Seconds.
 SHORTEST_TURN = 0.08
@@ -34,7 +37,9 @@
         self.status = 0
         self.tries = 0
         self.shed = 0
-        self.runs = 0
+        # The targets at which the request may have run.
+        self.ran_at: set[str] = set()
+        self.breaks = 0
         self.waited = 0.0
         self.may_have_run = False
 
@@ -65,9 +70,15 @@
         )
 
     def make_sending(
-        self, progress: Progress, target: messages.Target
+        self,
+        progress: Progress,
+        target: messages.Target,
+        last_event: bytes | None = None,
     ) -> messages.Sending:
-        """Return what to tell a target with the request."""
+        """Return what to tell a target with the request.
+
+        ``last_event`` is the one that a stream goes on behind.
+        """
         now = self._parts.timers.now()
         program = progress.call.program
         level = None
@@ -78,7 +89,7 @@
             target.name,
             progress.until - now,
             level,
-            progress.call.last_event,
+            last_event,
         )
 
     async def choose(
@@ -94,7 +105,7 @@
         favourite = self._favourites.get(program.session) if program else None
         wish = occupancy.Wish(favourite, self._parts.settings.zone)
         while True:
-            targets = self._parts.catalog.list_targets(progress.service)
+            targets = self._list_allowed(progress)
             now = timers.now()
             if not targets and now - began > ABSENCE_PATIENCE:
                 raise refusals.RefusalError(refusals.Reason.NO_TARGET)
@@ -123,7 +134,7 @@
         now = self._parts.timers.now()
         if isinstance(error, forwarding.NotExecutedError):
             progress.shed += 1
-            progress.may_have_run = progress.runs > 0
+            progress.may_have_run = bool(progress.ran_at)
             self._parts.view.note_shed(target.name, now)
             return
         self._parts.view.note_failure(target.name, now)
@@ -136,16 +147,30 @@
             tries=progress.tries,
         )
         if isinstance(error, client.NotSent):
-            progress.may_have_run = progress.runs > 0
+            # Nobody listens there any more: the server has ended, and what
+            # it began is over.
+            progress.ran_at.discard(target.name)
+            progress.may_have_run = bool(progress.ran_at)
             return
-        progress.runs += 1
+        progress.ran_at.add(target.name)
+        progress.breaks += 1
         progress.may_have_run = True
-        route = progress.route
-        if not route.is_idempotent or progress.runs >= route.max_attempts:
+        if not progress.route.is_idempotent or progress.breaks > MOST_BREAKS:
             raise refusals.RefusalError(
                 refusals.Reason.OUTCOME_UNKNOWN, str(error)
             )
 
+    def _list_allowed(self, progress: Progress) -> list[messages.Target]:
+        """Return the targets that the request may still be sent to.
+
+        Once it may have run at as many as the route allows, it goes on at
+        one of these; a second run there finds its prompt in the cache.
+        """
+        targets = self._parts.catalog.list_targets(progress.service)
+        if len(progress.ran_at) < progress.route.max_attempts:
+            return targets
+        return [one for one in targets if one.name in progress.ran_at]
+
     def note_success(
         self, progress: Progress, target: messages.Target
     ) -> None:
--- a/libs/gateway/vanillayoke/gateway/front.py
+++ b/libs/gateway/vanillayoke/gateway/front.py
@@ -19,7 +19,6 @@
 from vanillayoke.gateway import measures as measures_module
 from vanillayoke.gateway import members as members_module
 from vanillayoke.gateway import messages
-from vanillayoke.gateway import parts as parts_module
 from vanillayoke.gateway import peers as peers_module
 from vanillayoke.gateway import shared
 from vanillayoke.gateway import store as store_module
@@ -146,16 +145,10 @@
             self._note_store_call,
             self._note_store,
         )
-        part_count = parts_module.count_parts(
-            settings.store.writes_per_second,
-            settings.store.part_writes_per_second,
-        )
         self._ledger = ledger_module.Ledger(
-            self._store, part_count, self._timers, draw, self._make_name
-        )
-        self._histories = histories.Histories(
-            self._store, part_count, self._timers, draw
+            self._store, self._timers, draw, self._make_name
         )
+        self._histories = histories.Histories(self._store, self._timers, draw)
         self._view = occupancy.Occupancy()
         self._pool = client.Pool(CONNECT_TIMEOUT, self._note_connection)
 
--- a/libs/gateway/vanillayoke/gateway/histories.py
+++ b/libs/gateway/vanillayoke/gateway/histories.py
@@ -1,6 +1,5 @@
 """Turns kept in the store, and their text for the turns that follow."""
 
-import asyncio
 import collections
 import typing
 
@@ -28,12 +27,10 @@
     def __init__(
         self,
         store: store_module.StoreClient,
-        part_count: int,
         timer_service: timers.TimerService,
         draw: typing.Callable[[], float],
     ) -> None:
         self._store = store
-        self._part_count = part_count
         self._timers = timer_service
         self._draw = draw
         self._cache: collections.OrderedDict[str, bytes] = (
@@ -41,7 +38,7 @@
         )
         self._cached_bytes = 0
 
-    async def fetch(self, turn: str, program: str, until: float) -> bytes:
+    async def fetch(self, turn: str, until: float) -> bytes:
         """Return all text up to and with a turn.
 
         Raise ``UnknownTurnError`` or, if that is open, ``StoreError``.
@@ -54,7 +51,7 @@
                 self._cache.move_to_end(wanted)
                 texts.append(cached)
                 break
-            stored = await self._read(wanted, program, until)
+            stored = await self._read(wanted, until)
             texts.append(stored.text)
             wanted = stored.base
         text = b''.join(reversed(texts))
@@ -64,7 +61,6 @@
     async def keep(
         self,
         turn: str,
-        program: str,
         base: str,
         before: bytes,
         added: bytes,
@@ -79,7 +75,7 @@
             self._store.row_bytes,
             self._timers.wall(),
         )
-        part = parts.find_part(program, self._part_count)
+        part = parts.find_part(turn)
         placed = [
             (messages.RowKey(TABLE, part, key), value) for key, value in rows
         ]
@@ -111,35 +107,18 @@
             self._store, transaction, until, self._timers, self._draw
         )
 
-    async def _read(
-        self, turn: str, program: str, until: float
-    ) -> transcripts.StoredTurn:
-        own = parts.find_part(program, self._part_count)
-        stored = await self._read_part(turn, own, until)
-        if stored is not None:
-            return stored
-        # Another program may have left the turn, in a part that only its
-        # name would tell.
-        names = [parts.name_part(index) for index in range(self._part_count)]
-        others = [name for name in names if name != own]
-        found = await asyncio.gather(
-            *(self._read_part(turn, name, until) for name in others)
-        )
-        for stored in found:
-            if stored is not None:
-                return stored
-        await self._make_certain(turn, names, until)
-        raise UnknownTurnError(turn)
-
-    async def _read_part(
-        self, turn: str, part: str, until: float
-    ) -> transcripts.StoredTurn | None:
+    async def _read(self, turn: str, until: float) -> transcripts.StoredTurn:
+        part = parts.find_part(turn)
         page = await self._read_patiently(turn, part, until)
         rows = {row.where.key: row.value for row in page.rows}
         try:
-            return transcripts.read_rows(turn, rows)
+            stored = transcripts.read_rows(turn, rows)
         except transcripts.BrokenTurnError as error:
             raise store_module.StoreSilentError(str(error)) from error
+        if stored is None:
+            await self._make_certain(turn, part, until)
+            raise UnknownTurnError(turn)
+        return stored
 
     async def _read_patiently(
         self, turn: str, part: str, until: float
@@ -158,23 +137,20 @@
                     raise
                 await self._timers.sleep(pause)
 
-    async def _make_certain(
-        self, turn: str, names: list[str], until: float
-    ) -> None:
+    async def _make_certain(self, turn: str, part: str, until: float) -> None:
         """Raise ``StoreError`` unless the turn is nowhere.
 
         Reads may lag behind what is committed; a transaction that expects
         the row to be absent does not.
         """
-        for name in names:
-            where = messages.RowKey(TABLE, name, turn)
-            outcome = await self._commit(
-                messages.Transaction(((where, 0),)), until
+        where = messages.RowKey(TABLE, part, turn)
+        outcome = await self._commit(
+            messages.Transaction(((where, 0),)), until
+        )
+        if isinstance(outcome, messages.Conflict):
+            raise store_module.StoreRefusedError(
+                f'turn {turn} is kept but can not be read yet'
             )
-            if isinstance(outcome, messages.Conflict):
-                raise store_module.StoreRefusedError(
-                    f'turn {turn} is kept but can not be read yet'
-                )
 
     def _remember(self, turn: str, text: bytes) -> None:
         old = self._cache.pop(turn, None)
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -20,6 +20,8 @@
 # The most conflicts in a row over one program's row before the caller is
 # told that the store is busy: each one is another instance's success.
 MOST_CONFLICTS = 20
+# No row ever has this version: expecting it returns the row as it is.
+NEVER_VERSION = 2**53 - 1
 
 
 class Outcome(enum.IntEnum):
@@ -49,13 +51,11 @@
     def __init__(
         self,
         store: store_module.StoreClient,
-        part_count: int,
         timer_service: timers.TimerService,
         draw: typing.Callable[[], float],
         make_name: typing.Callable[[], str],
     ) -> None:
         self._store = store
-        self._part_count = part_count
         self._timers = timer_service
         self._draw = draw
         self._make_name = make_name
@@ -212,9 +212,4 @@
             account.version = row.version
 
     def _locate(self, program: str) -> messages.RowKey:
-        part = parts.find_part(program, self._part_count)
-        return messages.RowKey(TABLE, part, program)
-
-
-# No row ever has this version: expecting it returns the row as it is.
-NEVER_VERSION = 2**53 - 1
+        return messages.RowKey(TABLE, parts.find_part(program), program)
--- a/libs/gateway/vanillayoke/gateway/parts.py
+++ b/libs/gateway/vanillayoke/gateway/parts.py
@@ -1,26 +1,24 @@
-"""Parts of the system's tables: rows of one program lie in one part."""
+"""Parts of the system's tables.
 
-import math
+The store applies the transactions of one part one after another, and rows of
+many parts at once. A row's part follows from its key alone, so whoever knows
+the key finds it with one read.
+"""
 
 import xxhash
 
-# The parts together take this many times the writes that the store takes,
-# so that chance does not overload one of them.
-SPREAD = 2.0
-MOST_PARTS = 64
+# When the store is a hundred times slower than usual, a part takes a few
+# transactions a second instead of some hundred; this many parts still take
+# what a whole site writes. Each is one more read for sweeping old rows away.
+PART_COUNT = 256
 
 
-def count_parts(writes_per_second: float, part_writes: float) -> int:
-    """Return over how many parts rows are spread."""
-    wanted = math.ceil(SPREAD * writes_per_second / max(1.0, part_writes))
-    return max(1, min(MOST_PARTS, wanted))
-
-
-def find_part(program: str, count: int) -> str:
-    """Return the part of a program's rows."""
-    return name_part(xxhash.xxh3_64_intdigest(program.encode()) % count)
+def find_part(key: str) -> str:
+    """Return the part that a row lies in."""
+    index = xxhash.xxh3_64_intdigest(key.encode()) % PART_COUNT
+    return name_part(index)
 
 
 def name_part(index: int) -> str:
     """Return the name of a part."""
-    return f'p{index:02d}'
+    return f'{index:02x}'
--- a/libs/gateway/vanillayoke/gateway/store.py
+++ b/libs/gateway/vanillayoke/gateway/store.py
@@ -136,7 +136,7 @@
             self._note_failure(kind, 'unreachable', began)
             raise StoreRefusedError(str(error)) from error
         except (client.TransportError, TimeoutError) as error:
-            self._note_failure(kind, 'silent', began)
+            self._note_silence(kind, began)
             raise StoreSilentError(str(error) or 'no answer') from error
         if status in _REFUSALS:
             self._note_failure(kind, 'refused', began)
@@ -183,6 +183,14 @@
             self.returned_at = self._timers.now()
             self._on_change(True)
 
+    def _note_silence(self, kind: str, began: float) -> None:
+        # A slow store must not be asked again and again before it can have
+        # answered: each silence doubles the patience for the next call.
+        if kind != 'follow':
+            taken = self._timers.now() - began
+            self.usual_time = max(self.usual_time, 2 * taken / PATIENCE_TIMES)
+        self._note_failure(kind, 'silent', began)
+
     def _note_failure(self, kind: str, outcome: str, began: float) -> None:
         self._on_call(kind, outcome, self._timers.now() - began)
         self._failures += 1
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -28,6 +28,9 @@
         self.call = progress.call
         self.data: list[bytes] = []
         self.events = 0
+        # A stream that breaks off goes on behind the last whole event that
+        # the caller has.
+        self.last_event = progress.call.last_event
 
     @property
     def used(self) -> int:
@@ -111,20 +114,14 @@
             except (client.TransportError, forwarding.NotExecutedError) as e:
                 passed.add(target.name)
                 self._dispatcher.note_failure(progress, target, e)
-                if responder.is_started:
-                    raise refusals.RefusalError(
-                        refusals.Reason.OUTCOME_UNKNOWN, 'broke off'
-                    ) from e
                 continue
             self._dispatcher.note_success(progress, target)
             return
 
     async def _fetch_history(self, progress: dispatch.Progress) -> bytes:
-        call = progress.call
-        name = call.program.name if call.program else call.request
         try:
             return await self._parts.histories.fetch(
-                call.previous_turn, name, progress.until
+                progress.call.previous_turn, progress.until
             )
         except histories.UnknownTurnError as error:
             raise refusals.RefusalError(
@@ -144,11 +141,19 @@
         progress = turn.progress
         progress.tries += 1
         async with self._dispatcher.make_attempt(target) as attempt:
-            sending = self._dispatcher.make_sending(progress, target)
+            sending = self._dispatcher.make_sending(
+                progress, target, turn.last_event
+            )
             progress.may_have_run = True
             head = await attempt.send(
                 turn.call, sending, not progress.route.is_idempotent
             )
+            if head.status >= _FIRST_FAILURE and responder.is_started:
+                await attempt.read_body()
+                raise refusals.RefusalError(
+                    refusals.Reason.OUTCOME_UNKNOWN,
+                    f'the stream could not go on: {head.status}',
+                )
             if head.status >= _FIRST_FAILURE:
                 answer = plain.Answer(head, await attempt.read_body())
                 plain.send_answer(answer, progress, responder)
@@ -174,6 +179,8 @@
                 if not responder.is_started:
                     self._start(turn, head, responder)
                 responder.write(event.raw)
+                if event.name is not None:
+                    turn.last_event = event.name
                 if event.data is not None:
                     turn.events += 1
                     turn.data.append(event.data)
@@ -192,11 +199,9 @@
 
     async def _keep(self, turn: _Turn) -> None:
         call = turn.progress.call
-        name = call.program.name if call.program else call.request
         try:
             await self._parts.histories.keep(
                 call.request,
-                name,
                 call.previous_turn or '',
                 turn.before,
                 turn.make_added(),
--- /dev/null
+++ b/tests/gateway/sites.py
@@ -0,0 +1,51 @@
+"""Shared fixtures: a whole small site on a network in memory."""
+
+import asyncio
+
+from vanillayoke.core import timers
+from vanillayoke.standins import site as site_module
+from vanillayoke.testing import fixtures
+from vanillayoke.testing import networks
+
+
+@fixtures.fixture
+def clock(loop):
+    return timers.LoopTimers(loop)
+
+
+@fixtures.fixture
+def network(loop):
+    return networks.Network(loop)
+
+
+@fixtures.fixture
+def site(network, clock):
+    return site_module.Site(clock, networks.HOST.set)
+
+
+async def call_whole(site, instance, route, **more):
+    """Return an answer, or the error that ended it."""
+    try:
+        return await site.call(instance, route, **more)
+    except Exception as error:
+        return error
+
+
+def kill(site, network, name):
+    """End an instance at once, as a loss of power does."""
+    front = site.fronts.pop(name)
+    host = front.settings.ip
+    network.dark.add(host)
+    for task in list(front._tasks):
+        task.cancel()
+    front._upkeep.cancel()
+    front._members._tick.cancel()
+    for address in [one for one in network.listeners if one[0] == host]:
+        del network.listeners[address]
+    for address in [one for one in network.sockets if one[0] == host]:
+        del network.sockets[address]
+
+
+async def settle():
+    """Let what runs behind a request come to its end."""
+    await asyncio.sleep(0.5)
--- /dev/null
+++ b/tests/gateway/test_following.py
@@ -0,0 +1,183 @@
+"""Tests of what an instance believes: routes, targets, other instances."""
+
+import asyncio
+
+import msgspec
+
+from tests.gateway import sites
+from vanillayoke.standins import site as site_module
+from vanillayoke.standins import store as store_module
+from vanillayoke.testing import fixtures
+from vanillayoke.transport import client
+
+
+async def _resolve(site, instance, zone='z1'):
+    address = site.fronts[instance].settings.directory
+    connection = await client.Pool(1.0).open(address)
+    target = f'/-/resolve?name=site.example&region=r1&zone={zone}'.encode()
+    connection.send(b'GET', target, [(b'Host', b'x')], b'')
+    head = await connection.read_head()
+    body = await connection.read_body()
+    connection.abort()
+    if head.status != 200:
+        return []
+    return sorted(msgspec.json.decode(body)['addresses'])
+
+
+def _configure(site, version, routes):
+    site.store.put(
+        'op', 'config', site_module.make_configuration(version, routes)
+    )
+
+
+async def test_new_configuration_is_in_force_at_once(case, site):
+    await site.start()
+    route = site_module.make_route('new', 'tools', 'safe')
+    _configure(site, 2, [*site_module.ROUTES, route])
+    await asyncio.sleep(0.1)
+    for name in ('i1', 'i2'):
+        answer = await site.call(name, 'new', method=b'GET')
+        case.assertEqual(200, answer.status)
+
+
+async def test_configuration_never_goes_back(case, site):
+    """The store hands out an old row after its history was dropped."""
+    await site.start()
+    _configure(site, 5, [*site_module.ROUTES])
+    await asyncio.sleep(0.1)
+    _configure(site, 4, [])
+    site.store.forget_history()
+    await asyncio.sleep(3.0)
+    case.assertEqual(200, (await site.call('i1', 'look')).status)
+
+
+async def test_dropped_history_is_read_anew(case, site):
+    await site.start()
+    site.store.mode = store_module.Mode.MUTE
+    _configure(site, 2, [site_module.make_route('new', 'tools', 'safe')])
+    site.store.forget_history()
+    site.store.mode = store_module.Mode.SERVE
+    await asyncio.sleep(4.0)
+    case.assertEqual(200, (await site.call('i1', 'new')).status)
+
+
+async def test_broken_configuration_is_passed_over_with_a_line(case, site):
+    await site.start()
+    route = site_module.make_route('new', 'no-such-service', 'safe')
+    _configure(site, 2, [route])
+    await asyncio.sleep(0.1)
+    [line] = site.list_events('i1', 'row_rejected')
+    case.assertIn('no-such-service', line['error'])
+    case.assertEqual(200, (await site.call('i1', 'look')).status)
+
+
+async def test_leaving_server_gets_no_new_work(case, site):
+    await site.start()
+    address = '10.8.0.3:8080'
+    site.register('t1', address, 'draining')
+    await asyncio.sleep(0.1)
+    for _ in range(6):
+        await site.call('i1', 'order')
+    case.assertEqual([], site.targets['t1'].runs)
+
+
+async def test_feed_that_went_silent_is_left_in_time(case, site, network):
+    """Open connections to the store go silent without a reset.
+
+    New ones work. A configuration accepted three seconds later has to be in
+    force within two more.
+    """
+    await site.start()
+    network.silence('10.9.0.1')
+    await asyncio.sleep(3.0)
+    _configure(site, 2, [site_module.make_route('new', 'tools', 'safe')])
+    await asyncio.sleep(2.0)
+    case.assertEqual(200, (await site.call('i1', 'new')).status)
+
+
+async def test_rows_that_lapsed_in_an_outage_may_come_back(case, site):
+    """The store is down, so servers can't renew their rows and they lapse.
+
+    The servers are well; their rows are back within two seconds. Until then
+    they go on getting work.
+    """
+    await site.start()
+    site.store.mode = store_module.Mode.BUSY
+    await asyncio.sleep(4.0)
+    for name in site.targets:
+        site.store.put('servers', name, None)
+    site.store.mode = store_module.Mode.SERVE
+    await asyncio.sleep(1.0)
+    case.assertEqual(200, (await site.call('i1', 'order')).status)
+    await asyncio.sleep(3.0)
+    case.assertEqual(503, (await site.call('i1', 'order')).status)
+
+
+async def test_row_that_goes_in_calm_times_is_gone_at_once(case, site):
+    await site.start()
+    site.store.put('servers', 't1', None)
+    await asyncio.sleep(0.1)
+    for _ in range(6):
+        await site.call('i1', 'order')
+    case.assertEqual([], site.targets['t1'].runs)
+
+
+async def test_resolve_names_the_live_instances(case, site):
+    await site.start(3)
+    expected = [f'10.1.0.{n}:8149' for n in (1, 2, 3)]
+    case.assertEqual(expected, await _resolve(site, 'i2'))
+
+
+async def test_resolve_leaves_out_an_instance_without_power(
+    case, site, network
+):
+    await site.start(3)
+    sites.kill(site, network, 'i3')
+    await asyncio.sleep(2.5)
+    expected = [f'10.1.0.{n}:8149' for n in (1, 2)]
+    case.assertEqual(expected, await _resolve(site, 'i1'))
+
+
+async def test_new_instance_is_named_within_a_second(case, site):
+    await site.start(2)
+    await site.add_front('i3')
+    await asyncio.sleep(1.0)
+    case.assertIn('10.1.0.3:8149', await _resolve(site, 'i3'))
+    await asyncio.sleep(1.0)
+    case.assertIn('10.1.0.3:8149', await _resolve(site, 'i1'))
+
+
+async def test_stopping_instance_serves_on_and_is_not_named(case, site):
+    """An instance is told to stop while callers still know its address.
+
+    It is no longer named, answers what comes and ends within the grace.
+    """
+    await site.start(2)
+    began = site.timers.now()
+    task = asyncio.ensure_future(site.fronts['i2'].stop())
+    await asyncio.sleep(0.5)
+    case.assertEqual(['10.1.0.1:8149'], await _resolve(site, 'i1'))
+    case.assertEqual(['10.1.0.1:8149'], await _resolve(site, 'i2'))
+    answer = await site.call('i2', 'order')
+    case.assertEqual(200, answer.status)
+    case.assertEqual(b'close', answer.headers[b'connection'])
+    await task
+    case.assertLess(site.timers.now() - began, 8.0)
+
+
+async def test_stopping_instance_gives_its_grants_back(case, site):
+    """A roll of all instances must not eat the budgets of programs."""
+    await site.start(2)
+    for number in range(4):
+        await site.turn(
+            'i1', f'a{number}', route='plan', program=f'p{number}', budget=400
+        )
+    await sites.settle()
+    await site.fronts['i1'].stop()
+    await site.fronts['i2'].stop()
+    rows = site.store.list_table('budgets').values()
+    granted = [msgspec.msgpack.decode(row)[1] for row in rows]
+    case.assertEqual([40] * 4, granted)
+
+
+load_tests = fixtures.adapt(__name__, [sites])
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -25,9 +25,9 @@
     'transport',
     'core',
 )
-# Translates between the platform's wire and the project's types.
-ADAPTER = 'adapter'
-BESIDE = ('fakes', 'bench', 'harness', 'testing')
+# These know the platform's wire.
+ADAPTERS = ('adapter', 'standins')
+BESIDE = ('standins', 'fakes', 'bench', 'harness', 'testing')
 PURE = ('cluster', 'programs', 'scheduling')
 IMPURE_MODULES = frozenset(
     (
@@ -122,8 +122,8 @@
 
 def find_folder(library: str) -> pathlib.Path:
     """Return where a library's sources lie."""
-    if library == ADAPTER:
-        return ROOT / 'platform'
+    if library in ADAPTERS:
+        return ROOT / 'platform' / 'vanillayoke' / library
     return ROOT / 'libs' / library
 
 
