Kept serving while the store is away, slow or away for some.

Change: one probe loop an instance, sent anew while older ones still wait; what needs the store waits for its return up to .85 of the turn's time and then says when to come back; calls of an instance that the store turns away go through another one; kept turns wait before they run, not after. A refusal's Retry-After stays within the third of the time left that callers honour.

--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -17,6 +17,8 @@
 # answer goes out: enough for it to arrive in time.
 ANSWER_MARGIN = 0.03
 FIRST_FAILURE = 400
+# Callers come back as told only within a third of the time they have left.
+LONGEST_PAUSE_SHARE = 0.32
 
 
 class CallHandler:
@@ -98,18 +100,24 @@
             # only way to say that it is not whole.
             responder.abort()
         else:
-            self._send_refusal(responder, refusal)
+            self._send_refusal(responder, refusal, progress)
         reason = refusal.reason.value
         self._parts.measures.refusals.add(1, reason=reason)
         self._note_end(progress, refusal.status, reason, refusal.detail)
 
     def _send_refusal(
-        self, responder: server.Responder, refusal: refusals.RefusalError
+        self,
+        responder: server.Responder,
+        refusal: refusals.RefusalError,
+        progress: dispatch.Progress | None = None,
     ) -> None:
         headers = []
         if refusal.pause is not None:
             # Callers refused together should not come back together.
-            pause = refusal.pause * (0.75 + 0.5 * self._parts.draw())
+            pause = refusal.pause * (0.75 + 0.25 * self._parts.draw())
+            if progress is not None:
+                left = progress.until - self._parts.timers.now()
+                pause = min(pause, left * LONGEST_PAUSE_SHARE)
             headers = self._parts.dialect.encode_retry_after(pause)
         responder.send(refusal.status, headers, b'')
 
--- a/libs/gateway/vanillayoke/gateway/dialect.py
+++ b/libs/gateway/vanillayoke/gateway/dialect.py
@@ -96,6 +96,10 @@
     ) -> StoreRequest:
         """Return the request for rows of a part from ``start`` to ``end``."""
 
+    @abc.abstractmethod
+    def encode_probe(self) -> StoreRequest:
+        """Return the cheapest request that shows that the store answers."""
+
     @abc.abstractmethod
     def encode_follow(
         self, table: str, after: int, wait: float
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -15,6 +15,12 @@
 # How long a request waits for a service without any target: targets that are
 # replaced in turn may leave a gap. Seconds.
 ABSENCE_PATIENCE = 0.3
+# The share of its time that a request waits for the store at the most. What
+# is left lets its caller come back, and be served, within its deadline.
+HOLD_SHARE = 0.85
+# Callers give a stream up when nothing comes for two seconds: a refusal has
+# to be there before. Seconds.
+CALLER_PATIENCE = 1.8
 # How often one request is sent again after its answer broke off. More would
 # be a server that can't answer it.
 MOST_BREAKS = 2
@@ -30,6 +36,7 @@
         self.call = call
         self.began = began
         self.until = began
+        self.hold_until = began
         self.route: messages.Route | None = None
         self.service = ''
         self.target: str | None = None
@@ -50,6 +57,8 @@
         left = self.call.time_left
         longest = route.timeout if left is None else min(left, route.timeout)
         self.until = self.began + longest
+        held = min(HOLD_SHARE * longest, CALLER_PATIENCE)
+        self.hold_until = self.began + held
 
 
 class Dispatcher:
--- a/libs/gateway/vanillayoke/gateway/feeds.py
+++ b/libs/gateway/vanillayoke/gateway/feeds.py
@@ -3,7 +3,6 @@
 import asyncio
 import typing
 
-from vanillayoke.core import timers
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import store as store_module
 
@@ -11,8 +10,8 @@
 # and the patience behind it are over.
 FEED_PATIENCE = 0.4
 READ_TIMEOUT = 1.0
-# Between two tries while the store is away; a jitter of half of it is added.
-RETRY_PAUSE = 0.15
+# Between two tries at the most; the store's return ends the pause.
+RETRY_PAUSE = 0.3
 
 
 class Follower:
@@ -28,8 +27,6 @@
         table: str,
         on_reading: typing.Callable[[messages.Page], None],
         on_change: typing.Callable[[messages.Row], None],
-        timer_service: timers.TimerService,
-        draw: typing.Callable[[], float],
         wait: float,
     ) -> None:
         self._store = store
@@ -37,8 +34,6 @@
         self._table = table
         self._on_reading = on_reading
         self._on_change = on_change
-        self._timers = timer_service
-        self._draw = draw
         self.has_read = asyncio.Event()
 
     async def run(self) -> None:
@@ -52,7 +47,7 @@
             except store_module.HistoryGoneError:
                 position = None
             except store_module.StoreError:
-                await self._timers.sleep(RETRY_PAUSE * (1 + self._draw() / 2))
+                await self._store.wait_open(RETRY_PAUSE)
 
     async def _read(self) -> int:
         page = await self._store.read(self._table, '', READ_TIMEOUT)
--- a/libs/gateway/vanillayoke/gateway/followed.py
+++ b/libs/gateway/vanillayoke/gateway/followed.py
@@ -32,7 +32,6 @@
         members: members_module.Members,
         timer_service: timers.TimerService,
         log: logs.Logger,
-        draw: typing.Callable[[], float],
         bounds: messages.Bounds,
     ) -> None:
         self._store = store
@@ -41,13 +40,10 @@
         self._members = members
         self._timers = timer_service
         self._log = log
-        self._draw = draw
         wait = bounds.contact * WAIT_SHARE
 
         def follow(table, on_reading, on_change):
-            return feeds.Follower(
-                store, table, on_reading, on_change, timer_service, draw, wait
-            )
+            return feeds.Follower(store, table, on_reading, on_change, wait)
 
         self._configuration = follow(
             dialect.configuration_table,
@@ -63,6 +59,7 @@
 
     def start(self, spawn: typing.Callable[[typing.Coroutine], None]) -> None:
         """Begin to follow."""
+        spawn(self._store.watch())
         for one in (self._configuration, self._targets, self._instances):
             spawn(one.run())
 
@@ -83,7 +80,7 @@
                 await self._store.transact(transaction, PUBLISH_TIMEOUT)
                 return
             except store_module.StoreError:
-                await self._timers.sleep(PUBLISH_PAUSE * (1 + self._draw()))
+                await self._store.wait_open(PUBLISH_PAUSE)
 
     # Configuration
 
--- a/libs/gateway/vanillayoke/gateway/front.py
+++ b/libs/gateway/vanillayoke/gateway/front.py
@@ -31,6 +31,8 @@
 # this long is not there, or has a full queue. Seconds.
 CONNECT_TIMEOUT = 0.4
 UPKEEP_INTERVAL = 0.25
+# Counted from the port that takes datagrams, which is the first one.
+RELAY_PORT = 1
 # Callers that keep an address longest keep it for three of its lifetimes;
 # one more second lets their last requests come in. Seconds.
 SETTLING = 3 * directory.LIFETIME + 1.0
@@ -68,7 +70,6 @@
             self._members,
             timer_service,
             log,
-            source.random,
             settings.bounds,
         )
 
@@ -142,19 +143,22 @@
             settings.store,
             self._dialect,
             self._timers,
-            self._note_store_call,
-            self._note_store,
+            draw,
+            self._list_relays,
+            store_module.Observer(self._note_store_call, self._note_store),
         )
         self._ledger = ledger_module.Ledger(
-            self._store, self._timers, draw, self._make_name
+            self._store, self._timers, self._make_name
         )
-        self._histories = histories.Histories(self._store, self._timers, draw)
+        self._histories = histories.Histories(self._store, self._timers)
         self._view = occupancy.Occupancy()
         self._pool = client.Pool(CONNECT_TIMEOUT, self._note_connection)
 
     def _make_members(self) -> None:
         settings = self.settings
-        self._members_address = f'{settings.ip}:{settings.peer_ports[0]}'
+        first = settings.peer_ports[0]
+        self._members_address = f'{settings.ip}:{first}'
+        self._relay_address = f'{settings.ip}:{first + RELAY_PORT}'
         incarnation = int(self._timers.wall() * 1000)
         self._row = messages.InstanceRow(
             instance=settings.instance,
@@ -193,6 +197,7 @@
             self._catalog,
             self._view,
             self._pool,
+            self._store,
             self._homes,
             self._histories,
             self._log,
@@ -211,6 +216,7 @@
             (self._front_server, self.settings.front),
             (make(self._answer_ready), self.settings.ready),
             (make(self._answer_lookup), self.settings.directory),
+            (make(self._relay), self._relay_address),
         ]
 
     # Serving beside the requests of programs
@@ -238,6 +244,25 @@
         kind = (b'Content-Type', b'application/json')
         responder.send(200, [kind], body)
 
+    async def _relay(
+        self, request: server.Request, responder: server.Responder
+    ) -> None:
+        """Pass a call of another instance on to the store."""
+        status, body = await self._store.relay(
+            dialect_module.StoreRequest(
+                request.method, request.target, request.body
+            )
+        )
+        responder.send(status, [], body)
+
+    def _list_relays(self) -> list[str]:
+        me = self.settings.instance
+        return [
+            find_relay(member.address)
+            for member in self._members.list_homes()
+            if member.instance != me
+        ]
+
     # Background
 
     async def _join(self) -> None:
@@ -320,3 +345,9 @@
 
     def _note_refused(self, status: int) -> None:
         self._log.write(log_events.CONNECTION_REFUSED, status=int(status))
+
+
+def find_relay(address: str) -> str:
+    """Return where the instance with this datagram address relays calls."""
+    host, _, port = address.rpartition(':')
+    return f'{host}:{int(port) + RELAY_PORT}'
--- a/libs/gateway/vanillayoke/gateway/histories.py
+++ b/libs/gateway/vanillayoke/gateway/histories.py
@@ -13,6 +13,8 @@
 # Texts of the latest turns stay in memory up to this many bytes: the next
 # turn of a program often comes to the same instance.
 CACHE_BYTES = 8 * 1024 * 1024
+# Between two tries of a read. Seconds.
+READ_PAUSE = 0.05
 # A transaction takes 1 MB as it travels; rows of longer turns go in several.
 BATCH_BYTES = 512 * 1024
 
@@ -28,11 +30,9 @@
         self,
         store: store_module.StoreClient,
         timer_service: timers.TimerService,
-        draw: typing.Callable[[], float],
     ) -> None:
         self._store = store
         self._timers = timer_service
-        self._draw = draw
         self._cache: collections.OrderedDict[str, bytes] = (
             collections.OrderedDict()
         )
@@ -104,7 +104,7 @@
         self, transaction: messages.Transaction, until: float
     ) -> messages.Committed | messages.Conflict:
         return await store_module.commit(
-            self._store, transaction, until, self._timers, self._draw
+            self._store, transaction, until, self._timers
         )
 
     async def _read(self, turn: str, until: float) -> transcripts.StoredTurn:
@@ -132,10 +132,9 @@
                     TABLE, part, max(0.02, min(left, patience)), turn, end
                 )
             except store_module.StoreError:
-                pause = store_module.FIRST_PAUSE * (1 + 2 * self._draw())
-                if self._timers.now() + pause >= until:
+                if self._timers.now() + READ_PAUSE >= until:
                     raise
-                await self._timers.sleep(pause)
+                await self._store.wait_open(READ_PAUSE)
 
     async def _make_certain(self, turn: str, part: str, until: float) -> None:
         """Raise ``StoreError`` unless the turn is nowhere.
--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -118,6 +118,8 @@
                     return peers_module.Granted()
                 if self.is_leaving:
                     return peers_module.Unable(False)
+                if self._ledger.is_closed:
+                    return peers_module.Unable(True)
                 return self._reserve_for_other(question)
 
     async def _reserve_for_other(
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -52,17 +52,20 @@
         self,
         store: store_module.StoreClient,
         timer_service: timers.TimerService,
-        draw: typing.Callable[[], float],
         make_name: typing.Callable[[], str],
     ) -> None:
         self._store = store
         self._timers = timer_service
-        self._draw = draw
         self._make_name = make_name
         self._accounts: collections.OrderedDict[str, _Account] = (
             collections.OrderedDict()
         )
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether no grant can be had from the store now."""
+        return self._store.is_closed
+
     def reserve_now(self, program: str, turn: str, need: int) -> bool:
         """Reserve from what was granted before; say if that was enough."""
         account = self._accounts.get(program)
@@ -174,7 +177,7 @@
         # Whatever happens now, the row we know may be the one before.
         account.is_fresh = False
         outcome = await store_module.commit(
-            self._store, transaction, until, self._timers, self._draw
+            self._store, transaction, until, self._timers
         )
         if isinstance(outcome, messages.Committed):
             account.row = row
@@ -193,7 +196,7 @@
         # a plain read may lag behind.
         check = messages.Transaction(((where, NEVER_VERSION),))
         outcome = await store_module.commit(
-            self._store, check, until, self._timers, self._draw
+            self._store, check, until, self._timers
         )
         rows = outcome.rows if isinstance(outcome, messages.Conflict) else ()
         self._take(account, rows)
--- a/libs/gateway/vanillayoke/gateway/measures.py
+++ b/libs/gateway/vanillayoke/gateway/measures.py
@@ -9,9 +9,17 @@
 _KIND = metrics.Label('kind', ('safe', 'unsafe', 'stream', 'none'))
 _OUTCOME = metrics.Label('outcome')
 _REASON = metrics.Label('reason')
-_CALL = metrics.Label('call', ('transact', 'read', 'follow'))
+_CALL = metrics.Label('call', ('transact', 'read', 'follow', 'relay', 'probe'))
 _CALL_OUTCOME = metrics.Label(
-    'outcome', ('answered', 'refused', 'silent', 'unreachable')
+    'outcome',
+    (
+        'answered',
+        'refused',
+        'silent',
+        'unreachable',
+        'relayed',
+        'relay_refused',
+    ),
 )
 _TARGET = metrics.Label('target')
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
--- a/libs/gateway/vanillayoke/gateway/refusals.py
+++ b/libs/gateway/vanillayoke/gateway/refusals.py
@@ -9,7 +9,7 @@
 
 # When to come again, in seconds, by what has to change first.
 _SOON = 0.25
-_STORE_PAUSE = 0.6
+_STORE_PAUSE = 1.0
 
 
 class Reason(enum.Enum):
--- a/libs/gateway/vanillayoke/gateway/store.py
+++ b/libs/gateway/vanillayoke/gateway/store.py
@@ -14,6 +14,16 @@
 # A connection to the store takes a round trip; a second try is due soon
 # where packets vanish. Seconds.
 CONNECT_TIMEOUT = 1.0
+# How an instance says that it could not pass a call on, and that it does not
+# know what became of it.
+REFUSED_STATUS = 503
+SILENT_STATUS = 504
+# Between two probes of a store that is away. Seconds.
+PROBE_PAUSE = 0.25
+# Calls that waited for the store's return are spread over this time; for how
+# long a refusal by one instance stands for all. Seconds.
+RETURN_SPREAD = 0.05
+RELAYS_CLOSED = 0.3
 # So many calls in a row have to fail before the store counts as away: a
 # single lost reply is no outage.
 AWAY_FAILURES = 2
@@ -47,24 +57,40 @@
     """The changes asked for are no longer there; read all anew."""
 
 
+class Observer(typing.NamedTuple):
+    """Who is told of calls (kind, outcome, seconds) and of loss and return."""
+
+    on_call: typing.Callable[[str, str, float], None]
+    on_change: typing.Callable[[bool], None]
+
+
 class StoreClient:
-    """Sends calls to the store and keeps up how it answers."""
+    """Sends calls to the store and keeps up how it answers.
+
+    While the store does not answer this instance, calls go through other
+    instances: it may turn some machines away and serve the others.
+    """
 
     def __init__(
         self,
         settings: messages.StoreSettings,
         dialect: dialect_module.Dialect,
         timer_service: timers.TimerService,
-        on_call: typing.Callable[[str, str, float], None],
-        on_change: typing.Callable[[bool], None],
+        draw: typing.Callable[[], float],
+        list_relays: typing.Callable[[], typing.Sequence[str]],
+        observer: Observer,
     ) -> None:
         self._settings = settings
         self._dialect = dialect
         self._timers = timer_service
-        self._on_call = on_call
-        self._on_change = on_change
+        self._draw = draw
+        self._list_relays = list_relays
+        self._observer = observer
         self._pool = client.Pool(CONNECT_TIMEOUT)
         self._failures = 0
+        self._relays_closed_until = float('-inf')
+        self._returned = asyncio.Event()
+        self._lost = asyncio.Event()
         self.is_away = False
         self.returned_at = float('-inf')
         # The time that a call takes, as an average over the last few.
@@ -75,6 +101,14 @@
         """The most bytes that one row's value may hold."""
         return self._settings.row_bytes
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether neither the store nor another instance's way to it works.
+
+        What needs the store need not be tried then.
+        """
+        return self.is_away and self._timers.now() < self._relays_closed_until
+
     async def transact(
         self, transaction: messages.Transaction, patience: float
     ) -> messages.Committed | messages.Conflict:
@@ -118,6 +152,61 @@
             raise HistoryGoneError(f'{table} after {after}')
         return self._decode(self._dialect.decode_page, body)
 
+    async def relay(
+        self, request: dialect_module.StoreRequest
+    ) -> tuple[int, bytes]:
+        """Send another instance's call; return status and body.
+
+        It is never passed on to a third instance: two that both miss the
+        store would pass it to and fro.
+        """
+        if self.is_away:
+            return REFUSED_STATUS, b''
+        try:
+            return await self._call_directly(
+                'relay', request, LONGEST_PATIENCE
+            )
+        except StoreRefusedError:
+            return REFUSED_STATUS, b''
+        except StoreSilentError:
+            return SILENT_STATUS, b''
+
+    async def watch(self) -> None:
+        """Find out when the store is back; runs until cancelled.
+
+        All calls that wait hear of a probe's answer, instead of each asking
+        again. A probe waits as long as a slow store may take, and others
+        follow it meanwhile: those sent into a silence get no answer even
+        when the store is back.
+        """
+        while True:
+            await self._lost.wait()
+            async with asyncio.TaskGroup() as probes:
+                while self.is_away:
+                    probes.create_task(self._probe())
+                    pause = PROBE_PAUSE * (0.75 + 0.5 * self._draw())
+                    await self._timers.sleep(pause)
+
+    async def _probe(self) -> None:
+        request = self._dialect.encode_probe()
+        try:
+            await self._call_directly('probe', request, LONGEST_PATIENCE)
+        except StoreError:
+            return
+
+    async def wait_open(self, longest: float) -> None:
+        """Return when a call is worth trying again, at the latest then."""
+        if not self.is_away:
+            await self._timers.sleep(longest * (0.5 + self._draw() / 2))
+            return
+        try:
+            async with asyncio.timeout(longest):
+                await self._returned.wait()
+        except TimeoutError:
+            return
+        # All that waited would else call at once.
+        await self._timers.sleep(RETURN_SPREAD * self._draw())
+
     def close(self) -> None:
         """Drop the connections."""
         self._pool.close()
@@ -128,10 +217,19 @@
 
     async def _call(
         self, kind: str, request: dialect_module.StoreRequest, patience: float
+    ) -> tuple[int, bytes]:
+        if self.is_away:
+            return await self._call_by_relay(kind, request, patience)
+        return await self._call_directly(kind, request, patience)
+
+    async def _call_directly(
+        self, kind: str, request: dialect_module.StoreRequest, patience: float
     ) -> tuple[int, bytes]:
         began = self._timers.now()
         try:
-            status, body = await self._exchange(request, patience)
+            status, body = await self._exchange(
+                self._settings.address, request, patience
+            )
         except client.NotSent as error:
             self._note_failure(kind, 'unreachable', began)
             raise StoreRefusedError(str(error)) from error
@@ -144,10 +242,36 @@
         self._note_success(kind, began)
         return status, body
 
+    async def _call_by_relay(
+        self, kind: str, request: dialect_module.StoreRequest, patience: float
+    ) -> tuple[int, bytes]:
+        relays = self._list_relays()
+        if self.is_closed or not relays:
+            raise StoreRefusedError('the store is away')
+        relay = relays[int(self._draw() * len(relays))]
+        began = self._timers.now()
+        try:
+            status, body = await self._exchange(relay, request, patience)
+        except client.NotSent as error:
+            raise StoreRefusedError(str(error)) from error
+        except (client.TransportError, TimeoutError) as error:
+            raise StoreSilentError(str(error) or 'no answer') from error
+        taken = self._timers.now() - began
+        if status == REFUSED_STATUS:
+            self._relays_closed_until = self._timers.now() + RELAYS_CLOSED
+            self._observer.on_call(kind, 'relay_refused', taken)
+            raise StoreRefusedError('the store is away for others too')
+        if status == SILENT_STATUS:
+            raise StoreSilentError('no answer for another instance')
+        self._observer.on_call(kind, 'relayed', taken)
+        return status, body
+
     async def _exchange(
-        self, request: dialect_module.StoreRequest, patience: float
+        self,
+        address: str,
+        request: dialect_module.StoreRequest,
+        patience: float,
     ) -> tuple[int, bytes]:
-        address = self._settings.address
         fields = [
             (b'Host', address.encode()),
             (b'Content-Type', b'application/json'),
@@ -174,29 +298,34 @@
 
     def _note_success(self, kind: str, began: float) -> None:
         taken = self._timers.now() - began
-        self._on_call(kind, 'answered', taken)
+        self._observer.on_call(kind, 'answered', taken)
         self._failures = 0
         if kind != 'follow':
             self.usual_time += (taken - self.usual_time) / 4
         if self.is_away:
+            self.usual_time = taken
             self.is_away = False
+            self._lost.clear()
+            self._returned.set()
             self.returned_at = self._timers.now()
-            self._on_change(True)
+            self._observer.on_change(True)
 
     def _note_silence(self, kind: str, began: float) -> None:
         # A slow store must not be asked again and again before it can have
         # answered: each silence doubles the patience for the next call.
-        if kind != 'follow':
+        if kind not in ('follow', 'probe'):
             taken = self._timers.now() - began
             self.usual_time = max(self.usual_time, 2 * taken / PATIENCE_TIMES)
         self._note_failure(kind, 'silent', began)
 
     def _note_failure(self, kind: str, outcome: str, began: float) -> None:
-        self._on_call(kind, outcome, self._timers.now() - began)
+        self._observer.on_call(kind, outcome, self._timers.now() - began)
         self._failures += 1
         if self._failures >= AWAY_FAILURES and not self.is_away:
             self.is_away = True
-            self._on_change(False)
+            self._returned.clear()
+            self._lost.set()
+            self._observer.on_change(False)
 
 
 async def commit(
@@ -204,7 +333,6 @@
     transaction: messages.Transaction,
     until: float,
     timer_service: timers.TimerService,
-    draw: typing.Callable[[], float],
 ) -> messages.Committed | messages.Conflict:
     """Apply a transaction whose repetition is harmless, until a time.
 
@@ -221,10 +349,10 @@
             )
         except StoreError:
             pause = min(LONGEST_PAUSE, pause * 2)
-            wait = pause * (0.5 + draw())
-            if timer_service.now() + wait >= until:
+            left = until - timer_service.now()
+            if left <= pause:
                 raise
-            await timer_service.sleep(wait)
+            await store.wait_open(pause)
 
 
 def find_patience(store: StoreClient) -> float:
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -16,6 +16,10 @@
 
 _DROPPED = frozenset((b'content-length',))
 _FIRST_FAILURE = 300
+# How often a turn that waits for the store looks whether it has waited long
+# enough. Seconds.
+HOLD_PAUSE = 0.1
+_AWAY = store_module.StoreRefusedError('the store is away')
 
 
 class _Turn:
@@ -81,26 +85,42 @@
 
     async def _reserve(self, turn: _Turn, program: messages.Program) -> None:
         progress = turn.progress
-        try:
-            outcome, keeper = await self._parts.homes.reserve(
-                program.name,
-                program.budget,
-                progress.call.request,
-                progress.call.most_tokens,
-                progress.until,
-            )
-        except store_module.StoreError as error:
-            raise refusals.RefusalError(
-                refusals.Reason.STORE_AWAY, str(error)
-            ) from error
+        while True:
+            try:
+                outcome, keeper = await self._parts.homes.reserve(
+                    program.name,
+                    program.budget,
+                    progress.call.request,
+                    progress.call.most_tokens,
+                    progress.hold_until,
+                )
+            except store_module.StoreError as error:
+                await self._hold(progress, error)
+            else:
+                break
         if outcome is ledger.Outcome.SPENT:
             raise refusals.RefusalError(refusals.Reason.BUDGET_SPENT)
         progress.keeper = keeper
 
+    async def _hold(
+        self, progress: dispatch.Progress, error: Exception
+    ) -> None:
+        """Wait for the store's return; refuse when the turn has waited."""
+        left = progress.hold_until - self._parts.timers.now()
+        if left <= 0:
+            raise refusals.RefusalError(
+                refusals.Reason.STORE_AWAY, str(error)
+            ) from error
+        await self._parts.store.wait_open(min(left, HOLD_PAUSE))
+
     async def _serve_granted(
         self, turn: _Turn, responder: server.Responder
     ) -> None:
         progress = turn.progress
+        if progress.route.keeps_history:
+            # A turn that can't be kept would run for nothing.
+            while self._parts.store.is_closed:
+                await self._hold(progress, _AWAY)
         if progress.route.keeps_history and progress.call.previous_turn:
             turn.before = await self._fetch_history(progress)
             turn.call = progress.call._replace(
@@ -121,7 +141,7 @@
     async def _fetch_history(self, progress: dispatch.Progress) -> bytes:
         try:
             return await self._parts.histories.fetch(
-                progress.call.previous_turn, progress.until
+                progress.call.previous_turn, progress.hold_until
             )
         except histories.UnknownTurnError as error:
             raise refusals.RefusalError(
--- a/libs/testing/vanillayoke/testing/networks.py
+++ b/libs/testing/vanillayoke/testing/networks.py
@@ -17,6 +17,13 @@
 Address = tuple[str, int]
 
 
+def make_context(host: str) -> contextvars.Context:
+    """Return a context in which a host's code runs."""
+    context = contextvars.copy_context()
+    context.run(HOST.set, host)
+    return context
+
+
 class _Transport(asyncio.Transport):
     """One end of a connection."""
 
@@ -74,7 +81,7 @@
     def arrive(self, deliver: typing.Callable[['_Transport'], None]) -> None:
         """Take something that the other end sent, a delay from now."""
         self._arriving.append(deliver)
-        self.network.later(lambda: self._arriving.popleft()(self))
+        self.network.later(self.host, lambda: self._arriving.popleft()(self))
 
     def take_data(self, data: bytes) -> None:
         if not self._is_closing:
@@ -98,7 +105,8 @@
         self._is_closing = True
         self.network.transports.discard(self)
         loop = asyncio.get_event_loop()
-        loop.call_soon(self._lose, error)
+        context = make_context(self.host)
+        loop.call_soon(self._lose, error, context=context)
 
     def _lose(self, error: Exception | None) -> None:
         if not self._is_lost:
@@ -166,7 +174,7 @@
         far = _Transport(self, host, make())
         near.peer, far.peer = far, near
         self.transports |= {near, far}
-        far.protocol.connection_made(far)
+        make_context(host).run(far.protocol.connection_made, far)
         near.protocol.connection_made(near)
         return near, near.protocol
 
@@ -183,9 +191,9 @@
 
     # Carrying
 
-    def later(self, deliver: typing.Callable[[], None]) -> None:
-        """Deliver after the network's delay."""
-        self._loop.call_later(self.delay, deliver)
+    def later(self, host: str, deliver: typing.Callable[[], None]) -> None:
+        """Deliver to a host after the network's delay."""
+        self._loop.call_later(self.delay, deliver, context=make_context(host))
 
     def is_path(self, one: str, other: str) -> bool:
         """Say whether packets pass between two hosts."""
@@ -205,7 +213,7 @@
             if found is not None:
                 found.protocol.datagram_received(data, sender)
 
-        self.later(deliver)
+        self.later(receiver[0], deliver)
 
     # Faults
 
--- /dev/null
+++ b/tests/gateway/test_outages.py
@@ -0,0 +1,92 @@
+"""Tests of a store that is away, slow or away for some only."""
+
+import asyncio
+
+from tests.gateway import sites
+from vanillayoke.standins import site as site_module
+from vanillayoke.standins import store as store_module
+from vanillayoke.testing import fixtures
+
+
+async def test_turn_waits_for_the_stores_return(case, site):
+    """The store is away for a second and a half.
+
+    A program that starts meanwhile waits and is served when it is back,
+    instead of failing after a few refusals.
+    """
+    await site.start()
+    site.store.mode = store_module.Mode.RESET
+    await asyncio.sleep(1.0)
+    task = asyncio.ensure_future(
+        site.turn('i1', 'a', route='plan', program='new')
+    )
+    await asyncio.sleep(1.2)
+    site.store.mode = store_module.Mode.SERVE
+    answer = await task
+    case.assertEqual(200, answer.status)
+
+
+async def test_silent_store_is_noticed_soon_when_it_is_back(case, site):
+    """The store takes connections and answers nothing for five seconds.
+
+    What was sent into the silence never gets an answer; only calls sent
+    afterwards do, so none may wait for the old ones.
+    """
+    await site.start()
+    site.store.mode = store_module.Mode.MUTE
+    await asyncio.sleep(5.0)
+    site.store.mode = store_module.Mode.SERVE
+    await asyncio.sleep(0.5)
+    for name in ('i1', 'i2'):
+        answer = await site.turn(name, f'a{name}', program=f'p{name}')
+        case.assertEqual(200, answer.status)
+
+
+async def test_few_calls_go_to_a_store_that_is_away(case, site):
+    await site.start()
+    site.store.mode = store_module.Mode.BUSY
+    await asyncio.sleep(1.0)
+    site.store.calls.clear()
+    await asyncio.sleep(4.0)
+    case.assertLess(site.store.calls.total(), 2 * 4 * 6)
+
+
+async def test_instance_cut_off_from_the_store_asks_through_others(
+    case, site, network
+):
+    """The store turns one machine away and serves the others.
+
+    Its callers notice nothing: kept turns, history and configuration go
+    through another instance.
+    """
+    await site.start(3)
+    network.cut('10.1.0.1', '10.9.0.1')
+    await asyncio.sleep(4.0)
+    site.store.put('op', 'config', _add_route())
+    first = await site.turn('i1', 'a', b'one')
+    second = await site.turn('i1', 'b', b'two', previous='a')
+    case.assertEqual((200, 200), (first.status, second.status))
+    case.assertIn('b', site.store.list_table('turns'))
+    await asyncio.sleep(1.0)
+    case.assertEqual(200, (await site.call('i1', 'new')).status)
+
+
+def _add_route():
+    route = site_module.make_route('new', 'tools', 'safe')
+    return site_module.make_configuration(2, [*site_module.ROUTES, route])
+
+
+async def test_slow_store_is_not_asked_again_and_again(case, site):
+    """Each answer takes a hundred times as long as usual.
+
+    Asking again before an answer can be there would only add to its load.
+    """
+    await site.start()
+    site.store.delay = 0.5
+    site.store.calls.clear()
+    answer = await site.turn('i1', 'a', program='new')
+    case.assertEqual(200, answer.status)
+    case.assertLess(site.store.calls['rows-tx'], 8)
+
+
+load_tests = fixtures.adapt(__name__, [sites])
