Ordered turns by what their programs may still lose, and left cut-off instances.

Change: a program's home keeps what each line of turns has lost to waiting and tells its slack with the reservation; the share of its time that a program takes on idle targets is learned per route. An instance that reaches neither the store nor most others says so: not ready, no addresses, refusal at once with the connection closed.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -599,6 +599,9 @@
     'tries',
     'shed',
     'keeper',
+    'left',
+    'urgency',
+    'first',
     'version',
     'detail',
 )
@@ -618,6 +621,9 @@
     'tries',
     'shed',
     'keeper',
+    'left',
+    'urgency',
+    'first',
     'version',
     'detail',
 )
--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -95,6 +95,8 @@
         progress: dispatch.Progress,
         responder: server.Responder,
     ) -> None:
+        if refusal.reason is refusals.Reason.ISOLATED:
+            responder.close_after()
         if responder.is_started:
             # Part of an answer is out: breaking the connection off is the
             # only way to say that it is not whole.
@@ -147,6 +149,18 @@
             tries=progress.tries,
             shed=progress.shed,
             keeper=progress.keeper,
+            left=_get_left(call),
+            urgency=progress.level,
+            first=_round(progress.first),
             version=self._parts.configuration_version,
             detail=detail or None,
         )
+
+
+def _get_left(call: messages.Call) -> float | None:
+    """Return the program's time left at arrival, in milliseconds."""
+    return None if call.program is None else _round(call.program.time_left)
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds * 1000, 1)
--- /dev/null
+++ b/libs/gateway/vanillayoke/gateway/clocks.py
@@ -0,0 +1,66 @@
+"""What programs have lost so far, kept by each program's home."""
+
+import collections
+
+from vanillayoke.scheduling import outlook
+
+# A program without a turn for so long has ended, as far as anybody can tell.
+# Seconds.
+QUIET = 3.0
+# Late programs may pause long; their clocks are kept this long. Seconds.
+KEPT = 120.0
+
+
+class Clocks:
+    """The clocks of the programs whose home this instance is."""
+
+    def __init__(self) -> None:
+        self._clocks: collections.OrderedDict[str, outlook.ProgramClock] = (
+            collections.OrderedDict()
+        )
+        self._routes: dict[str, str] = {}
+        self._shares: dict[str, outlook.IdleShare] = {}
+
+    def arrive(
+        self,
+        program: str,
+        session: str,
+        route: str,
+        time_left: float,
+        now: float,
+    ) -> outlook.Slack:
+        """Note a turn and return what is left to its line."""
+        clock = self._clocks.get(program)
+        if clock is None:
+            clock = outlook.ProgramClock(session, now, time_left)
+            self._clocks[program] = clock
+            self._routes[program] = route
+        clock.arrive(session, now, time_left)
+        self._clocks.move_to_end(program)
+        return clock.estimate(session, now, self._find_share(route).value)
+
+    def lose(
+        self, program: str, session: str, seconds: float, now: float
+    ) -> None:
+        """Note what a turn lost to waiting."""
+        clock = self._clocks.get(program)
+        if clock is not None:
+            clock.lose(session, seconds, now)
+
+    def prune(self, now: float) -> None:
+        """Learn from the programs that have ended and forget them."""
+        for program, clock in list(self._clocks.items()):
+            quiet = now - clock.used_at
+            if quiet < QUIET:
+                return
+            route = self._routes.pop(program, None)
+            if route is not None:
+                self._find_share(route).learn(clock)
+            if quiet >= KEPT:
+                del self._clocks[program]
+
+    def _find_share(self, route: str) -> outlook.IdleShare:
+        share = self._shares.get(route)
+        if share is None:
+            share = self._shares[route] = outlook.IdleShare()
+        return share
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -6,6 +6,7 @@
 from vanillayoke.gateway import refusals
 from vanillayoke.gateway import shared
 from vanillayoke.scheduling import occupancy
+from vanillayoke.scheduling import outlook
 from vanillayoke.scheduling import urgency
 from vanillayoke.transport import client
 
@@ -24,9 +25,6 @@
 # How often one request is sent again after its answer broke off. More would
 # be a server that can't answer it.
 MOST_BREAKS = 2
-# The share of a program's time that the request at hand takes at least,
-# where nothing better is known. Seconds.
-SHORTEST_TURN = 0.08
 
 
 class Progress:
@@ -48,6 +46,12 @@
         self.ran_at: set[str] = set()
         self.breaks = 0
         self.waited = 0.0
+        # What the target was told, and when its first event came, in
+        # seconds from the arrival.
+        self.level: int | None = None
+        self.slack: outlook.Slack | None = None
+        self.slack_at = began
+        self.first: float | None = None
         self.may_have_run = False
 
     def take_route(self, route: messages.Route, service: str) -> None:
@@ -89,15 +93,17 @@
         ``last_event`` is the one that a stream goes on behind.
         """
         now = self._parts.timers.now()
-        program = progress.call.program
-        level = None
-        if program is not None and program.time_left is not None:
-            left = program.time_left - (now - progress.began)
-            level = urgency.rank(urgency.Outlook(left, SHORTEST_TURN))
+        if progress.slack is not None:
+            waited = now - progress.slack_at
+            slack = progress.slack._replace(
+                left=progress.slack.left - waited,
+                overdue=progress.slack.overdue + waited,
+            )
+            progress.level = urgency.rank(slack, progress.route.priority)
         return messages.Sending(
             target.name,
             progress.until - now,
-            level,
+            progress.level,
             last_event,
         )
 
--- a/libs/gateway/vanillayoke/gateway/front.py
+++ b/libs/gateway/vanillayoke/gateway/front.py
@@ -86,11 +86,20 @@
             settings, dialect, timer_service, log, random.SystemRandom()
         )
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether the store and most other instances are out of reach.
+
+        Others can do for callers what this instance can't.
+        """
+        return self._store.is_away and self._members.is_alone
+
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
         return (
             not self.is_draining
+            and not self.is_isolated
             and self._catalog.configuration is not None
             and self._catalog.has_targets
         )
@@ -204,6 +213,7 @@
             self.measures,
             self._spawn,
             self._source.random,
+            lambda: self.is_isolated,
         )
         handler = calls.CallHandler(parts)
         make = functools.partial(
@@ -231,6 +241,9 @@
     ) -> None:
         lookup = self._dialect.decode_lookup(request)
         live = self._members.list_live()
+        if self.is_isolated:
+            # Callers ask another instance, which knows who is there.
+            live = []
         if not self.is_ready:
             me = self.settings.instance
             live = [member for member in live if member.instance != me]
@@ -281,7 +294,7 @@
         self._apply_limits()
         self._pool.prune()
         self._store.prune()
-        self._ledger.prune()
+        self._homes.prune()
         self._view.forget(self._catalog.names)
 
     def _apply_limits(self) -> None:
--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -12,9 +12,11 @@
 import xxhash
 
 from vanillayoke.core import timers
+from vanillayoke.gateway import clocks
 from vanillayoke.gateway import ledger as ledger_module
 from vanillayoke.gateway import peers as peers_module
 from vanillayoke.gateway import store as store_module
+from vanillayoke.scheduling import outlook
 
 # The longest that a home waits for the store on behalf of another instance.
 # Seconds.
@@ -28,6 +30,17 @@
     address: str
 
 
+class Reservation(typing.NamedTuple):
+    """How a reservation ended.
+
+    ``keeper`` is the address of who made it, '' for this instance.
+    """
+
+    is_granted: bool
+    keeper: str
+    slack: outlook.Slack | None
+
+
 @functools.lru_cache(maxsize=4096)
 def _seed(instance: str) -> int:
     return xxhash.xxh3_64_intdigest(instance.encode())
@@ -59,6 +72,7 @@
         self._ledger = ledger
         self._list_members = list_members
         self._timers = timer_service
+        self._clocks = clocks.Clocks()
         self._peers: peers_module.Peers | None = None
         self.is_leaving = False
 
@@ -66,42 +80,85 @@
         """Ask other instances through this from now on."""
         self._peers = peers
 
+    def reserve_here(
+        self, question: peers_module.Reserve
+    ) -> Reservation | None:
+        """Reserve from what this instance was granted; ``None`` if too little.
+
+        It was granted as the program's home or in place of it.
+        """
+        if not self._ledger.reserve_now(
+            question.program, question.turn, question.need
+        ):
+            return None
+        return Reservation(True, '', self._arrive(question))
+
     async def reserve(
-        self, program: str, budget: int, turn: str, need: int, until: float
-    ) -> tuple[ledger_module.Outcome, str]:
-        """Reserve the most of a turn; return how and the keeper's address.
+        self, question: peers_module.Reserve, until: float
+    ) -> Reservation:
+        """Reserve the most of a turn with its program's home.
 
-        The address is '' for this instance itself. Raise ``StoreError`` if
-        nobody could say.
+        Raise ``StoreError`` if nobody could say.
         """
-        home = find_home(program, self._list_members())
+        found = self.reserve_here(question)
+        if found is not None:
+            return found
+        home = find_home(question.program, self._list_members())
         if home is not None and home.instance != self._instance:
-            question = peers_module.Reserve(program, budget, turn, need)
             answer = await self._peers.ask(home.address, question, until)
             match answer:
-                case peers_module.Granted():
-                    return ledger_module.Outcome.GRANTED, home.address
+                case peers_module.Granted(slack):
+                    return Reservation(True, home.address, slack)
                 case peers_module.Spent():
-                    return ledger_module.Outcome.SPENT, home.address
+                    return Reservation(False, home.address, None)
                 case peers_module.Unable(is_store=True):
                     raise store_module.StoreRefusedError(
                         f'{home.instance} could not ask the store'
                     )
         outcome = await self._ledger.reserve(
-            program, budget, turn, need, until
+            question.program,
+            question.budget,
+            question.turn,
+            question.need,
+            until,
         )
-        return outcome, ''
+        is_granted = outcome is ledger_module.Outcome.GRANTED
+        return Reservation(is_granted, '', self._arrive(question))
 
     async def settle(
-        self, address: str, program: str, turn: str, used: int
+        self, address: str, question: peers_module.Settle
     ) -> None:
         """Tell the keeper of a reservation that its turn is over."""
         if not address:
-            self._ledger.settle(program, turn, used)
+            self._settle(question)
             return
-        question = peers_module.Settle(program, turn, used)
         await self._peers.ask(address, question, self._timers.now())
 
+    def prune(self) -> None:
+        """Forget what has ended."""
+        self._ledger.prune()
+        self._clocks.prune(self._timers.now())
+
+    def _settle(self, question: peers_module.Settle) -> None:
+        self._ledger.settle(question.program, question.turn, question.used)
+        self._clocks.lose(
+            question.program,
+            question.session,
+            question.lost,
+            self._timers.now(),
+        )
+
+    def _arrive(self, question: peers_module.Reserve) -> outlook.Slack | None:
+        if question.time_left is None:
+            return None
+        return self._clocks.arrive(
+            question.program,
+            question.session,
+            question.route,
+            question.time_left,
+            self._timers.now(),
+        )
+
     def answer(
         self, question: peers_module.Question
     ) -> (
@@ -110,12 +167,12 @@
     ):
         """Answer another instance."""
         match question:
-            case peers_module.Settle(program, turn, used):
-                self._ledger.settle(program, turn, used)
+            case peers_module.Settle():
+                self._settle(question)
                 return peers_module.Granted()
             case peers_module.Reserve(program, _, turn, need):
                 if self._ledger.reserve_now(program, turn, need):
-                    return peers_module.Granted()
+                    return peers_module.Granted(self._arrive(question))
                 if self.is_leaving:
                     return peers_module.Unable(False)
                 if self._ledger.is_closed:
@@ -138,4 +195,4 @@
             return peers_module.Unable(True)
         if outcome is ledger_module.Outcome.SPENT:
             return peers_module.Spent()
-        return peers_module.Granted()
+        return peers_module.Granted(self._arrive(question))
--- a/libs/gateway/vanillayoke/gateway/members.py
+++ b/libs/gateway/vanillayoke/gateway/members.py
@@ -19,6 +19,15 @@
 # Probes are datagrams of some 200 bytes. Seconds.
 PROBES = process.ProbeSettings(interval=0.3, timeout=0.15, suspicion=0.5)
 
+# With fewer others their silence says little about this instance.
+FEWEST_OTHERS = 2
+_OUT_OF_REACH = frozenset(
+    (cluster_messages.State.SUSPECTED, cluster_messages.State.FAILED)
+)
+_GONE = frozenset(
+    (cluster_messages.State.LEAVING, cluster_messages.State.LEFT)
+)
+
 _ROWS = msgspec.json.Decoder(messages.InstanceRow)
 
 
@@ -86,6 +95,20 @@
         """Return the instances that may keep programs."""
         return self._homes
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether most of the other instances are out of reach.
+
+        Then it is this instance that was cut off, rather than they.
+        """
+        others = [
+            one
+            for one in self.list_members()[1:]
+            if one.state not in _GONE and one.instance in self._listed
+        ]
+        lost = sum(one.state in _OUT_OF_REACH for one in others)
+        return len(others) >= FEWEST_OTHERS and lost > len(others) / 2
+
     def leave(self) -> None:
         """Tell the others that this instance takes no new work."""
         self.is_leaving = True
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from vanillayoke.core import timers
+from vanillayoke.scheduling import outlook
 
 # Kinds of datagrams, the first byte of each.
 MEMBERSHIP = b'm'
@@ -21,24 +22,40 @@
 
 
 class Reserve(msgspec.Struct, frozen=True, array_like=True, tag='R'):
-    """Reserve the most that a turn may generate from its program's budget."""
+    """Reserve the most that a turn may generate from its program's budget.
+
+    ``time_left`` is the program's, in seconds.
+    """
 
     program: str
     budget: int
     turn: str
     need: int
+    session: str = ''
+    route: str = ''
+    time_left: float | None = None
 
 
 class Settle(msgspec.Struct, frozen=True, array_like=True, tag='S'):
-    """A turn is over and generated ``used`` tokens."""
+    """A turn is over and generated ``used`` tokens.
+
+    ``lost`` is the time in seconds that it took over the usual.
+    """
 
     program: str
     turn: str
     used: int
+    session: str = ''
+    lost: float = 0.0
 
 
 class Granted(msgspec.Struct, frozen=True, array_like=True, tag='G'):
-    """A reservation or a settlement is done."""
+    """A reservation or a settlement is done.
+
+    ``slack`` is what is left to the program, where that is known.
+    """
+
+    slack: outlook.Slack | None = None
 
 
 class Spent(msgspec.Struct, frozen=True, array_like=True, tag='X'):
--- a/libs/gateway/vanillayoke/gateway/refusals.py
+++ b/libs/gateway/vanillayoke/gateway/refusals.py
@@ -10,6 +10,8 @@
 # When to come again, in seconds, by what has to change first.
 _SOON = 0.25
 _STORE_PAUSE = 1.0
+# Another instance can serve the caller at once.
+_ELSEWHERE = 0.02
 
 
 class Reason(enum.Enum):
@@ -25,6 +27,7 @@
     BUDGET_SPENT = 'budget_spent'
     UNKNOWN_TURN = 'unknown_turn'
     STORE_AWAY = 'store_away'
+    ISOLATED = 'isolated'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     NOT_KEPT = 'not_kept'
 
@@ -40,6 +43,7 @@
     Reason.BUDGET_SPENT: 402,
     Reason.UNKNOWN_TURN: 404,
     Reason.STORE_AWAY: 503,
+    Reason.ISOLATED: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.NOT_KEPT: 502,
 }
@@ -50,6 +54,7 @@
     Reason.BUSY: _SOON,
     Reason.LATE: _SOON,
     Reason.STORE_AWAY: _STORE_PAUSE,
+    Reason.ISOLATED: _ELSEWHERE,
 }
 
 _RAN = {
--- a/libs/gateway/vanillayoke/gateway/shared.py
+++ b/libs/gateway/vanillayoke/gateway/shared.py
@@ -19,7 +19,8 @@
     """The parts that serving a request takes.
 
     ``spawn`` runs a coroutine behind the request; ``draw`` returns a random
-    number between 0 and 1.
+    number between 0 and 1; ``is_isolated`` says whether this instance
+    reaches neither the store nor most of the others.
     """
 
     settings: messages.Settings
@@ -35,6 +36,7 @@
     measures: measures_module.Measures
     spawn: typing.Callable[[typing.Coroutine], None]
     draw: typing.Callable[[], float]
+    is_isolated: typing.Callable[[], bool]
 
     @property
     def configuration_version(self) -> int:
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -4,12 +4,13 @@
 from vanillayoke.gateway import events as stream_events
 from vanillayoke.gateway import forwarding
 from vanillayoke.gateway import histories
-from vanillayoke.gateway import ledger
 from vanillayoke.gateway import messages
+from vanillayoke.gateway import peers
 from vanillayoke.gateway import plain
 from vanillayoke.gateway import refusals
 from vanillayoke.gateway import shared
 from vanillayoke.gateway import store as store_module
+from vanillayoke.scheduling import outlook
 from vanillayoke.transport import client
 from vanillayoke.transport import headers as headers_module
 from vanillayoke.transport import server
@@ -19,6 +20,10 @@
 # How often a turn that waits for the store looks whether it has waited long
 # enough. Seconds.
 HOLD_PAUSE = 0.1
+# What the first event and each next one take, before any has been seen;
+# what is seen soon outweighs it. Seconds.
+FIRST_EVENT = 0.06
+NEXT_EVENT = 0.03
 _AWAY = store_module.StoreRefusedError('the store is away')
 
 
@@ -32,6 +37,7 @@
         self.call = progress.call
         self.data: list[bytes] = []
         self.events = 0
+        self.is_whole = False
         # A stream that breaks off goes on behind the last whole event that
         # the caller has.
         self.last_event = progress.call.last_event
@@ -54,6 +60,7 @@
     def __init__(self, parts: shared.Parts) -> None:
         self._parts = parts
         self._dispatcher = dispatch.Dispatcher(parts)
+        self._usual: dict[str, tuple[outlook.Usual, outlook.Usual]] = {}
 
     async def serve(
         self, progress: dispatch.Progress, responder: server.Responder
@@ -68,15 +75,41 @@
         try:
             await self._serve_granted(turn, responder)
         finally:
+            question = peers.Settle(
+                program.name,
+                progress.call.request,
+                turn.used,
+                program.session,
+                self._find_loss(turn),
+            )
             self._parts.spawn(
-                self._parts.homes.settle(
-                    progress.keeper or '',
-                    program.name,
-                    progress.call.request,
-                    turn.used,
-                )
+                self._parts.homes.settle(progress.keeper or '', question)
             )
 
+    def _find_loss(self, turn: _Turn) -> float:
+        """Return by how much a turn took longer than such turns usually do.
+
+        A turn that failed is done again: all its time is lost.
+        """
+        progress = turn.progress
+        taken = self._parts.timers.now() - progress.began
+        if progress.first is None or not turn.is_whole:
+            return taken
+        first, each = self._find_usual(progress.service)
+        first.learn(progress.first)
+        rest = taken - progress.first
+        if turn.events > 1:
+            each.learn(rest / (turn.events - 1))
+        usual = first.value + each.value * max(0, turn.events - 1)
+        return max(0.0, taken - usual)
+
+    def _find_usual(self, service: str) -> tuple[outlook.Usual, outlook.Usual]:
+        found = self._usual.get(service)
+        if found is None:
+            found = outlook.Usual(FIRST_EVENT), outlook.Usual(NEXT_EVENT)
+            self._usual[service] = found
+        return found
+
     def _find_event_tokens(self, service: str) -> int:
         found = self._parts.catalog.configuration.services.get(service)
         if found is None or found.engine is None:
@@ -85,22 +118,29 @@
 
     async def _reserve(self, turn: _Turn, program: messages.Program) -> None:
         progress = turn.progress
-        while True:
+        question = peers.Reserve(
+            program.name,
+            program.budget,
+            progress.call.request,
+            progress.call.most_tokens,
+            program.session,
+            progress.route.name,
+            program.time_left,
+        )
+        found = self._parts.homes.reserve_here(question)
+        while found is None:
+            self._refuse_if_isolated()
             try:
-                outcome, keeper = await self._parts.homes.reserve(
-                    program.name,
-                    program.budget,
-                    progress.call.request,
-                    progress.call.most_tokens,
-                    progress.hold_until,
+                found = await self._parts.homes.reserve(
+                    question, progress.hold_until
                 )
             except store_module.StoreError as error:
                 await self._hold(progress, error)
-            else:
-                break
-        if outcome is ledger.Outcome.SPENT:
+        if not found.is_granted:
             raise refusals.RefusalError(refusals.Reason.BUDGET_SPENT)
-        progress.keeper = keeper
+        progress.keeper = found.keeper
+        progress.slack = found.slack
+        progress.slack_at = self._parts.timers.now()
 
     async def _hold(
         self, progress: dispatch.Progress, error: Exception
@@ -113,12 +153,17 @@
             ) from error
         await self._parts.store.wait_open(min(left, HOLD_PAUSE))
 
+    def _refuse_if_isolated(self) -> None:
+        if self._parts.is_isolated():
+            raise refusals.RefusalError(refusals.Reason.ISOLATED)
+
     async def _serve_granted(
         self, turn: _Turn, responder: server.Responder
     ) -> None:
         progress = turn.progress
         if progress.route.keeps_history:
             # A turn that can't be kept would run for nothing.
+            self._refuse_if_isolated()
             while self._parts.store.is_closed:
                 await self._hold(progress, _AWAY)
         if progress.route.keeps_history and progress.call.previous_turn:
@@ -179,6 +224,7 @@
                 plain.send_answer(answer, progress, responder)
                 return
             await self._relay(turn, head, attempt, responder)
+        turn.is_whole = True
         if progress.route.keeps_history:
             await self._keep(turn)
         responder.finish()
@@ -213,7 +259,9 @@
     def _start(
         self, turn: _Turn, head: client.Head, responder: server.Responder
     ) -> None:
-        turn.progress.status = head.status
+        progress = turn.progress
+        progress.status = head.status
+        progress.first = self._parts.timers.now() - progress.began
         headers = headers_module.drop_hop_by_hop(head.headers, _DROPPED)
         responder.start(head.status, headers, None)
 
--- a/libs/scheduling/vanillayoke/scheduling/urgency.py
+++ b/libs/scheduling/vanillayoke/scheduling/urgency.py
@@ -1,43 +1,42 @@
 """How urgent a request is for its target, by the program behind it.
 
 Targets admit the more urgent first and let them push others out. What counts
-is that the program as a whole ends in time: a turn whose program has little
-time left goes first while it can still make it, and one whose time is up
-goes behind all that can.
+is that programs as a whole end in time: the one with the least left to lose
+goes first while it can still make it; one that can't any more goes behind
+all that can, and one so late that its end is worth nothing goes last.
 """
 
-import typing
+from vanillayoke.scheduling import outlook
 
-# Levels that targets know; 0 goes first.
-MOST_URGENT = 0
+# Levels that targets know: 0 goes first, 9 last, 5 if nothing is said.
 LEAST_URGENT = 9
-# A program whose time is up, and one that can't make it any more.
-LATE = 9
-HOPELESS = 8
-# Time left in seconds up to which a turn gets each level. The steps double:
-# what matters near the end is fractions of a second.
-STEPS = (0.5, 1.0, 2.0, 4.0, 8.0)
-FIRST_LEVEL = 2
-
-
-class Outlook(typing.NamedTuple):
-    """What is known of a request's program, in seconds.
-
-    ``time_left`` is until the program should be over, ``shortest`` what the
-    request itself takes at the least.
+UNKNOWN = 5
+LATE = 8
+# What a program may still lose, in seconds, up to which it gets each level.
+# The steps double: a turn takes some tenths of a second, so near the end
+# tenths matter, and far from it whole seconds.
+STEPS = (0.15, 0.3, 0.6, 1.2, 2.4, 4.8)
+FIRST_LEVEL = 1
+# Programs later than this share of their time end worthless.
+WORTHLESS = 1.0
+# A rank of priority counts as much as so many times the slack: the same
+# slack of a less important program lasts longer.
+PRIORITY_FACTOR = 1.5
+
+
+def rank(slack: outlook.Slack | None, priority: int) -> int:
+    """Return the level to tell the target.
+
+    ``priority`` is the route's rank, 0 the highest.
     """
-
-    time_left: float
-    shortest: float
-
-
-def rank(outlook: Outlook) -> int:
-    """Return the level to tell the target."""
-    if outlook.time_left <= 0:
+    if slack is None:
+        return UNKNOWN
+    if slack.overdue > WORTHLESS * slack.aim:
+        return LEAST_URGENT
+    if slack.left < 0:
         return LATE
-    if outlook.time_left < outlook.shortest:
-        return HOPELESS
+    weighed = slack.left * PRIORITY_FACTOR**priority
     for index, step in enumerate(STEPS):
-        if outlook.time_left <= step:
+        if weighed <= step:
             return FIRST_LEVEL + index
     return FIRST_LEVEL + len(STEPS)
--- a/tests/gateway/test_outages.py
+++ b/tests/gateway/test_outages.py
@@ -76,6 +76,28 @@
     return site_module.make_configuration(2, [*site_module.ROUTES, route])
 
 
+async def test_isolated_instance_sends_its_callers_elsewhere(
+    case, site, network
+):
+    """One machine is cut off from the store and from all others.
+
+    Callers still reach it. It can't grant or keep anything, so it says so at
+    once, and its directory names nobody instead of itself alone.
+    """
+    await site.start(4)
+    for other in ('10.1.0.2', '10.1.0.3', '10.1.0.4', '10.9.0.1'):
+        network.cut('10.1.0.1', other)
+    await asyncio.sleep(4.0)
+    case.assertFalse(site.fronts['i1'].is_ready)
+    case.assertTrue(site.fronts['i2'].is_ready)
+    began = site.timers.now()
+    answer = await site.turn('i1', 'a', program='new')
+    case.assertEqual(503, answer.status)
+    case.assertEqual(b'close', answer.headers[b'connection'])
+    case.assertLess(site.timers.now() - began, 0.3)
+    case.assertEqual(200, (await site.call('i1', 'order')).status)
+
+
 async def test_slow_store_is_not_asked_again_and_again(case, site):
     """Each answer takes a hundred times as long as usual.
 
