Judged targets by what became of their requests.

Change: two bad outcomes in a row (an error of its own, a broken or silent answer) leave a target alone for half a second, doubled with each failed trial; one that begins no answer for .6 s gets one trial a second; never more than half of a service by one instance's view.

--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -22,6 +22,8 @@
 # Callers give a stream up when nothing comes for two seconds: a refusal has
 # to be there before. Seconds.
 CALLER_PATIENCE = 1.8
+# A target's own errors count against it, though they are answers.
+FIRST_SERVER_ERROR = 500
 # How often one request is sent again after its answer broke off. More would
 # be a server that can't answer it.
 MOST_BREAKS = 2
@@ -152,7 +154,10 @@
             progress.may_have_run = bool(progress.ran_at)
             self._parts.view.note_shed(target.name, now)
             return
-        self._parts.view.note_failure(target.name, now)
+        if isinstance(error, client.NotSent):
+            self._parts.view.note_unreachable(target.name, now)
+        else:
+            self._parts.view.note_outcome(target.name, False, now)
         self._parts.log.write(
             log_events.ATTEMPT_FAILED,
             request=progress.call.request,
@@ -190,7 +195,9 @@
         self, progress: Progress, target: messages.Target
     ) -> None:
         """Take an attempt whose answer came whole."""
-        self._parts.view.note_success(target.name)
+        is_good = progress.status < FIRST_SERVER_ERROR
+        now = self._parts.timers.now()
+        self._parts.view.note_outcome(target.name, is_good, now)
         program = progress.call.program
         if program is not None and progress.route.kind is _STREAM:
             if len(self._favourites) > MOST_FAVOURITES:
--- a/libs/gateway/vanillayoke/gateway/forwarding.py
+++ b/libs/gateway/vanillayoke/gateway/forwarding.py
@@ -1,5 +1,6 @@
 """One request at one target: sending it and reading the answer."""
 
+import asyncio
 import typing
 
 from vanillayoke.core import timers
@@ -15,6 +16,10 @@
 # been used within this time: the server may close an older one while the
 # request is on its way, and then nobody knows whether it ran. Seconds.
 YOUNG_IDLE = 1.0
+# A target that did not begin to answer for so long when its caller gave up
+# counts as having failed. Targets begin within some tenths of a second, and
+# callers give up after two. Seconds.
+SILENCE = 1.0
 
 
 class NotExecutedError(Exception):
@@ -47,16 +52,32 @@
         self._timers = timer_service
         self._connection: client.Connection | None = None
         self.is_sent = False
+        self.has_head = False
+        self.began = 0.0
 
     async def __aenter__(self) -> typing.Self:
-        self._view.begin(self.target.name)
+        self.began = self._timers.now()
+        self._view.begin(self.target.name, self.began)
         return self
 
-    async def __aexit__(self, *error: object) -> None:
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: object,
+    ) -> None:
         self._view.end(self.target.name)
+        if isinstance(error, asyncio.CancelledError):
+            self._judge_silence()
         if self._connection is not None:
             self._pool.release(self.target.address, self._connection)
 
+    def _judge_silence(self) -> None:
+        """Count a request given up on, if the target was silent for long."""
+        now = self._timers.now()
+        if not self.has_head and now - self.began > SILENCE:
+            self._view.note_outcome(self.target.name, False, now)
+
     async def send(
         self, call: messages.Call, sending: messages.Sending, is_young: bool
     ) -> client.Head:
@@ -79,6 +100,8 @@
         )
         self.is_sent = True
         head = await connection.read_head()
+        self.has_head = True
+        self._view.note_head(self.target.name, self._timers.now())
         facts = self._take_facts(head)
         if facts.is_not_executed or head.status == _MISDIRECTED:
             # Read to its end, so that the connection can be used again.
--- a/libs/gateway/vanillayoke/gateway/plain.py
+++ b/libs/gateway/vanillayoke/gateway/plain.py
@@ -45,6 +45,7 @@
                 passed.add(target.name)
                 self._dispatcher.note_failure(progress, target, e)
                 continue
+            progress.status = answer.head.status
             self._dispatcher.note_success(progress, target)
             return answer
 
--- /dev/null
+++ b/libs/scheduling/vanillayoke/scheduling/health.py
@@ -0,0 +1,82 @@
+"""Whether a target does its work, judged by its answers.
+
+Health checks may lie, either way, and a target that fails at once looks idle
+and draws all work to it. So what counts is what became of the requests.
+"""
+
+# Weight of the newest outcome: two bad ones in a row leave a target alone,
+# one among some good ones does not.
+STEP = 0.3
+# The share of bad outcomes from which on a target is left alone, and below
+# which it counts as well again.
+SICK = 0.45
+WELL = 0.2
+# How long a sick target is left alone, doubled each time that its trial
+# fails too. Seconds.
+FIRST_PAUSE = 0.5
+LONGEST_PAUSE = 8.0
+# A target that began no answer for so long though it has requests counts as
+# mute; a busy one begins some all the time. Now and then it gets a request
+# that shows whether it still is. Seconds.
+MUTE_AFTER = 0.6
+MUTE_TRIAL = 1.0
+
+
+class Health:
+    """What the outcomes of its requests say of one target."""
+
+    def __init__(self) -> None:
+        self._bad = 0.0
+        self._pauses = 0
+        self._paused_until = float('-inf')
+        self._unanswered_since: float | None = None
+        self._sent_at = float('-inf')
+
+    def note_sent(self, now: float) -> None:
+        """Note that a request is sent."""
+        self._sent_at = now
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+
+    def note_head(self, now: float) -> None:
+        """Note that an answer began."""
+        self._unanswered_since = None
+
+    def note_unreachable(self, now: float) -> None:
+        """Note that the target takes no connection."""
+        self._unanswered_since = None
+        self._pause(now)
+
+    def note_outcome(self, is_good: bool, now: float) -> None:
+        """Note how a request has ended."""
+        self._bad += STEP * ((not is_good) - self._bad)
+        if not is_good and self._bad > SICK:
+            # The next bad outcome is enough to pause again.
+            self._bad = SICK
+            self._pause(now)
+        elif is_good and self._bad < WELL:
+            self._pauses = 0
+
+    def is_doubtful(self, now: float, under_way: int) -> bool:
+        """Say whether the target is better left alone.
+
+        Behind a pause it gets one request at a time until it is well.
+        """
+        if now < self._paused_until:
+            return True
+        if self._pauses and self._bad >= WELL and under_way > 0:
+            return True
+        return self._is_mute(now)
+
+    def _is_mute(self, now: float) -> bool:
+        since = self._unanswered_since
+        if since is None or now - since < MUTE_AFTER:
+            return False
+        return now - self._sent_at < MUTE_TRIAL
+
+    def _pause(self, now: float) -> None:
+        if now < self._paused_until:
+            return
+        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2**self._pauses)
+        self._pauses += 1
+        self._paused_until = now + pause
--- a/libs/scheduling/vanillayoke/scheduling/occupancy.py
+++ b/libs/scheduling/vanillayoke/scheduling/occupancy.py
@@ -7,17 +7,14 @@
 
 import typing
 
+from vanillayoke.scheduling import health
+
 # A report's weight halves within this time: about how long a short request
 # runs. Seconds.
 REPORT_HALF_LIFE = 0.5
 # How long a target that shed work is passed over, if others are to be had.
 # Seconds.
 SHED_PAUSE = 0.05
-# A target that broke off or could not be reached is left alone for this
-# long, doubled with each failure in a row up to the longest pause; one trial
-# ends it. Seconds.
-FIRST_PAUSE = 0.5
-LONGEST_PAUSE = 8.0
 
 
 class Report(typing.NamedTuple):
@@ -44,8 +41,7 @@
         self.own_at_report = 0
         self.slots: int | None = None
         self.shed_until = float('-inf')
-        self.failures = 0
-        self.paused_until = float('-inf')
+        self.health = health.Health()
 
 
 class Occupancy:
@@ -54,9 +50,11 @@
     def __init__(self) -> None:
         self._states: dict[str, _State] = {}
 
-    def begin(self, name: str) -> None:
-        """Note that a request was sent."""
-        self._find(name).under_way += 1
+    def begin(self, name: str, now: float) -> None:
+        """Note that a request is sent."""
+        state = self._find(name)
+        state.under_way += 1
+        state.health.note_sent(now)
 
     def end(self, name: str) -> None:
         """Note that a request is over, however it ended."""
@@ -74,18 +72,17 @@
         """Note that a target had no room."""
         self._find(name).shed_until = now + SHED_PAUSE
 
-    def note_failure(self, name: str, now: float) -> None:
-        """Note that a target broke off or could not be reached."""
-        state = self._find(name)
-        state.failures += 1
-        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** (state.failures - 1))
-        state.paused_until = now + pause
+    def note_unreachable(self, name: str, now: float) -> None:
+        """Note that a target takes no connection."""
+        self._find(name).health.note_unreachable(now)
 
-    def note_success(self, name: str) -> None:
-        """Note that a target answered whole."""
-        state = self._find(name)
-        state.failures = 0
-        state.paused_until = float('-inf')
+    def note_head(self, name: str, now: float) -> None:
+        """Note that a target began to answer a request."""
+        self._find(name).health.note_head(now)
+
+    def note_outcome(self, name: str, is_good: bool, now: float) -> None:
+        """Note how a request that a target took has ended there."""
+        self._find(name).health.note_outcome(is_good, now)
 
     def forget(self, names: typing.Container[str]) -> None:
         """Forget the targets that are not among ``names`` any more."""
@@ -110,10 +107,12 @@
             slots = state.slots
         return self.estimate(place.name, now) / max(1, slots)
 
-    def is_paused(self, name: str, now: float) -> bool:
-        """Say whether a target failed of late and is left alone."""
+    def is_doubtful(self, name: str, now: float) -> bool:
+        """Say whether a target is better left alone now."""
         state = self._states.get(name)
-        return state is not None and now < state.paused_until
+        if state is None:
+            return False
+        return state.health.is_doubtful(now, state.under_way)
 
     def has_shed(self, name: str, now: float) -> bool:
         """Say whether a target had no room a moment ago."""
@@ -144,6 +143,8 @@
 # Places of the own zone are taken unless others are emptier by this much;
 # bytes between zones cost.
 ZONE_LEAD = 0.08
+# The share of places that have to be sound for the others to be left alone.
+FEWEST_SOUND = 0.5
 # Places that are about alike are drawn from, so that many instances with the
 # same old view do not all send to one.
 DRAW_WIDTH = 0.05
@@ -159,12 +160,12 @@
 ) -> Place | None:
     """Return the place to send to next; ``None`` if there is none.
 
-    Those in ``passed`` are out of the question. Paused ones are used only
-    where no other is left.
+    Those in ``passed`` are out of the question. Doubtful ones are used only
+    where too many are: one instance's view must not empty a service.
     """
     usable = [place for place in places if place.name not in passed]
-    sound = [one for one in usable if not occupancy.is_paused(one.name, now)]
-    if not sound:
+    sound = [one for one in usable if not occupancy.is_doubtful(one.name, now)]
+    if len(sound) < FEWEST_SOUND * len(usable):
         sound = usable
     ready = [one for one in sound if not occupancy.has_shed(one.name, now)]
     best = None
