Left out the sign of a target that begins no answer.

Cause: a turn of low urgency waits long at a full engine without any fault of it; counting targets mute by that drove work together on the others.

--- a/libs/gateway/vanillayoke/gateway/forwarding.py
+++ b/libs/gateway/vanillayoke/gateway/forwarding.py
@@ -57,7 +57,7 @@
 
     async def __aenter__(self) -> typing.Self:
         self.began = self._timers.now()
-        self._view.begin(self.target.name, self.began)
+        self._view.begin(self.target.name)
         return self
 
     async def __aexit__(
@@ -101,7 +101,6 @@
         self.is_sent = True
         head = await connection.read_head()
         self.has_head = True
-        self._view.note_head(self.target.name, self._timers.now())
         facts = self._take_facts(head)
         if facts.is_not_executed or head.status == _MISDIRECTED:
             # Read to its end, so that the connection can be used again.
--- a/libs/scheduling/vanillayoke/scheduling/health.py
+++ b/libs/scheduling/vanillayoke/scheduling/health.py
@@ -15,11 +15,6 @@
 # fails too. Seconds.
 FIRST_PAUSE = 0.5
 LONGEST_PAUSE = 8.0
-# A target that began no answer for so long though it has requests counts as
-# mute; a busy one begins some all the time. Now and then it gets a request
-# that shows whether it still is. Seconds.
-MUTE_AFTER = 0.6
-MUTE_TRIAL = 1.0
 
 
 class Health:
@@ -29,22 +24,9 @@
         self._bad = 0.0
         self._pauses = 0
         self._paused_until = float('-inf')
-        self._unanswered_since: float | None = None
-        self._sent_at = float('-inf')
-
-    def note_sent(self, now: float) -> None:
-        """Note that a request is sent."""
-        self._sent_at = now
-        if self._unanswered_since is None:
-            self._unanswered_since = now
-
-    def note_head(self, now: float) -> None:
-        """Note that an answer began."""
-        self._unanswered_since = None
 
     def note_unreachable(self, now: float) -> None:
         """Note that the target takes no connection."""
-        self._unanswered_since = None
         self._pause(now)
 
     def note_outcome(self, is_good: bool, now: float) -> None:
@@ -64,15 +46,7 @@
         """
         if now < self._paused_until:
             return True
-        if self._pauses and self._bad >= WELL and under_way > 0:
-            return True
-        return self._is_mute(now)
-
-    def _is_mute(self, now: float) -> bool:
-        since = self._unanswered_since
-        if since is None or now - since < MUTE_AFTER:
-            return False
-        return now - self._sent_at < MUTE_TRIAL
+        return bool(self._pauses) and self._bad >= WELL and under_way > 0
 
     def _pause(self, now: float) -> None:
         if now < self._paused_until:
--- a/libs/scheduling/vanillayoke/scheduling/occupancy.py
+++ b/libs/scheduling/vanillayoke/scheduling/occupancy.py
@@ -50,11 +50,9 @@
     def __init__(self) -> None:
         self._states: dict[str, _State] = {}
 
-    def begin(self, name: str, now: float) -> None:
+    def begin(self, name: str) -> None:
         """Note that a request is sent."""
-        state = self._find(name)
-        state.under_way += 1
-        state.health.note_sent(now)
+        self._find(name).under_way += 1
 
     def end(self, name: str) -> None:
         """Note that a request is over, however it ended."""
@@ -76,10 +74,6 @@
         """Note that a target takes no connection."""
         self._find(name).health.note_unreachable(now)
 
-    def note_head(self, name: str, now: float) -> None:
-        """Note that a target began to answer a request."""
-        self._find(name).health.note_head(now)
-
     def note_outcome(self, name: str, is_good: bool, now: float) -> None:
         """Note how a request that a target took has ended there."""
         self._find(name).health.note_outcome(is_good, now)
