Shared what instances find out about sick targets.

Change: an instance that leaves a target alone tells the others with the news of the membership; two reports within three seconds pause it everywhere, one if it was paused there before. Safe calls into a silence are given up while their caller still has time for another try.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -745,3 +745,11 @@
     'The changed settings file could not be used: {error}.',
     'error',
 )
+TARGET_SICK = _define(
+    1024,
+    'target_sick',
+    _WARNING,
+    'Target {target} is left alone for a while (seen by: {source}).',
+    'target',
+    'source',
+)
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -82,6 +82,7 @@
             self._parts.dialect,
             self._parts.view,
             self._parts.timers,
+            self._parts.publish_sick,
         )
 
     def make_sending(
@@ -157,7 +158,7 @@
         if isinstance(error, client.NotSent):
             self._parts.view.note_unreachable(target.name, now)
         else:
-            self._parts.view.note_outcome(target.name, False, now)
+            self._judge(target, False, now)
         self._parts.log.write(
             log_events.ATTEMPT_FAILED,
             request=progress.call.request,
@@ -175,11 +176,21 @@
         progress.ran_at.add(target.name)
         progress.breaks += 1
         progress.may_have_run = True
-        if not progress.route.is_idempotent or progress.breaks > MOST_BREAKS:
+        if (
+            not progress.route.is_idempotent
+            or progress.breaks > MOST_BREAKS
+            or isinstance(error, client.TimedOut)
+        ):
             raise refusals.RefusalError(
                 refusals.Reason.OUTCOME_UNKNOWN, str(error)
             )
 
+    def _judge(
+        self, target: messages.Target, is_good: bool, now: float
+    ) -> None:
+        if self._parts.view.note_outcome(target.name, is_good, now):
+            self._parts.publish_sick(target.name)
+
     def _list_allowed(self, progress: Progress) -> list[messages.Target]:
         """Return the targets that the request may still be sent to.
 
@@ -197,7 +208,7 @@
         """Take an attempt whose answer came whole."""
         is_good = progress.status < FIRST_SERVER_ERROR
         now = self._parts.timers.now()
-        self._parts.view.note_outcome(target.name, is_good, now)
+        self._judge(target, is_good, now)
         program = progress.call.program
         if program is not None and progress.route.kind is _STREAM:
             if len(self._favourites) > MOST_FAVOURITES:
--- a/libs/gateway/vanillayoke/gateway/forwarding.py
+++ b/libs/gateway/vanillayoke/gateway/forwarding.py
@@ -44,8 +44,10 @@
         dialect: dialect_module.Dialect,
         view: occupancy.Occupancy,
         timer_service: timers.TimerService,
+        on_sick: typing.Callable[[str], None],
     ) -> None:
         self.target = target
+        self._on_sick = on_sick
         self._pool = pool
         self._dialect = dialect
         self._view = view
@@ -76,7 +78,8 @@
         """Count a request given up on, if the target was silent for long."""
         now = self._timers.now()
         if not self.has_head and now - self.began > SILENCE:
-            self._view.note_outcome(self.target.name, False, now)
+            if self._view.note_outcome(self.target.name, False, now):
+                self._on_sick(self.target.name)
 
     async def send(
         self, call: messages.Call, sending: messages.Sending, is_young: bool
--- a/libs/gateway/vanillayoke/gateway/front.py
+++ b/libs/gateway/vanillayoke/gateway/front.py
@@ -199,6 +199,7 @@
             self._source,
             self._peers.send_membership,
             self._note_member,
+            self._hear_sick,
         )
 
     def _make_servers(self) -> None:
@@ -217,6 +218,7 @@
             self._spawn,
             self._source.random,
             lambda: self.is_isolated,
+            self._publish_sick,
         )
         handler = calls.CallHandler(parts)
         make = functools.partial(
@@ -355,6 +357,16 @@
             incarnation=member.incarnation,
         )
 
+    def _publish_sick(self, target: str) -> None:
+        self._members.publish_sick(target)
+        self._log.write(log_events.TARGET_SICK, target=target, source='own')
+
+    def _hear_sick(self, target: str) -> None:
+        if self._view.note_report(target, self._timers.now()):
+            self._log.write(
+                log_events.TARGET_SICK, target=target, source='others'
+            )
+
     def _note_failure(self, error: BaseException) -> None:
         text = f'{type(error).__name__}: {error}'
         self._log.write(log_events.HANDLER_FAILED, error=text)
--- a/libs/gateway/vanillayoke/gateway/plain.py
+++ b/libs/gateway/vanillayoke/gateway/plain.py
@@ -1,17 +1,24 @@
 """Requests with one answer: read whole, then passed on."""
 
+import asyncio
 import typing
 
 from vanillayoke.gateway import dispatch
 from vanillayoke.gateway import forwarding
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import shared
+from vanillayoke.scheduling import outlook
 from vanillayoke.transport import client
 from vanillayoke.transport import headers as headers_module
 from vanillayoke.transport import server
 
 # Written anew for the caller.
 _DROPPED = frozenset((b'content-length',))
+# A safe call is given up on after this many times its usual time, and not
+# before this share of its time: a server that is four times slower than
+# usual is still waited for, and the caller's second try has room.
+PATIENCE_TIMES = 10.0
+PATIENCE_SHARE = 0.35
 
 
 class Answer(typing.NamedTuple):
@@ -27,6 +34,7 @@
     def __init__(self, parts: shared.Parts) -> None:
         self._parts = parts
         self._dispatcher = dispatch.Dispatcher(parts)
+        self._usual: dict[str, outlook.Usual] = {}
 
     async def serve(
         self, progress: dispatch.Progress, responder: server.Responder
@@ -47,6 +55,7 @@
                 continue
             progress.status = answer.head.status
             self._dispatcher.note_success(progress, target)
+            self._learn(progress)
             return answer
 
     async def _try(
@@ -56,10 +65,43 @@
         async with self._dispatcher.make_attempt(target) as attempt:
             sending = self._dispatcher.make_sending(progress, target)
             progress.may_have_run = True
-            head = await attempt.send(
-                progress.call, sending, not progress.route.is_idempotent
-            )
-            return Answer(head, await attempt.read_body())
+            if progress.route.kind is not messages.RouteKind.SAFE:
+                return await self._exchange(progress, attempt, sending)
+            try:
+                async with asyncio.timeout(self._find_patience(progress)):
+                    return await self._exchange(progress, attempt, sending)
+            except TimeoutError as error:
+                raise client.TimedOut('no answer for too long') from error
+
+    async def _exchange(
+        self,
+        progress: dispatch.Progress,
+        attempt: forwarding.Attempt,
+        sending: messages.Sending,
+    ) -> Answer:
+        head = await attempt.send(
+            progress.call, sending, not progress.route.is_idempotent
+        )
+        return Answer(head, await attempt.read_body())
+
+    def _find_patience(self, progress: dispatch.Progress) -> float:
+        """Return how long to wait for the answer to a safe call.
+
+        A server that says nothing for many times as long as usual is not
+        going to; the caller can try again in what time is left.
+        """
+        whole = progress.until - progress.began
+        usual = self._usual.get(progress.route.name)
+        times = 0.0 if usual is None else PATIENCE_TIMES * usual.value
+        return max(times, PATIENCE_SHARE * whole)
+
+    def _learn(self, progress: dispatch.Progress) -> None:
+        name = progress.route.name
+        taken = self._parts.timers.now() - progress.began
+        usual = self._usual.get(name)
+        if usual is None:
+            usual = self._usual[name] = outlook.Usual(taken)
+        usual.learn(taken)
 
 
 def send_answer(
--- a/libs/scheduling/vanillayoke/scheduling/health.py
+++ b/libs/scheduling/vanillayoke/scheduling/health.py
@@ -15,6 +15,9 @@
 # fails too. Seconds.
 FIRST_PAUSE = 0.5
 LONGEST_PAUSE = 8.0
+# Reports of other instances agree if they come within this time. News takes
+# a second or two to reach everybody. Seconds.
+AGREEMENT = 3.0
 
 
 class Health:
@@ -24,20 +27,36 @@
         self._bad = 0.0
         self._pauses = 0
         self._paused_until = float('-inf')
+        self._reported_at = float('-inf')
 
     def note_unreachable(self, now: float) -> None:
         """Note that the target takes no connection."""
         self._pause(now)
 
-    def note_outcome(self, is_good: bool, now: float) -> None:
-        """Note how a request has ended."""
+    def note_outcome(self, is_good: bool, now: float) -> bool:
+        """Note how a request has ended; say if that begins a pause."""
         self._bad += STEP * ((not is_good) - self._bad)
         if not is_good and self._bad > SICK:
             # The next bad outcome is enough to pause again.
             self._bad = SICK
-            self._pause(now)
-        elif is_good and self._bad < WELL:
+            return self._pause(now)
+        if is_good and self._bad < WELL:
             self._pauses = 0
+        return False
+
+    def note_report(self, now: float) -> bool:
+        """Note that an instance found the target sick; say if that pauses.
+
+        One report may come of what lies between that instance and the
+        target. Two soon after one another agree, and one is enough about a
+        target that is under suspicion here.
+        """
+        is_second = now - self._reported_at < AGREEMENT
+        self._reported_at = now
+        if not is_second and not self._pauses:
+            return False
+        self._bad = SICK
+        return self._pause(now)
 
     def is_doubtful(self, now: float, under_way: int) -> bool:
         """Say whether the target is better left alone.
@@ -48,9 +67,10 @@
             return True
         return bool(self._pauses) and self._bad >= WELL and under_way > 0
 
-    def _pause(self, now: float) -> None:
+    def _pause(self, now: float) -> bool:
         if now < self._paused_until:
-            return
+            return False
         pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2**self._pauses)
         self._pauses += 1
         self._paused_until = now + pause
+        return True
--- a/libs/scheduling/vanillayoke/scheduling/occupancy.py
+++ b/libs/scheduling/vanillayoke/scheduling/occupancy.py
@@ -74,9 +74,19 @@
         """Note that a target takes no connection."""
         self._find(name).health.note_unreachable(now)
 
-    def note_outcome(self, name: str, is_good: bool, now: float) -> None:
-        """Note how a request that a target took has ended there."""
-        self._find(name).health.note_outcome(is_good, now)
+    def note_outcome(self, name: str, is_good: bool, now: float) -> bool:
+        """Note how a request that a target took has ended there.
+
+        Return whether the target is left alone from now on.
+        """
+        return self._find(name).health.note_outcome(is_good, now)
+
+    def note_report(self, name: str, now: float) -> bool:
+        """Note that some instance found a target sick.
+
+        Return whether the target is left alone from now on.
+        """
+        return self._find(name).health.note_report(now)
 
     def forget(self, names: typing.Container[str]) -> None:
         """Forget the targets that are not among ``names`` any more."""
--- a/tests/gateway/test_plain.py
+++ b/tests/gateway/test_plain.py
@@ -122,6 +122,21 @@
     case.assertEqual(1, len(site.list_runs('a')))
 
 
+async def test_safe_call_into_silence_is_given_up_in_time_for_another(
+    case, site
+):
+    """A server takes a safe call and says nothing.
+
+    The caller is told soon enough to try again within its deadline.
+    """
+    await site.start()
+    _spoil(site, targets.Fault.MUTE, 1)
+    began = site.timers.now()
+    answer = await site.call('i1', 'look', method=b'GET')
+    case.assertEqual(502, answer.status)
+    case.assertLess(site.timers.now() - began, 1.5)
+
+
 async def test_path_without_a_route_is_404(case, site):
     await site.start()
     answer = await site.call('i1', 'nowhere')
