--- a/libs/gateway/vanillayoke/gateway/front.py
+++ b/libs/gateway/vanillayoke/gateway/front.py
@@ -22,6 +22,7 @@
 from vanillayoke.gateway import peers as peers_module
 from vanillayoke.gateway import shared
 from vanillayoke.gateway import store as store_module
+from vanillayoke.gateway import sweeping
 from vanillayoke.scheduling import occupancy
 from vanillayoke.transport import client
 from vanillayoke.transport import datagrams
@@ -291,6 +292,13 @@
         ms = round((self._timers.now() - self._began) * 1000)
         self._log.write(log_events.GATEWAY_READY, ms=ms)
         await self._followed.publish(self._row)
+        await sweeping.Sweeper(
+            self.settings.instance,
+            self._store,
+            self._catalog,
+            self._members.list_homes,
+            self._timers,
+        ).run()
 
     def _tidy(self) -> None:
         now = self._timers.now()
--- /dev/null
+++ b/tests/adapter/test_wire.py
@@ -0,0 +1,135 @@
+"""Tests of the platform's wire: what is decoded, and what is refused."""
+
+import pathlib
+import platform
+import tempfile
+
+import msgspec
+
+from vanillayoke.adapter import configuration
+from vanillayoke.adapter import rows
+from vanillayoke.adapter import settings
+from vanillayoke.adapter import wire
+from vanillayoke.gateway import dialect
+from vanillayoke.gateway import messages
+from vanillayoke.standins import site
+from vanillayoke.testing import fixtures
+from vanillayoke.transport import server
+
+SETTINGS = {
+    'node': 'i1',
+    'node_ip': '10.1.0.1',
+    'zone': 'z1',
+    'region': 'r1',
+    'listen_addrs': {'front': 'a:1', 'ready': 'a:2', 'directory': 'a:3'},
+    'port_range': [7380, 7395],
+    'platform': {'address': '10.9.0.1:8142'},
+    'something_new': {'x': 1},
+}
+
+
+@fixtures.fixture
+def folder():
+    with tempfile.TemporaryDirectory() as name:
+        yield pathlib.Path(name)
+
+
+def _decode(*headers):
+    request = server.Request(b'POST', b'/a/b?c=d', list(headers), b'', False)
+    return wire.PlatformDialect().decode_call(request)
+
+
+def test_standard_module_platform_is_not_shadowed(case):
+    case.assertTrue(hasattr(platform, 'python_implementation'))
+
+
+def test_settings_are_read_and_unknown_fields_passed(case, folder):
+    path = folder / 'settings.json'
+    path.write_bytes(msgspec.json.encode(SETTINGS))
+    found = settings.read_settings(str(path))
+    case.assertEqual(('i1', 'z1'), (found.instance, found.zone))
+
+
+def test_broken_settings_name_file_and_field(case, folder):
+    path = folder / 'settings.json'
+    path.write_bytes(msgspec.json.encode({**SETTINGS, 'zone': 7}))
+    with case.assertRaises(settings.SettingsError) as caught:
+        settings.read_settings(str(path))
+    case.assertIn('settings.json', str(caught.exception))
+    case.assertIn('zone', str(caught.exception))
+
+
+def test_call_without_an_id_is_refused(case):
+    with case.assertRaises(dialect.BadCallError):
+        _decode((b'Host', b'x'))
+
+
+def test_spoiled_numbers_are_refused(case):
+    for name, value in (
+        (b'X-Vanillayoke-Deadline-Ms', b'soon'),
+        (b'X-Vanillayoke-Token-Usage', b'1;2'),
+        (b'X-Vanillayoke-Prompt-Prefix', b'ab:cd'),
+        (b'X-Vanillayoke-Deadline-Ms', b'nan'),
+    ):
+        with case.assertRaises(dialect.BadCallError):
+            _decode((b'X-Vanillayoke-Request-Id', b'r'), (name, value))
+
+
+def test_turn_is_decoded_whole(case):
+    call = _decode(
+        (b'Host', b'Site.example:80'),
+        (b'X-Vanillayoke-Request-Id', b'r1'),
+        (b'X-Vanillayoke-Program-Id', b'p1'),
+        (b'X-Vanillayoke-Session-Id', b's1'),
+        (b'X-Vanillayoke-Program-Deadline-Ms', b'5200'),
+        (b'X-Vanillayoke-Token-Budget', b'2320'),
+        (b'X-Vanillayoke-Token-Usage', b'1840,290'),
+        (b'X-Vanillayoke-Prompt-Prefix', b'5c:800,91:410'),
+        (b'X-Vanillayoke-Previous-Turn', b'r0'),
+    )
+    case.assertEqual(('site.example', '/a/b'), (call.host, call.path))
+    case.assertEqual(messages.Program('p1', 's1', 5.2, 2320), call.program)
+    case.assertEqual((1840, 290), (call.prompt_tokens, call.most_tokens))
+    case.assertEqual((('5c', 800), ('91', 410)), call.prefix)
+    case.assertEqual('r0', call.previous_turn)
+
+
+def test_unknown_service_names_route_and_service(case):
+    routes = [site.make_route('r', 'nowhere', 'safe')]
+    value = msgspec.json.encode(site.make_configuration(3, routes))
+    with case.assertRaises(dialect.BadRowError) as caught:
+        configuration.decode_configuration(value)
+    case.assertIn('route r', str(caught.exception))
+    case.assertIn('nowhere', str(caught.exception))
+
+
+def test_broken_rows_are_errors(case):
+    for body in (b'', b'[]', b'{"rows":[{"table":1}]}', b'{"rows":7}'):
+        with case.assertRaises(dialect.BadRowError):
+            rows.decode_page(body)
+    spoiled = {'table': 't', 'part': '', 'key': 'k', 'value': '%%', 'ver': 1}
+    with case.assertRaises(dialect.BadRowError):
+        rows.decode_page(msgspec.json.encode({'rows': [spoiled]}))
+
+
+def test_transaction_and_its_outcome(case):
+    where = messages.RowKey('t', 'p', 'k')
+    request = rows.encode_transaction(
+        messages.Transaction(((where, 0),), ((where, b'v'),))
+    )
+    case.assertEqual(
+        {
+            'expected': [{'table': 't', 'part': 'p', 'key': 'k', 'ver': 0}],
+            'writes': [
+                {'table': 't', 'part': 'p', 'key': 'k', 'value': 'dg=='}
+            ],
+            'remove': [],
+        },
+        msgspec.json.decode(request.body),
+    )
+    case.assertEqual(
+        messages.Committed(9), rows.decode_outcome(200, b'{"ver":9}')
+    )
+
+
+load_tests = fixtures.adapt(__name__)
--- /dev/null
+++ b/tests/core/test_lines.py
@@ -0,0 +1,63 @@
+"""Tests of log lines that hold nobody up."""
+
+import asyncio
+import json
+
+from vanillayoke.core import lines
+from vanillayoke.core import timers
+from vanillayoke.testing import fixtures
+
+
+class _Pipe:
+    def __init__(self):
+        self.data = b''
+        self.is_full = False
+
+    def write(self, descriptor, data):
+        if self.is_full:
+            raise BlockingIOError
+        self.data += data
+        return len(data)
+
+
+@fixtures.fixture
+def pipe():
+    return _Pipe()
+
+
+@fixtures.fixture
+def output(loop, pipe):
+    clock = timers.LoopTimers(loop)
+    return lines.LineOutput(1, clock, write=pipe.write)
+
+
+def _make(number=1000, name='request_ended', **fields):
+    return {'number': number, 'message_type': name, **fields}
+
+
+async def test_full_pipe_drops_lines_and_counts_them(case, pipe, output):
+    """Whoever reads the log has stopped reading."""
+    pipe.is_full = True
+    for _ in range(3000):
+        output.write(_make(number=1001, name='request_failed', x='y' * 2000))
+    case.assertGreater(output.dropped, 0)
+    case.assertEqual(b'', pipe.data)
+    pipe.is_full = False
+    output.flush()
+    case.assertLessEqual(len(pipe.data), lines.MOST_PENDING)
+
+
+async def test_flood_of_one_kind_is_cut_with_a_count(case, loop, pipe, output):
+    for _ in range(lines.USUAL_SHARE + 50):
+        output.write(_make())
+    await asyncio.sleep(1.1)
+    output.write(_make())
+    written = [json.loads(line) for line in pipe.data.splitlines()]
+    [note] = [
+        one for one in written if one['message_type'] == 'lines_left_out'
+    ]
+    case.assertEqual((50, 'request_ended'), (note['count'], note['of']))
+    case.assertEqual(lines.USUAL_SHARE + 2, len(written))
+
+
+load_tests = fixtures.adapt(__name__)
--- /dev/null
+++ b/tests/gateway/test_sweeping.py
@@ -0,0 +1,31 @@
+"""Tests of removing old rows."""
+
+import asyncio
+
+from tests.gateway import sites
+from vanillayoke.gateway import sweeping
+from vanillayoke.testing import fixtures
+
+
+async def test_old_turns_and_budgets_are_removed(case, site):
+    """Rows of ended programs would fill the store for ever."""
+    site.timers._read_wall = site.timers.now
+    await site.start()
+    for number in range(5):
+        await site.turn('i1', f'a{number}', program=f'p{number}')
+    case.assertEqual(5, len(site.store.list_table('turns')))
+    await asyncio.sleep(2 * sweeping.ROUND)
+    case.assertEqual({}, site.store.list_table('turns'))
+    case.assertEqual({}, site.store.list_table('budgets'))
+
+
+async def test_turns_that_may_be_continued_stay(case, site):
+    site.timers._read_wall = site.timers.now
+    await site.start()
+    await site.turn('i1', 'a')
+    await asyncio.sleep(60.0)
+    answer = await site.turn('i2', 'b', previous='a')
+    case.assertEqual(200, answer.status)
+
+
+load_tests = fixtures.adapt(__name__, [sites])
--- /dev/null
+++ b/tests/programs/test_grants.py
@@ -0,0 +1,75 @@
+"""Tests of splitting budgets into grants."""
+
+import hypothesis
+from hypothesis import strategies
+
+from vanillayoke.programs import grants
+from vanillayoke.testing import fixtures
+
+
+def test_grants_never_add_up_to_more_than_the_budget(case):
+    """Any instances ask for any needs in any order."""
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.integers(1, 5000),
+        strategies.lists(strategies.integers(1, 900), max_size=40),
+    )
+    def check(budget, needs):
+        row = None
+        total = 0
+        for need in needs:
+            grant = grants.plan_grant(row, budget, need, 'w', 0.0)
+            if grant is None:
+                left = budget - (row.granted if row else 0)
+                case.assertGreater(need, left)
+                continue
+            row = grant.row
+            total += grant.tokens
+            case.assertGreaterEqual(grant.tokens, need)
+        case.assertLessEqual(total, budget)
+        case.assertEqual(total, row.granted if row else 0)
+
+    check()
+
+
+def test_purse_never_lets_more_generate_than_it_was_given(case):
+    """Turns are reserved and settled in any order, some twice."""
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from('rs'),
+                strategies.integers(0, 5),
+                strategies.integers(0, 300),
+            ),
+            max_size=60,
+        )
+    )
+    def check(steps):
+        purse = grants.Purse()
+        purse.add(1000)
+        under_way = {}
+        used = 0
+        for step, turn, tokens in steps:
+            name = f't{turn}'
+            if step == 'r' and purse.reserve(name, tokens):
+                under_way.setdefault(name, tokens)
+            elif step == 's':
+                spent = min(tokens, under_way.pop(name, 0))
+                purse.settle(name, spent)
+                used += spent
+        case.assertLessEqual(used + purse.reserved + purse.free, 1000)
+
+    check()
+
+
+def test_returned_grant_can_be_granted_again(case):
+    first = grants.plan_grant(None, 100, 100, 'a', 0.0)
+    row = grants.plan_return(first.row, 60, 'b', 0.0)
+    case.assertIsNone(grants.plan_grant(row, 100, 61, 'c', 0.0))
+    case.assertEqual(60, grants.plan_grant(row, 100, 60, 'c', 0.0).tokens)
+
+
+load_tests = fixtures.adapt(__name__)
--- /dev/null
+++ b/tests/transport/test_server.py
@@ -0,0 +1,148 @@
+"""Tests of requests as callers may send them, well-formed or not."""
+
+import asyncio
+
+from vanillayoke.testing import fixtures
+from vanillayoke.testing import networks
+from vanillayoke.transport import server
+
+ADDRESS = ('10.0.0.1', 80)
+
+
+class _Caller(asyncio.Protocol):
+    def __init__(self):
+        self.received = b''
+        self.is_closed = False
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.received += data
+
+    def eof_received(self):
+        self.is_closed = True
+        return False
+
+
+class _Site:
+    def __init__(self):
+        self.requests = []
+        self.refused = []
+        self.cancelled = 0
+        self.work = 0.0
+
+    async def handle(self, request, responder):
+        self.requests.append(request)
+        try:
+            await asyncio.sleep(self.work)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        responder.send(200, [], b'to ' + request.target)
+
+
+@fixtures.fixture
+def network(loop):
+    return networks.Network(loop)
+
+
+@fixtures.fixture
+def site():
+    return _Site()
+
+
+async def _connect(site):
+    http_server = server.HttpServer(
+        site.handle, lambda error: None, site.refused.append
+    )
+    await http_server.listen(*ADDRESS)
+    loop = asyncio.get_running_loop()
+    _, caller = await loop.create_connection(_Caller, *ADDRESS)
+    return caller
+
+
+async def _send(caller, data, wait=1.0):
+    caller.transport.write(data)
+    await asyncio.sleep(wait)
+    return caller.received
+
+
+async def test_pipelined_requests_are_answered_in_order(case, network, site):
+    caller = await _connect(site)
+    site.work = 0.1
+    received = await _send(
+        caller, b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n'
+    )
+    case.assertLess(received.index(b'to /a'), received.index(b'to /b'))
+
+
+async def test_request_in_pieces_and_chunks_is_whole(case, network, site):
+    caller = await _connect(site)
+    await _send(caller, b'POST /a HTTP/1.1\r\nTransfer-Enc')
+    await _send(caller, b'oding: chunked\r\n\r\n3\r\nabc\r\n')
+    await _send(caller, b'2\r\nde\r\n0\r\n\r\n')
+    case.assertEqual(b'abcde', site.requests[0].body)
+
+
+async def test_request_smuggled_behind_two_lengths_is_refused(
+    case, network, site
+):
+    """A request states its length twice, with another request inside."""
+    caller = await _connect(site)
+    received = await _send(
+        caller,
+        b'POST /a HTTP/1.1\r\nContent-Length: 5\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n',
+    )
+    case.assertIn(b' 400 ', received)
+    case.assertEqual([], site.requests)
+    case.assertTrue(caller.is_closed)
+
+
+async def test_oversized_requests_are_refused(case, network, site):
+    caller = await _connect(site)
+    received = await _send(
+        caller, b'POST /a HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n'
+    )
+    case.assertIn(b' 413 ', received)
+    caller = await _connect(site)
+    received = await _send(
+        caller, b'GET /a HTTP/1.1\r\nX: %b\r\n\r\n' % (b'x' * 20000)
+    )
+    case.assertIn(b' 431 ', received)
+    case.assertEqual([], site.requests)
+
+
+async def test_half_a_request_is_not_waited_for_for_ever(case, network, site):
+    caller = await _connect(site)
+    received = await _send(caller, b'GET /a HTT', 4.0)
+    case.assertIn(b' 408 ', received)
+    case.assertEqual([], site.requests)
+
+
+async def test_noise_is_answered_and_closed(case, network, site):
+    caller = await _connect(site)
+    received = await _send(caller, b'\x16\x03\x01 hello\r\n\r\n')
+    case.assertIn(b' 400 ', received)
+    case.assertEqual([400], site.refused)
+
+
+async def test_caller_that_leaves_cancels_its_request(case, network, site):
+    caller = await _connect(site)
+    site.work = 5.0
+    await _send(caller, b'GET /a HTTP/1.1\r\n\r\n')
+    caller.transport.close()
+    await asyncio.sleep(0.1)
+    case.assertEqual(1, site.cancelled)
+
+
+async def test_idle_connection_is_closed_in_the_end(case, network, site):
+    caller = await _connect(site)
+    await _send(caller, b'GET /a HTTP/1.1\r\n\r\n', 10.0)
+    case.assertFalse(caller.is_closed)
+    await asyncio.sleep(6.0)
+    case.assertTrue(caller.is_closed)
+
+
+load_tests = fixtures.adapt(__name__)
