--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -583,11 +583,7 @@
     'reason',
 )
 
-REQUEST_ENDED = _define(
-    1000,
-    'request_ended',
-    _INFO,
-    'The request was answered with {status} by {target} in {ms} ms.',
+_REQUEST_FIELDS = (
     'request',
     'program',
     'route',
@@ -605,27 +601,19 @@
     'version',
     'detail',
 )
+REQUEST_ENDED = _define(
+    1000,
+    'request_ended',
+    _INFO,
+    'The request was answered with {status} by {target} in {ms} ms.',
+    *_REQUEST_FIELDS,
+)
 REQUEST_FAILED = _define(
     1001,
     'request_failed',
     _WARNING,
     'The request ended as {outcome} with {status} after {ms} ms.',
-    'request',
-    'program',
-    'route',
-    'target',
-    'outcome',
-    'status',
-    'ms',
-    'waited',
-    'tries',
-    'shed',
-    'keeper',
-    'left',
-    'urgency',
-    'first',
-    'version',
-    'detail',
+    *_REQUEST_FIELDS,
 )
 REQUEST_MALFORMED = _define(
     1002,
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -155,10 +155,15 @@
             progress.may_have_run = bool(progress.ran_at)
             self._parts.view.note_shed(target.name, now)
             return
-        if isinstance(error, client.NotSent):
-            self._parts.view.note_unreachable(target.name, now)
-        else:
-            self._judge(target, False, now)
+        match error:
+            case client.NotSent():
+                self._parts.view.note_unreachable(target.name, now)
+            case client.TimedOut():
+                # The caller's second try must not meet the same silence.
+                if self._parts.view.note_unreachable(target.name, now):
+                    self._parts.publish_sick(target.name)
+            case _:
+                self._judge(target, False, now)
         self._parts.log.write(
             log_events.ATTEMPT_FAILED,
             request=progress.call.request,
--- a/libs/scheduling/vanillayoke/scheduling/health.py
+++ b/libs/scheduling/vanillayoke/scheduling/health.py
@@ -29,9 +29,9 @@
         self._paused_until = float('-inf')
         self._reported_at = float('-inf')
 
-    def note_unreachable(self, now: float) -> None:
-        """Note that the target takes no connection."""
-        self._pause(now)
+    def note_unreachable(self, now: float) -> bool:
+        """Note that the target can't be reached; say if that pauses it."""
+        return self._pause(now)
 
     def note_outcome(self, is_good: bool, now: float) -> bool:
         """Note how a request has ended; say if that begins a pause."""
--- a/libs/scheduling/vanillayoke/scheduling/occupancy.py
+++ b/libs/scheduling/vanillayoke/scheduling/occupancy.py
@@ -70,9 +70,12 @@
         """Note that a target had no room."""
         self._find(name).shed_until = now + SHED_PAUSE
 
-    def note_unreachable(self, name: str, now: float) -> None:
-        """Note that a target takes no connection."""
-        self._find(name).health.note_unreachable(now)
+    def note_unreachable(self, name: str, now: float) -> bool:
+        """Note that a target takes no connection or says nothing at all.
+
+        Return whether the target is left alone from now on.
+        """
+        return self._find(name).health.note_unreachable(now)
 
     def note_outcome(self, name: str, is_good: bool, now: float) -> bool:
         """Note how a request that a target took has ended there.
--- a/tests/gateway/test_plain.py
+++ b/tests/gateway/test_plain.py
@@ -138,6 +138,20 @@
     case.assertLess(site.timers.now() - began, 1.5)
 
 
+async def test_second_try_does_not_meet_the_same_silence(case, site):
+    """One server of two says nothing; the caller tries again at once."""
+    await site.start()
+    site.targets['t1'].faults.extend([targets.Fault.MUTE] * 20)
+    statuses = []
+    for _ in range(8):
+        answer = await site.call('i1', 'look', method=b'GET')
+        statuses.append(answer.status)
+        if answer.status != 200:
+            answer = await site.call('i1', 'look', method=b'GET')
+            case.assertEqual(200, answer.status)
+    case.assertIn(502, statuses)
+
+
 async def test_short_route_times_out_without_blaming_the_server(case, site):
     """A route allows less time than its requests take.
 
