Put the gateway into the one binary and checked that it starts.

The file built by 'make binary' lacked the gateway's libraries, so its command would have failed at import; the check now runs it without settings.

--- a/tools/build_binary.sh
+++ b/tools/build_binary.sh
@@ -6,8 +6,8 @@
 # benches or harnesses. Needs python3.11; writes to build/ only.
 set -eu
 cd "$(dirname "$0")/.."
-libraries='core settings platform peers programs scheduling cluster targets
-    entry node cli'
+libraries='core transport settings platform peers programs scheduling cluster
+    targets gateway entry node cli'
 tools=build/tools
 contents=build/contents
 output=build/vanillayoke
@@ -31,6 +31,7 @@
 for library in $libraries; do
     cp -R "libs/$library/vanillayoke" "$contents/"
 done
+cp -R platform/vanillayoke/adapter "$contents/vanillayoke/"
 find "$contents" -name __pycache__ -type d -prune -exec rm -rf {} +
 
 # A fixed time in the archive: the same sources give the same file.
--- a/tools/check_binary.py
+++ b/tools/check_binary.py
@@ -88,6 +88,14 @@
     return Check(name, done.returncode == 0, seen)
 
 
+def check_gateway(binary: Binary) -> Check:
+    """Check that the gateway starts and says what it lacks."""
+    done = binary.run('gateway')
+    held = done.returncode == 2 and 'settings file' in done.stderr
+    seen = f'status {done.returncode}: {done.stderr.strip()}'
+    return Check('gateway without settings', held, seen)
+
+
 def check_serve(binary: Binary, platform: str) -> list[Check]:
     """Check an instance: ready, alone, and ended by a signal."""
     entry, peer = _find_free_ports(2)
@@ -158,6 +166,7 @@
     checks = [
         check_command(binary, 'version'),
         check_command(binary, 'check', str(EXAMPLE)),
+        check_gateway(binary),
     ]
     stand_in = subprocess.Popen(
         [sys.executable, '-m', 'vanillayoke.fakes.platform_http'],
