Tested an instance as a process: settings, metrics, log lines, its stop.

The test uses a loopback address of its own; the process takes the descriptor of its log lines instead of assuming standard output.

--- /dev/null
+++ b/tests/adapter/test_process.py
@@ -0,0 +1,118 @@
+"""Tests of an instance as a process: settings, metrics, logs, its stop."""
+
+import asyncio
+import json
+import os
+import pathlib
+import tempfile
+
+import msgspec
+
+from vanillayoke.adapter import process
+from vanillayoke.standins import site as site_module
+from vanillayoke.standins import store as store_module
+from vanillayoke.testing import fixtures
+from vanillayoke.transport import client
+
+# A loopback address of its own, so that the fixed ports are free.
+HOST = '127.83.17.5'
+STORE_PORT = 8142
+PATIENCE = 20.0
+
+
+@fixtures.fixture
+def folder():
+    with tempfile.TemporaryDirectory() as name:
+        yield pathlib.Path(name)
+
+
+@fixtures.fixture
+def pipe():
+    reading, writing = os.pipe()
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+def _write_settings(folder, **more):
+    path = folder / 'settings.json'
+    content = {
+        'node': 'i1',
+        'node_ip': HOST,
+        'zone': 'z1',
+        'region': 'r1',
+        'listen_addrs': {
+            'front': f'{HOST}:8149',
+            'ready': f'{HOST}:8141',
+            'directory': f'{HOST}:8143',
+        },
+        'port_range': [7380, 7395],
+        'platform': {'address': f'{HOST}:{STORE_PORT}'},
+        **more,
+    }
+    path.write_bytes(msgspec.json.encode(content))
+    return str(path)
+
+
+def _spoil(path):
+    pathlib.Path(path).write_text('{"node": 7}')
+
+
+async def _get(port, target):
+    connection = await client.Pool(1.0).open(f'{HOST}:{port}')
+    try:
+        connection.send(b'GET', target, [(b'Host', b'x')], b'')
+        head = await connection.read_head()
+        return head.status, await connection.read_body()
+    finally:
+        connection.abort()
+
+
+async def _wait_ready():
+    async with asyncio.timeout(PATIENCE):
+        while True:
+            try:
+                if (await _get(8141, b'/-/readyz'))[0] == 200:
+                    return
+            except client.TransportError:
+                pass
+            await asyncio.sleep(0.05)
+
+
+@fixtures.on_real_loop
+async def test_process_starts_follows_its_settings_and_stops(
+    case, folder, pipe
+):
+    reading, writing = pipe
+    store = store_module.StoreStandin()
+    await store.listen(HOST, STORE_PORT)
+    store.put('op', 'config', site_module.make_configuration(1, []))
+    path = _write_settings(folder)
+    one = process.Process(path, writing)
+    task = asyncio.ensure_future(one.run())
+    await _wait_ready()
+    status, page = await _get(process.METRICS_PORT, b'/metrics')
+    case.assertEqual(200, status)
+    case.assertIn(b'vanillayoke_store_calls_total', page)
+    _spoil(path)
+    await asyncio.sleep(2 * process.WATCH_INTERVAL)
+    _write_settings(folder, zone='z2')
+    await asyncio.sleep(2 * process.WATCH_INTERVAL)
+    one.stop()
+    async with asyncio.timeout(PATIENCE):
+        await task
+    lines = os.read(reading, 1 << 20).splitlines()
+    names = [json.loads(line)['message_type'] for line in lines]
+    for name in (
+        'process_started',
+        'gateway_ready',
+        'settings_rejected',
+        'settings_changed',
+        'drain_started',
+        'drain_ended',
+        'process_stopped',
+    ):
+        case.assertIn(name, names)
+
+
+load_tests = fixtures.adapt(__name__)
