Stopped calling a request not run that may have run.

Cause, found by reading: a resumable stream whose first attempt broke off and that then found no target ended with 503, which promises that it has not run and never will.

Change: once an attempt may have run, a refusal of that kind becomes 502. The test fails without it (503).

--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from vanillayoke.core import events as log_events
+from vanillayoke.core import failures
 from vanillayoke.gateway import catalog as catalog_module
 from vanillayoke.gateway import dialect as dialect_module
 from vanillayoke.gateway import dispatch
@@ -95,6 +96,11 @@
         progress: dispatch.Progress,
         responder: server.Responder,
     ) -> None:
+        if progress.may_have_run and refusal.ran is failures.Ran.NO:
+            # An earlier attempt broke off: "not run" would not be true.
+            refusal = refusals.RefusalError(
+                refusals.Reason.OUTCOME_UNKNOWN, refusal.detail
+            )
         if refusal.reason is refusals.Reason.ISOLATED:
             responder.close_after()
         if responder.is_started:
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -310,6 +310,24 @@
     case.assertEqual(b'2', runs[1].headers[b'last-event-id'])
 
 
+async def test_stream_that_may_have_run_is_never_called_not_run(case, site):
+    """A server takes a stream, breaks off, and leaves; no other is there.
+
+    It may have run, so the answer must not promise that it did not.
+    """
+    await site.start()
+    site.store.put('servers', 'm2', None)
+    site.targets['m1'].faults.append(targets.Fault.LOSE_ANSWER)
+    site.targets['m1'].work = 0.5
+    await asyncio.sleep(0.1)
+    task = asyncio.ensure_future(site.turn('i1', 'a', route='plan'))
+    await asyncio.sleep(0.2)
+    site.store.put('servers', 'm1', None)
+    answer = await task
+    case.assertEqual(1, len(site.list_runs('a')))
+    case.assertEqual(502, answer.status)
+
+
 async def test_resumable_stream_stays_at_the_servers_it_may_run_at(case, site):
     await site.start()
     route = site_module.make_route('plan', 'models', 'stream', resumable=True)
