--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -14,8 +14,9 @@
 from vanillayoke.testing import fixtures
 from vanillayoke.transport import client
 
-# A loopback address of its own, so that the fixed ports are free.
-HOST = '127.83.17.5'
+# A loopback address of this process's own, so that the fixed ports are free
+# beside another run of the tests on the same machine.
+HOST = f'127.83.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}'
 STORE_PORT = 8142
 PATIENCE = 20.0
 
