Sent work beyond the own zone once its engines slow down.

Cause: on the new site engines have 64 slots and are twice as slow with 22 requests as with one (measured from logs: 269 ms a turn below four, 850 ms from 24 on). By slots a target below four tenths counted as empty, and other zones' were asked about only when the own zone's were full. Change: the slowdown by load is learned a service from the pace of answers (scheduling/slowdown); the choice counts it; other zones are asked about once the best near target is a quarter slower than idle by it.

--- a/libs/emulator/vanillayoke/emulator/policies.py
+++ b/libs/emulator/vanillayoke/emulator/policies.py
@@ -125,7 +125,7 @@
     best = occupancy.choose_counted(
         near, loads, place.view, wish, now, place.draw
     )
-    if best is not None and occupancy.has_room(best, loads, place.view):
+    if best is not None and occupancy.is_light(best, loads, place.view, wish):
         return best
     loads |= {one.name: place.counts.find_load(one.name, now) for one in far}
     return occupancy.choose_counted(
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -7,6 +7,7 @@
 from vanillayoke.gateway import shared
 from vanillayoke.scheduling import occupancy
 from vanillayoke.scheduling import outlook
+from vanillayoke.scheduling import slowdown as slowdown_module
 from vanillayoke.scheduling import urgency
 from vanillayoke.transport import client
 
@@ -40,6 +41,8 @@
         # The targets at which the request may have run.
         self.ran_at: set[str] = set()
         self.breaks = 0
+        # How many requests its target had before it, where that was counted.
+        self.load: float | None = None
         self.waited = 0.0
         # Until when it waits for a store that is away, once it does.
         self.waits_until: float | None = None
@@ -66,6 +69,17 @@
     def __init__(self, parts: shared.Parts) -> None:
         self._parts = parts
         self._favourites: dict[str, str] = {}
+        self._slowdowns: dict[str, slowdown_module.Slowdown] = {}
+
+    def find_slowdown(self, service: str) -> slowdown_module.Slowdown:
+        """Return what is known of how a service's targets slow down."""
+        found = self._slowdowns.get(service)
+        if found is None:
+            targets = self._parts.catalog.list_targets(service)
+            slots = targets[0].slots if targets else 1
+            found = slowdown_module.Slowdown(slots)
+            self._slowdowns[service] = found
+        return found
 
     def make_attempt(
         self, progress: Progress, target: messages.Target
@@ -118,7 +132,10 @@
         began = timers.now()
         program = progress.call.program
         favourite = self._favourites.get(program.session) if program else None
-        wish = occupancy.Wish(favourite, self._parts.settings.zone)
+        slowdown = self.find_slowdown(progress.service)
+        wish = occupancy.Wish(
+            favourite, self._parts.settings.zone, slowdown.slope
+        )
         while True:
             targets = self._list_allowed(progress)
             now = timers.now()
@@ -149,12 +166,16 @@
         loads = await self._parts.scouts.count(near)
         now = self._parts.timers.now()
         best = occupancy.choose_counted(near, loads, view, wish, now, draw)
-        if best is not None and occupancy.has_room(best, loads, view):
-            return best
-        loads |= await self._parts.scouts.count(far)
-        now = self._parts.timers.now()
-        found = [*near, *far]
-        return occupancy.choose_counted(found, loads, view, wish, now, draw)
+        if best is None or not occupancy.is_light(best, loads, view, wish):
+            loads |= await self._parts.scouts.count(far)
+            now = self._parts.timers.now()
+            found = [*near, *far]
+            best = occupancy.choose_counted(
+                found, loads, view, wish, now, draw
+            )
+        load = loads.get(best.name) if best is not None else None
+        progress.load = None if load is None else load.requests
+        return best
 
     def note_failure(
         self, progress: Progress, target: messages.Target, error: Exception
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -123,7 +123,11 @@
         if turn.events < 2:
             return None
         gap = (self._parts.timers.now() - attempt.headed) / (turn.events - 1)
-        mean = self._gaps.setdefault(turn.progress.service, outlook.Mean(gap))
+        progress = turn.progress
+        if progress.load is not None:
+            slowdown = self._dispatcher.find_slowdown(progress.service)
+            slowdown.learn(progress.load, gap)
+        mean = self._gaps.setdefault(progress.service, outlook.Mean(gap))
         pace = gap / mean.value
         mean.learn(gap)
         return pace
--- a/libs/scheduling/vanillayoke/scheduling/occupancy.py
+++ b/libs/scheduling/vanillayoke/scheduling/occupancy.py
@@ -179,10 +179,13 @@
     """What a request would like of its place.
 
     ``favourite`` holds its session's cache; ``zone`` is the instance's own.
+    ``slope`` is the share of its time by which each other request at its
+    target slows it down.
     """
 
     favourite: str | None
     zone: str
+    slope: float = 0.0
 
 
 # A place that holds a session's cache is taken unless another one is emptier
@@ -192,8 +195,12 @@
 # Places of the own zone are taken unless others are emptier by this much;
 # bytes between zones cost.
 ZONE_LEAD = 0.08
-# Below this fill a place is as good as an empty one: a batch that is half full
-# makes tokens about a tenth more slowly than an empty one.
+# Places of other zones are asked about once the best of the own zone is slower
+# than idle by this share: it takes some of them to be that much quicker, for
+# the bytes between zones and the questions.
+FAR_COST = 0.25
+# Below this fill nobody waits for a slot; what the others there cost is
+# their share of each step, which is learned.
 LIGHT_FILL = 0.4
 # The share of places that have to be sound for the others to be left alone.
 FEWEST_SOUND = 0.5
@@ -260,14 +267,22 @@
     return [one for one in sound if not occupancy.has_shed(one.name, now)]
 
 
-def has_room(
-    place: Place, loads: typing.Mapping[str, tallies.Load], view: Occupancy
+def is_light(
+    place: Place,
+    loads: typing.Mapping[str, tallies.Load],
+    view: Occupancy,
+    wish: Wish,
 ) -> bool:
-    """Say whether a place has a free slot and is as quick as usual."""
+    """Say whether a place is so quick that no other need be looked at.
+
+    It has a free slot, works at its usual pace, and its other requests do
+    not slow it down by more than what a place farther off costs.
+    """
     load = loads.get(place.name)
-    if load is None:
+    if load is None or load.slowness != 1.0:
         return False
-    return load.requests < view.find_slots(place) and load.slowness == 1.0
+    is_quick = wish.slope * load.requests < FAR_COST
+    return load.requests < view.find_slots(place) and is_quick
 
 
 def choose_counted(
@@ -292,6 +307,7 @@
         if load is None:
             load = tallies.Load(occupancy.estimate(place.name, now))
         score = max(LIGHT_FILL, load.requests / slots)
+        score += wish.slope * load.requests
         if load.requests >= slots:
             score += FULL_PENALTY
         score = score * load.slowness + DRAW_WIDTH * draw()
--- a/tests/scheduling/test_tallies.py
+++ b/tests/scheduling/test_tallies.py
@@ -133,7 +133,7 @@
     )
     loads = _ask(load, near, now)
     best = occupancy.choose_counted(near, loads, view, wish, now, draw)
-    if best is not None and occupancy.has_room(best, loads, view):
+    if best is not None and occupancy.is_light(best, loads, view, wish):
         load.near += 1
         return best
     loads |= _ask(load, far, now)
