Kept shared prefixes by an order of engines in each zone.

Cause: on the grown new site each prompt begins with one of sixteen parts of 12,600 tokens; an engine's memory holds 282,000. Ruled out: holding each part at a fixed number of engines (no figure fits calm and burst, and what one engine takes is not known). Change: scheduling/prefixes gives each part an order of engines in each zone by rendezvous; a step down the order costs as much more as the parts seen of late would fill an engine's memory, so the next engine takes over as the first gets crowded, and nothing is given up where memory is ample.

--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -7,6 +7,7 @@
 from vanillayoke.gateway import shared
 from vanillayoke.scheduling import occupancy
 from vanillayoke.scheduling import outlook
+from vanillayoke.scheduling import prefixes
 from vanillayoke.scheduling import slowdown as slowdown_module
 from vanillayoke.scheduling import urgency
 from vanillayoke.transport import client
@@ -69,6 +70,7 @@
     def __init__(self, parts: shared.Parts) -> None:
         self._parts = parts
         self._favourites: dict[str, str] = {}
+        self._prefixes: dict[str, prefixes.Prefixes] = {}
         self._slowdowns: dict[str, slowdown_module.Slowdown] = {}
 
     def find_slowdown(self, service: str) -> slowdown_module.Slowdown:
@@ -81,6 +83,29 @@
             self._slowdowns[service] = found
         return found
 
+    def _make_wish(
+        self, progress: Progress, favourite: str | None
+    ) -> occupancy.Wish:
+        wish = occupancy.Wish(
+            favourite,
+            self._parts.settings.zone,
+            self.find_slowdown(progress.service).slope,
+        )
+        shared = prefixes.find_shared(progress.call.prefix)
+        if shared is None:
+            return wish
+        seen = self._prefixes.setdefault(progress.service, prefixes.Prefixes())
+        seen.note(shared, self._parts.timers.now())
+        step = seen.find_step(self._find_memory(progress.service))
+        return wish._replace(shared=shared.name, step=step)
+
+    def _find_memory(self, service: str) -> int:
+        """Return the tokens that an engine of a service holds, 0 for none."""
+        found = self._parts.catalog.configuration.services.get(service)
+        if found is None or found.engine is None:
+            return 0
+        return found.engine.cache_tokens
+
     def make_attempt(
         self, progress: Progress, target: messages.Target
     ) -> forwarding.Attempt:
@@ -132,10 +157,7 @@
         began = timers.now()
         program = progress.call.program
         favourite = self._favourites.get(program.session) if program else None
-        slowdown = self.find_slowdown(progress.service)
-        wish = occupancy.Wish(
-            favourite, self._parts.settings.zone, slowdown.slope
-        )
+        wish = self._make_wish(progress, favourite)
         while True:
             targets = self._list_allowed(progress)
             now = timers.now()
--- a/libs/scheduling/vanillayoke/scheduling/occupancy.py
+++ b/libs/scheduling/vanillayoke/scheduling/occupancy.py
@@ -5,9 +5,11 @@
 about now; what this instance sent itself since then is exact.
 """
 
+import collections
 import typing
 
 from vanillayoke.scheduling import health
+from vanillayoke.scheduling import prefixes
 from vanillayoke.scheduling import tallies
 from vanillayoke.scheduling import verdicts as verdicts_module
 
@@ -180,12 +182,16 @@
 
     ``favourite`` holds its session's cache; ``zone`` is the instance's own.
     ``slope`` is the share of its time by which each other request at its
-    target slows it down.
+    target slows it down. ``shared`` names the part that its prompt shares
+    with others, and ``step`` is what each step down that part's order of
+    targets costs.
     """
 
     favourite: str | None
     zone: str
     slope: float = 0.0
+    shared: str | None = None
+    step: float = 0.0
 
 
 # A place that holds a session's cache is taken unless another one is emptier
@@ -244,6 +250,9 @@
     """
     ready = _list_ready(places, occupancy, passed, now)
     ready.sort(key=lambda place: draw())
+    if wish.step > 0:
+        steps = find_steps(ready, wish)
+        ready.sort(key=lambda place: steps[place.name])
     favourite = [place for place in ready if place.name == wish.favourite]
     others = [place for place in ready if place.name != wish.favourite]
     near = [place for place in others if place.zone == wish.zone]
@@ -253,6 +262,22 @@
     )
 
 
+def find_steps(places: typing.Iterable[Place], wish: Wish) -> dict[str, int]:
+    """Return how far down its zone's order each place is for a prefix.
+
+    Each zone has an order of its own, so that each has engines that hold the
+    prefix.
+    """
+    found: dict[str, int] = {}
+    counts: collections.Counter[str] = collections.Counter()
+    zones = {place.name: place.zone for place in places}
+    for name in prefixes.order(wish.shared, zones):
+        zone = zones[name]
+        found[name] = min(counts[zone], prefixes.MOST_STEPS)
+        counts[zone] += 1
+    return found
+
+
 def _list_ready(
     places: typing.Sequence[Place],
     occupancy: Occupancy,
@@ -301,6 +326,7 @@
     """
     best = None
     lowest = 0.0
+    steps = find_steps(places, wish) if wish.step > 0 else {}
     for place in places:
         slots = occupancy.find_slots(place)
         load = loads.get(place.name)
@@ -313,6 +339,8 @@
         score = score * load.slowness + DRAW_WIDTH * draw()
         if place.name == wish.favourite:
             score -= FAVOURITE_LEAD
+        else:
+            score += wish.step * steps.get(place.name, 0)
         if place.zone == wish.zone:
             score -= ZONE_LEAD
         if best is None or score < lowest:
