Let each program's home tell where its lines ran last.

Cause: the target with a session's prompt was remembered by the instance that served its last turn. Of 64 instances another one gets the next turn most of the time, so the whole history was read again at another engine. Ruled out: rendezvous of sessions over engines (moves all sessions of an engine that is full for a moment, and pins those of a slow one). Change: the end of a turn tells the program's home its target; the home's answer to the next reservation, which is asked for anyway, names it. A new line of a program is told the target of the line that started it.

--- a/libs/gateway/vanillayoke/gateway/clocks.py
+++ b/libs/gateway/vanillayoke/gateway/clocks.py
@@ -1,4 +1,4 @@
-"""What programs have lost so far, kept by each program's home."""
+"""What each program's home keeps of it: time lost, and where it ran last."""
 
 import collections
 
@@ -19,6 +19,9 @@
             collections.OrderedDict()
         )
         self._routes: dict[str, str] = {}
+        # The targets that the last turns ran at, by program and session; that
+        # of the program's last turn stands under the session ''.
+        self._targets: dict[str, dict[str, str]] = {}
         self._shares: dict[str, outlook.IdleShare] = {}
 
     def arrive(
@@ -47,6 +50,20 @@
         if clock is not None:
             clock.lose(session, seconds, now)
 
+    def place(self, program: str, session: str, target: str) -> None:
+        """Note where a turn has ended whole."""
+        if program in self._clocks:
+            known = self._targets.setdefault(program, {})
+            known[session] = known[''] = target
+
+    def find_target(self, program: str, session: str) -> str | None:
+        """Return the target that has most of a line's prompt.
+
+        A new line begins with the prompt of the one that started it.
+        """
+        known = self._targets.get(program, {})
+        return known.get(session) or known.get('')
+
     def prune(self, now: float) -> None:
         """Learn from the programs that have ended and forget them."""
         for program, clock in list(self._clocks.items()):
@@ -58,6 +75,7 @@
                 self._find_share(route).learn(clock)
             if quiet >= KEPT:
                 del self._clocks[program]
+                self._targets.pop(program, None)
 
     def _find_share(self, route: str) -> outlook.IdleShare:
         share = self._shares.get(route)
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -36,6 +36,8 @@
         self.service = ''
         self.target: str | None = None
         self.keeper: str | None = None
+        # The target that has most of the prompt in its memory.
+        self.favourite: str | None = None
         self.status = 0
         self.tries = 0
         self.shed = 0
@@ -69,7 +71,6 @@
 
     def __init__(self, parts: shared.Parts) -> None:
         self._parts = parts
-        self._favourites: dict[str, str] = {}
         self._prefixes: dict[str, prefixes.Prefixes] = {}
         self._slowdowns: dict[str, slowdown_module.Slowdown] = {}
 
@@ -83,11 +84,9 @@
             self._slowdowns[service] = found
         return found
 
-    def _make_wish(
-        self, progress: Progress, favourite: str | None
-    ) -> occupancy.Wish:
+    def _make_wish(self, progress: Progress) -> occupancy.Wish:
         wish = occupancy.Wish(
-            favourite,
+            progress.favourite,
             self._parts.settings.zone,
             self.find_slowdown(progress.service).slope,
         )
@@ -155,9 +154,7 @@
         """
         timers = self._parts.timers
         began = timers.now()
-        program = progress.call.program
-        favourite = self._favourites.get(program.session) if program else None
-        wish = self._make_wish(progress, favourite)
+        wish = self._make_wish(progress)
         while True:
             targets = self._list_allowed(progress)
             now = timers.now()
@@ -265,16 +262,6 @@
         is_good = progress.status < FIRST_SERVER_ERROR
         now = self._parts.timers.now()
         self._parts.view.note_outcome(target.name, is_good, now)
-        program = progress.call.program
-        if program is not None and progress.route.kind is _STREAM:
-            if len(self._favourites) > MOST_FAVOURITES:
-                self._favourites.clear()
-            self._favourites[program.session] = target.name
-
-
-_STREAM = messages.RouteKind.STREAM
-# Sessions whose last target is remembered; a few dozen bytes each.
-MOST_FAVOURITES = 20000
 
 
 def make_place(target: messages.Target) -> occupancy.Place:
--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -49,12 +49,14 @@
 class Reservation(typing.NamedTuple):
     """How a reservation ended.
 
-    ``keeper`` is the address of who made it, '' for this instance.
+    ``keeper`` is the address of who made it, '' for this instance;
+    ``target`` has most of the prompt in its memory, if that is known.
     """
 
     is_granted: bool
     keeper: str
     slack: outlook.Slack | None
+    target: str | None = None
 
 
 def find_home(
@@ -115,7 +117,7 @@
         ):
             return None
         self._top_up(question)
-        return Reservation(True, '', self._arrive(question))
+        return self._make_reservation(question)
 
     async def reserve(
         self, question: peers_module.Reserve, until: float
@@ -131,8 +133,8 @@
         if home is not None and home.instance != self._instance:
             answer = await self._peers.ask(home.address, question, until)
             match answer:
-                case peers_module.Granted(slack):
-                    return Reservation(True, home.address, slack)
+                case peers_module.Granted(slack, target):
+                    return Reservation(True, home.address, slack, target)
                 case peers_module.Spent():
                     return Reservation(False, home.address, None)
                 case peers_module.Unable(is_store=True):
@@ -141,7 +143,7 @@
                     )
         outcome = await self._reserve_from_store(question, until)
         is_granted = outcome is ledger_module.Outcome.GRANTED
-        return Reservation(is_granted, '', self._arrive(question))
+        return self._make_reservation(question)._replace(is_granted=is_granted)
 
     async def settle(
         self, address: str, question: peers_module.Settle
@@ -327,6 +329,10 @@
             question.lost,
             self._timers.now(),
         )
+        if question.target is not None:
+            self._clocks.place(
+                question.program, question.session, question.target
+            )
 
     def _arrive(self, question: peers_module.Reserve) -> outlook.Slack | None:
         if question.time_left is None:
@@ -339,6 +345,15 @@
             self._timers.now(),
         )
 
+    def _make_reservation(self, question: peers_module.Reserve) -> Reservation:
+        """Return a reservation made here."""
+        granted = self._grant(question)
+        return Reservation(True, '', granted.slack, granted.target)
+
+    def _grant(self, question: peers_module.Reserve) -> peers_module.Granted:
+        target = self._clocks.find_target(question.program, question.session)
+        return peers_module.Granted(self._arrive(question), target)
+
     def answer(
         self, question: peers_module.Question
     ) -> (
@@ -358,12 +373,12 @@
             case peers_module.Reserve(program, _, turn, need):
                 if self._ledger.reserve_now(program, turn, need):
                     self._top_up(question)
-                    return peers_module.Granted(self._arrive(question))
+                    return self._grant(question)
                 if self.is_leaving:
                     return peers_module.Unable(False)
                 if self._ledger.is_closed:
                     if self._give_credit(question, self._timers.now()):
-                        return peers_module.Granted(self._arrive(question))
+                        return self._grant(question)
                     return peers_module.Unable(True)
                 return self._reserve_for_other(question)
 
@@ -377,4 +392,4 @@
             return peers_module.Unable(True)
         if outcome is ledger_module.Outcome.SPENT:
             return peers_module.Spent()
-        return peers_module.Granted(self._arrive(question))
+        return self._grant(question)
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -48,7 +48,8 @@
 class Settle(msgspec.Struct, frozen=True, array_like=True, tag='S'):
     """A turn is over and generated ``used`` tokens.
 
-    ``lost`` is the time in seconds that it took over the usual.
+    ``lost`` is the time in seconds that it took over the usual, ``target``
+    where it ended whole: its prompt and answer are in the memory there.
     """
 
     program: str
@@ -56,6 +57,7 @@
     used: int
     session: str = ''
     lost: float = 0.0
+    target: str | None = None
 
 
 class Transfer(msgspec.Struct, frozen=True, array_like=True, tag='T'):
@@ -113,10 +115,12 @@
 class Granted(msgspec.Struct, frozen=True, array_like=True, tag='G'):
     """A reservation or a settlement is done.
 
-    ``slack`` is what is left to the program, where that is known.
+    ``slack`` is what is left to the program, ``target`` what has most of the
+    prompt in its memory, where these are known.
     """
 
     slack: outlook.Slack | None = None
+    target: str | None = None
 
 
 class Spent(msgspec.Struct, frozen=True, array_like=True, tag='X'):
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -94,6 +94,7 @@
                 turn.used,
                 program.session,
                 self._find_loss(turn),
+                progress.target if turn.is_whole else None,
             )
             self._parts.spawn(
                 self._parts.homes.settle(progress.keeper or '', question)
@@ -171,6 +172,7 @@
             raise refusals.RefusalError(refusals.Reason.BUDGET_SPENT)
         progress.keeper = found.keeper
         progress.slack = found.slack
+        progress.favourite = found.target
         progress.slack_at = self._parts.timers.now()
 
     async def _hold(
--- a/tests/gateway/test_scouting.py
+++ b/tests/gateway/test_scouting.py
@@ -80,4 +80,35 @@
             case.assertLess(answer.requests, 0.01)
 
 
+async def test_next_turn_finds_its_engine_at_any_instance(case, site):
+    """A program's turns come to one instance after the other.
+
+    The engine of its last turn has its whole prompt in memory; at another
+    one all of it is read again. Its home knows the engine.
+    """
+    await site.start(4)
+    for number in range(3, 7):
+        await site.add_target(f'm{number}')
+    await asyncio.sleep(0.2)
+    for program in ('p1', 'p2', 'p3', 'p4'):
+        previous = None
+        for number in range(6):
+            request = f'{program}-{number}'
+            await site.turn(
+                f'i{number % 4 + 1}',
+                request,
+                program=program,
+                previous=previous,
+            )
+            previous = request
+            await asyncio.sleep(0.1)
+        engines = {
+            name
+            for name, target in site.targets.items()
+            for run in target.runs
+            if run.request.startswith(program)
+        }
+        case.assertEqual(1, len(engines), program)
+
+
 load_tests = fixtures.adapt(__name__, [sites])
