Gave more for the target that holds a session's prompt.

Ruled out: learning the time to read a token from first events (whether a prompt was held is not told, so hits and misses can't be told apart). Change: the lead of the target that holds a prompt grows with the prompt's own part, measured by the memory that an engine has a request; steps down a shared part's order are twice as long. Where prompts are short or memory is ample (earlier sites) both are small.

--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -96,15 +96,16 @@
             return wish
         seen = self._prefixes.setdefault(progress.service, prefixes.Prefixes())
         seen.note(shared, self._parts.timers.now())
-        step = seen.find_step(self._find_memory(progress.service))
-        return wish._replace(shared=shared.name, step=step)
-
-    def _find_memory(self, service: str) -> int:
-        """Return the tokens that an engine of a service holds, 0 for none."""
-        found = self._parts.catalog.configuration.services.get(service)
-        if found is None or found.engine is None:
-            return 0
-        return found.engine.cache_tokens
+        services = self._parts.catalog.configuration.services
+        service = services.get(progress.service)
+        if service is None or service.engine is None:
+            return wish
+        memory, slots = service.engine.cache_tokens, service.engine.slots
+        return wish._replace(
+            shared=shared.name,
+            step=seen.find_step(memory),
+            own=prefixes.find_own(progress.call.prefix, memory, slots),
+        )
 
     def make_attempt(
         self, progress: Progress, target: messages.Target
--- a/libs/scheduling/vanillayoke/scheduling/occupancy.py
+++ b/libs/scheduling/vanillayoke/scheduling/occupancy.py
@@ -184,7 +184,7 @@
     ``slope`` is the share of its time by which each other request at its
     target slows it down. ``shared`` names the part that its prompt shares
     with others, and ``step`` is what each step down that part's order of
-    targets costs.
+    targets costs. ``own`` is what its own part is worth where it is held.
     """
 
     favourite: str | None
@@ -192,6 +192,7 @@
     slope: float = 0.0
     shared: str | None = None
     step: float = 0.0
+    own: float = 0.0
 
 
 # A place that holds a session's cache is taken unless another one is emptier
@@ -338,7 +339,7 @@
             score += FULL_PENALTY
         score = score * load.slowness + DRAW_WIDTH * draw()
         if place.name == wish.favourite:
-            score -= FAVOURITE_LEAD
+            score -= FAVOURITE_LEAD + wish.own
         else:
             score += wish.step * steps.get(place.name, 0)
         if place.zone == wish.zone:
--- a/libs/scheduling/vanillayoke/scheduling/prefixes.py
+++ b/libs/scheduling/vanillayoke/scheduling/prefixes.py
@@ -21,9 +21,13 @@
 MEMORY = 20.0
 # What each step down the order costs where the prefixes seen would fill the
 # whole memory, as a share of a turn's time on an idle target. A part that has
-# to be read takes about half as long as its answer; a step at a third of that
-# lets the next engine take over before the first has a queue.
-STEP = 0.3
+# to be read takes about half as long as its answer, and all requests of the
+# engine wait for it; with half the step the next engines read parts that the
+# first still had room for.
+STEP = 0.6
+# The most that a prompt's own part is worth where it is held, in the same
+# unit: what has to be read again for it, and pushes others out of memory.
+MOST_OWN = 1.0
 # Behind so many engines one is as bad as another.
 MOST_STEPS = 3
 
@@ -43,6 +47,20 @@
     return Shared(*parts[0]) if len(parts) > 1 else None
 
 
+def find_own(
+    parts: typing.Sequence[tuple[str, int]], capacity: int, slots: int
+) -> float:
+    """Return what a prompt's own part is worth at the target that holds it.
+
+    Measured by the memory that each of an engine's requests has for itself:
+    engines are built for prompts of about that size.
+    """
+    if capacity <= 0:
+        return 0.0
+    tokens = sum(count for _, count in parts[1:])
+    return min(MOST_OWN, tokens * slots / capacity)
+
+
 class Prefixes:
     """The shared prefixes of one service that were seen of late."""
 
--- a/tests/scheduling/test_prefixes.py
+++ b/tests/scheduling/test_prefixes.py
@@ -115,4 +115,37 @@
     case.assertIsNone(prefixes.find_shared(()))
 
 
+def test_long_session_stays_where_its_prompt_is(case):
+    """Nine turns of history are held by an engine that is half full.
+
+    At the emptiest one 23,000 tokens would be read again, while all its
+    other requests wait for them.
+    """
+    parts = [('shared', TOKENS), ('history', 9000), ('own', 1400)]
+    view = occupancy.Occupancy()
+    places = _make_places()
+    own = prefixes.find_own(parts, MEMORY, SLOTS)
+    wish = occupancy.Wish('m3', 'z1', 0.05, 'shared', 0.4, own)
+    loads = {place.name: tallies.Load(0.0) for place in places}
+    loads['m3'] = tallies.Load(8.0)
+    best = occupancy.choose_counted(
+        places, loads, view, wish, 0.0, lambda: 0.5
+    )
+    case.assertEqual('m3', best.name)
+    loads['m3'] = tallies.Load(13.0)
+    best = occupancy.choose_counted(
+        places, loads, view, wish, 0.0, lambda: 0.5
+    )
+    case.assertNotEqual('m3', best.name)
+
+
+def test_own_part_is_worth_its_share_of_a_requests_memory(case):
+    case.assertEqual(0.0, prefixes.find_own((), MEMORY, SLOTS))
+    parts = (('shared', TOKENS), ('own', 2350))
+    case.assertAlmostEqual(0.1, prefixes.find_own(parts, MEMORY, SLOTS))
+    parts = (('shared', TOKENS), ('own', 50_000))
+    case.assertEqual(1.0, prefixes.find_own(parts, MEMORY, SLOTS))
+    case.assertEqual(0.0, prefixes.find_own(parts, 0, SLOTS))
+
+
 load_tests = fixtures.adapt(__name__)
