--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -8,7 +8,6 @@
 from vanillayoke.scheduling import occupancy
 from vanillayoke.scheduling import outlook
 from vanillayoke.scheduling import prefixes
-from vanillayoke.scheduling import reserves
 from vanillayoke.scheduling import slowdown as slowdown_module
 from vanillayoke.scheduling import urgency
 from vanillayoke.transport import client
@@ -152,17 +151,6 @@
         )
         return urgency.rank(slack, progress.route.priority)
 
-    def _must_wait(self, progress: Progress, place: occupancy.Place) -> bool:
-        """Say whether a place is kept for more urgent turns."""
-        level = self._find_level(progress)
-        if level is None or progress.load is None:
-            return False
-        longest = reserves.MOST_WAIT * (progress.until - progress.began)
-        if self._parts.timers.now() - progress.began > longest:
-            return False
-        slots = self._parts.view.find_slots(place)
-        return progress.load >= reserves.find_limit(level, slots)
-
     async def choose(
         self, progress: Progress, passed: set[str]
     ) -> messages.Target:
@@ -179,7 +167,7 @@
             if not targets and now - began > ABSENCE_PATIENCE:
                 raise refusals.RefusalError(refusals.Reason.NO_TARGET)
             place = await self._choose_place(progress, targets, wish, passed)
-            if place is not None and not self._must_wait(progress, place):
+            if place is not None:
                 progress.waited += now - began
                 progress.target = place.name
                 return next(one for one in targets if one.name == place.name)
