Kept connections to servers for half of the time that these state.

Its servers state an idle time of ten seconds with each answer. Ruled out: one second for all because a close may cross the request: that is so where nothing is stated; far from the end of the stated time it is not. Change: such a request takes a connection that rested up to half of the stated time, and as before up to a second where none was stated.

--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -20,6 +20,10 @@
 # The stated lifetime runs from the server's last byte, ours from when we
 # read it; the last second of it is not used.
 IDLE_MARGIN = 1.0
+# What must not be sent twice goes over connections that rested for no more
+# than this share of the time that the server stated: it is the server's word,
+# and far from its end no close can cross the request.
+STATED_SHARE = 0.5
 # Sent bytes that the other end does not acknowledge for so long end the
 # connection: cables that were cut answer nothing. Milliseconds.
 UNACKNOWLEDGED_MS = 2000
@@ -269,7 +273,8 @@
     async def acquire(self, address: str, idle: float | None = None):
         """Return a connection to ``IP:PORT``; raise ``NotSent`` if none.
 
-        ``idle`` bounds, in seconds, how long a kept one may have rested.
+        ``idle`` bounds, in seconds, how long a kept one may have rested; one
+        whose server stated how long it keeps it may have rested longer.
         """
         kept = self._take_kept(address, idle)
         if kept is not None:
@@ -314,9 +319,12 @@
             if connection.is_closed or now >= connection.idle_until:
                 connection.abort()
                 continue
-            if idle is not None and now - connection.rested_at > idle:
-                connection.abort()
-                continue
+            if idle is not None:
+                stated = connection.server_idle or 0.0
+                longest = max(idle, STATED_SHARE * stated)
+                if now - connection.rested_at > longest:
+                    connection.abort()
+                    continue
             return connection
         return None
 
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -147,4 +147,39 @@
         await client.Pool(0.4).acquire(ADDRESS)
 
 
+STATED = (
+    b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok'
+)
+
+
+async def _rest_and_acquire(pool, rested):
+    await _ask(pool)
+    await asyncio.sleep(rested)
+    connection = await pool.acquire(ADDRESS, 1.0)
+    pool.release(ADDRESS, connection)
+
+
+async def test_stated_time_lets_an_order_use_a_rested_connection(
+    case, network
+):
+    """An instance sends each server a few orders in ten seconds.
+
+    Each took a new connection, though the servers state that they keep idle
+    ones for ten. Only near that end may a close cross an order.
+    """
+    servers = _serve(network, STATED, STATED)
+    await _rest_and_acquire(client.Pool(1.0), 4.0)
+    case.assertEqual(1, len(servers))
+    await _rest_and_acquire(client.Pool(1.0), 6.0)
+    case.assertEqual(3, len(servers))
+
+
+async def test_order_uses_no_rested_connection_without_a_stated_time(
+    case, network
+):
+    servers = _serve(network, OK)
+    await _rest_and_acquire(client.Pool(1.0), 1.5)
+    case.assertEqual(2, len(servers))
+
+
 load_tests = fixtures.adapt(__name__)
