--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -4,13 +4,13 @@
 from vanillayoke.gateway import events as stream_events
 from vanillayoke.gateway import forwarding
 from vanillayoke.gateway import histories
+from vanillayoke.gateway import holding
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import peers
 from vanillayoke.gateway import plain
 from vanillayoke.gateway import refusals
 from vanillayoke.gateway import shared
 from vanillayoke.gateway import store as store_module
-from vanillayoke.scheduling import outages
 from vanillayoke.scheduling import outlook
 from vanillayoke.transport import client
 from vanillayoke.transport import headers as headers_module
@@ -18,20 +18,8 @@
 
 _DROPPED = frozenset((b'content-length',))
 _FIRST_FAILURE = 300
-# How often a turn that waits for the store asks again whether waiting pays.
-# Seconds.
-HOLD_PAUSE = 0.1
-# Callers give a stream up when nothing comes for two seconds, four times its
-# objective or eight times its longest pause, whichever is longest; an answer
-# has to be there a little before. Seconds.
-SHORTEST_SILENCE = 2.0
-OBJECTIVE_TIMES = 4.0
-GAP_TIMES = 8.0
-SILENCE_MARGIN = 0.2
 # Events of a turn that said nothing about its length.
 USUAL_EVENTS = 8
-# A turn is taken to need this share of its caller's time at the most.
-MOST_NEEDED = 0.5
 # What the first event and each next one take, before any has been seen;
 # what is seen soon outweighs it. Seconds.
 FIRST_EVENT = 0.06
@@ -74,6 +62,7 @@
         self._dispatcher = dispatch.Dispatcher(parts)
         self._usual: dict[str, tuple[outlook.Usual, outlook.Usual]] = {}
         self._gaps: dict[str, outlook.Mean] = {}
+        self._holding = holding.Holding(parts, self._find_need)
 
     async def serve(
         self, progress: dispatch.Progress, responder: server.Responder
@@ -164,10 +153,10 @@
             self._refuse_if_isolated()
             try:
                 found = await self._parts.homes.reserve(
-                    question, self._find_latest_start(progress)
+                    question, self._holding.find_latest_start(progress)
                 )
             except store_module.StoreError as error:
-                await self._hold(progress, error)
+                await self._holding.hold(progress, error)
         if not found.is_granted:
             raise refusals.RefusalError(refusals.Reason.BUDGET_SPENT)
         progress.keeper = found.keeper
@@ -175,61 +164,6 @@
         progress.favourite = found.target
         progress.slack_at = self._parts.timers.now()
 
-    async def _hold(
-        self, progress: dispatch.Progress, error: Exception
-    ) -> None:
-        """Wait a little for the store, or refuse where that does not pay.
-
-        Whether it pays is decided once: the chance to be served in what is
-        left falls as a wait goes on, and who gave up on that would throw the
-        waited time away.
-        """
-        now = self._parts.timers.now()
-        if progress.waits_until is None:
-            progress.waits_until = now + self._find_wait(progress, error)
-        left = progress.waits_until - now
-        if left <= 0:
-            raise refusals.RefusalError(
-                refusals.Reason.STORE_AWAY, str(error), outages.SHORTEST_PAUSE
-            ) from error
-        await self._parts.store.wait_open(min(left, HOLD_PAUSE))
-
-    def _find_wait(
-        self, progress: dispatch.Progress, error: Exception
-    ) -> float:
-        """Return how long a turn may wait for the store, in seconds."""
-        now = self._parts.timers.now()
-        availability = self._parts.store.availability
-        outage = outages.Outage(
-            availability.get_age(now), tuple(availability.outages)
-        )
-        turn = outages.Waiting(
-            progress.until - now,
-            self._find_silence_end(progress) - now,
-            self._find_need(progress),
-        )
-        match outages.decide(outage, turn):
-            case outages.Refuse(pause):
-                detail = (
-                    f'{error}; away for {outage.age:.2f} s, {turn.left:.2f} s'
-                    f' left, {turn.needed:.2f} s needed'
-                )
-                raise refusals.RefusalError(
-                    refusals.Reason.STORE_AWAY, detail, pause
-                ) from error
-            case outages.Wait(longest):
-                return longest
-
-    def _find_silence_end(self, progress: dispatch.Progress) -> float:
-        """Return when the caller gives up if nothing comes until then."""
-        route = progress.route
-        silence = max(
-            SHORTEST_SILENCE,
-            OBJECTIVE_TIMES * route.objective,
-            GAP_TIMES * route.longest_gap,
-        )
-        return min(progress.until, progress.began + silence - SILENCE_MARGIN)
-
     def _find_need(self, progress: dispatch.Progress) -> float:
         """Return about how long it takes to serve a turn, in seconds."""
         first, each = self._find_usual(progress.service)
@@ -237,13 +171,7 @@
         if progress.call.likely_tokens:
             size = self._find_event_tokens(progress.service)
             events = progress.call.likely_tokens / size
-        needed = first.value + each.value * events
-        return min(needed, MOST_NEEDED * (progress.until - progress.began))
-
-    def _find_latest_start(self, progress: dispatch.Progress) -> float:
-        """Return until when a turn can wait and still be served."""
-        end = self._find_silence_end(progress)
-        return end - self._find_need(progress)
+        return first.value + each.value * events
 
     def _refuse_if_isolated(self) -> None:
         if self._parts.is_isolated():
@@ -274,21 +202,21 @@
             # A turn that can't be kept would run for nothing.
             self._refuse_if_isolated()
             if self._parts.store.is_closed:
-                await self._hold(progress, _AWAY)
+                await self._holding.hold(progress, _AWAY)
                 continue
             if not progress.call.previous_turn:
                 return
             try:
                 turn.before = await self._parts.histories.fetch(
                     progress.call.previous_turn,
-                    self._find_latest_start(progress),
+                    self._holding.find_latest_start(progress),
                 )
             except histories.UnknownTurnError as error:
                 raise refusals.RefusalError(
                     refusals.Reason.UNKNOWN_TURN, str(error)
                 ) from error
             except store_module.StoreError as error:
-                await self._hold(progress, error)
+                await self._holding.hold(progress, error)
                 continue
             turn.call = progress.call._replace(
                 body=turn.before + progress.call.body
@@ -372,7 +300,7 @@
                 call.previous_turn or '',
                 turn.before,
                 turn.make_added(),
-                turn.progress.until,
+                self._holding.find_keeping_end(turn.progress),
             )
         except store_module.StoreError as error:
             raise refusals.RefusalError(
