Dropped servers whose row another writer spoiled in a reading as well.

Cause: a row that can't be used named nobody when it came as a change, but in a whole reading it was left out like one that has gone; within two seconds of an outage the server in whose place it stands went on getting work. Ruled out: leaving it to the grace for rows that lapsed: this one has not. Change: both ways drop the server until it writes its own row again.

--- a/libs/gateway/vanillayoke/gateway/followed.py
+++ b/libs/gateway/vanillayoke/gateway/followed.py
@@ -113,9 +113,11 @@
         found = []
         for row in page.rows:
             target = self._decode_target(row)
-            if target is not None:
-                self._note_restart(target)
-                found.append((target, row.version))
+            if target is None:
+                self._drop_spoiled(row)
+                continue
+            self._note_restart(target)
+            found.append((target, row.version))
         self._catalog.replace_targets(found, page.version, self._find_grace())
 
     def _change_target(self, row: messages.Row) -> None:
@@ -128,9 +130,7 @@
         else:
             target = self._decode_target(row)
             if target is None:
-                # Another writer's row in the place of a server's own: it
-                # names nobody until the server writes its own again.
-                self._catalog.miss_target(row.where.key, row.version, None)
+                self._drop_spoiled(row)
                 return
             state = 'leaving' if target.is_leaving else 'ready'
             service = target.service
@@ -152,6 +152,14 @@
             self._reject(row, error)
             return None
 
+    def _drop_spoiled(self, row: messages.Row) -> None:
+        """Stop using the server in whose place another writer's row is.
+
+        It has not lapsed, so it is not waited for: it names nobody until the
+        server writes its own again.
+        """
+        self._catalog.miss_target(row.where.key, row.version, None)
+
     def _note_restart(self, target: messages.Target) -> None:
         """Tell of a server that has started again under its name."""
         if self._catalog.is_restart(target):
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -101,6 +101,24 @@
     case.assertEqual(1, len(site.targets['t1'].runs))
 
 
+async def test_spoiled_row_names_nobody_behind_an_outage_either(case, site):
+    """While the store is away another writer spoils a server's row.
+
+    The history is gone as well, so the table is read anew. Rows that lapsed
+    may come back within two seconds; this one has not lapsed.
+    """
+    await site.start(1)
+    site.store.mode = store_module.Mode.BUSY
+    await asyncio.sleep(4.0)
+    site.store.put('servers', 't1', {'state': 'ready'})
+    site.store.forget_history()
+    site.store.mode = store_module.Mode.SERVE
+    await asyncio.sleep(0.6)
+    for _ in range(8):
+        case.assertEqual(200, (await site.call('i1', 'order')).status)
+    case.assertEqual([], site.targets['t1'].runs)
+
+
 async def test_instance_starts_beside_rows_of_another_writer(case, site):
     await site.start(1)
     await _add_foreign_rows(site, 'm1')
