--- a/libs/gateway/vanillayoke/gateway/histories.py
+++ b/libs/gateway/vanillayoke/gateway/histories.py
@@ -6,6 +6,7 @@
 from vanillayoke.core import timers
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import parts
+from vanillayoke.gateway import retries
 from vanillayoke.gateway import store as store_module
 from vanillayoke.programs import transcripts
 
@@ -107,21 +108,21 @@
         ``is_patient``, when the whole store is out of reach.
         """
         places = parts.list_places(turn, PLACES)
-        pause = store_module.FIRST_PAUSE
+        pause = retries.FIRST_PAUSE
         while True:
             for part in sorted(places, key=self._store.is_suspect):
                 left = until - self._timers.now()
-                patience = min(left, store_module.find_patience(self._store))
+                patience = min(left, retries.find_patience(self._store))
                 try:
                     return await work(
-                        part, max(store_module.SHORTEST_TRY, patience)
+                        part, max(retries.SHORTEST_TRY, patience)
                     )
                 except store_module.StoreError as error:
                     failure = error
-            pause = min(store_module.LONGEST_PAUSE, pause * 2)
+            pause = min(retries.LONGEST_PAUSE, pause * 2)
             left = until - self._timers.now()
             is_hopeless = self._store.is_closed and not is_patient
-            if is_hopeless or left <= store_module.SHORTEST_TRY:
+            if is_hopeless or left <= retries.SHORTEST_TRY:
                 raise failure
             await self._store.wait_open(min(pause, left))
 
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -10,6 +10,7 @@
 from vanillayoke.core import timers
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import parts
+from vanillayoke.gateway import retries
 from vanillayoke.gateway import store as store_module
 from vanillayoke.programs import grants
 
@@ -326,7 +327,7 @@
         )
         # Whatever happens now, the row we know may be the one before.
         account.is_fresh = False
-        outcome = await store_module.commit(
+        outcome = await retries.commit(
             self._store, transaction, until, self._timers
         )
         if isinstance(outcome, messages.Committed):
@@ -345,9 +346,7 @@
         # A transaction that changes nothing reads what is committed, where
         # a plain read may lag behind.
         check = messages.Transaction(((where, NEVER_VERSION),))
-        outcome = await store_module.commit(
-            self._store, check, until, self._timers
-        )
+        outcome = await retries.commit(self._store, check, until, self._timers)
         rows = outcome.rows if isinstance(outcome, messages.Conflict) else ()
         self._take(account, rows)
 
--- a/libs/gateway/vanillayoke/gateway/store.py
+++ b/libs/gateway/vanillayoke/gateway/store.py
@@ -31,16 +31,10 @@
 PROBE_STEP = 101
 # Calls that waited for the store's return are spread over this time. Seconds.
 RETURN_SPREAD = 0.05
-# Pauses between tries of a write: the first outlasts a short refusal, the
-# longest keeps a returning store from a stampede. Seconds.
-FIRST_PAUSE = 0.02
-LONGEST_PAUSE = 0.4
-SHORTEST_TRY = 0.02
 # A call without an answer is tried again after this many usual times, at
 # least a quarter of a second: a store that is slow must not get each call
 # twice. Seconds.
 PATIENCE_TIMES = 8.0
-SHORTEST_PATIENCE = 0.25
 LONGEST_PATIENCE = 2.5
 
 
@@ -394,39 +388,3 @@
     for where, _ in (*transaction.expected, *transaction.writes):
         return where.part
     return ''
-
-
-async def commit(
-    store: StoreClient,
-    transaction: messages.Transaction,
-    until: float,
-    timer_service: timers.TimerService,
-) -> messages.Committed | messages.Conflict:
-    """Apply a transaction whose repetition is harmless, until a time.
-
-    A try without an answer may take effect later, yet only while its
-    conditions hold; the caller tells its own write in a ``Conflict`` by the
-    value found. Raise the last ``StoreError`` when the time is over or the
-    whole store is out of reach.
-    """
-    pause = FIRST_PAUSE
-    while True:
-        left = until - timer_service.now()
-        try:
-            return await store.transact(
-                transaction, max(SHORTEST_TRY, min(left, find_patience(store)))
-            )
-        except StoreError:
-            pause = min(LONGEST_PAUSE, pause * 2)
-            left = until - timer_service.now()
-            if left <= pause or store.is_closed:
-                raise
-            await store.wait_open(pause)
-
-
-def find_patience(store: StoreClient) -> float:
-    """Return how long to wait for one answer of the store."""
-    return min(
-        LONGEST_PATIENCE,
-        max(SHORTEST_PATIENCE, PATIENCE_TIMES * store.usual_time),
-    )
