Logged what a turn is refused for when its budget is called spent.

Cause: 402 had one line that named neither the budget nor what stood against it, so grants lost with their homes, grants left at instances that are no longer home, charged credit and turns under way looked the same. Change: budget_refused (1028) tells what the deciding instance knew: granted by the row and its age, received by this instance, free, reserved and by how many turns, owed, charged. budget_taken_over (1029) names a program that comes with tokens granted to others. The line of each request names the turn that it goes on from, the program's budget and the turn's most.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -586,6 +586,9 @@
 _REQUEST_FIELDS = (
     'request',
     'program',
+    'previous',
+    'budget',
+    'most',
     'route',
     'target',
     'outcome',
@@ -769,3 +772,32 @@
     'request',
     'tokens',
 )
+BUDGET_REFUSED = _define(
+    1028,
+    'budget_refused',
+    _WARNING,
+    'Turn {request} of program {program} needs {need} tokens; {granted} of '
+    '{budget} are granted, {received} of them to this instance.',
+    'program',
+    'request',
+    'budget',
+    'need',
+    'granted',
+    'received',
+    'free',
+    'reserved',
+    'turns',
+    'owed',
+    'charged',
+    'row_age',
+)
+BUDGET_TAKEN_OVER = _define(
+    1029,
+    'budget_taken_over',
+    _INFO,
+    'Program {program} came with {granted} of {budget} tokens granted to '
+    'other instances.',
+    'program',
+    'granted',
+    'budget',
+)
--- a/libs/gateway/vanillayoke/gateway/front.py
+++ b/libs/gateway/vanillayoke/gateway/front.py
@@ -168,7 +168,10 @@
             store_module.Observer(self._note_store_call, self._note_store),
         )
         self._ledger = ledger_module.Ledger(
-            self._store, self._timers, self._make_name
+            self._store,
+            self._timers,
+            self._make_name,
+            self._notes.note_budget,
         )
         self._histories = histories.Histories(self._store, self._timers)
         known = verdicts.Verdicts(settings.instance, draw)
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -36,6 +36,38 @@
     SPENT = 1
 
 
+class Refused(typing.NamedTuple):
+    """What a turn was refused by: the row, and what of it is held here.
+
+    All but ``turns``, the number of turns under way, are tokens; ``age`` is
+    that of the row, in seconds.
+    """
+
+    program: str
+    turn: str
+    budget: int
+    need: int
+    granted: int
+    received: int
+    free: int
+    reserved: int
+    turns: int
+    owed: int
+    charged: int
+    age: float
+
+
+class TakenOver(typing.NamedTuple):
+    """A program comes to this instance with tokens granted to others."""
+
+    program: str
+    granted: int
+    budget: int
+
+
+Decision = Refused | TakenOver
+
+
 class _Account:
     def __init__(self) -> None:
         self.purse = grants.Purse()
@@ -48,6 +80,10 @@
         # Given on credit and not yet in the row, and the program's budget.
         self.owed = 0
         self.budget = 0
+        # What this instance got of the budget, from the store or from other
+        # instances, and what it counts as given by homes before it.
+        self.received = 0
+        self.charged = 0
 
     @property
     def known(self) -> int:
@@ -67,10 +103,12 @@
         store: store_module.StoreClient,
         timer_service: timers.TimerService,
         make_name: typing.Callable[[], str],
+        on_decision: typing.Callable[[Decision], None],
     ) -> None:
         self._store = store
         self._timers = timer_service
         self._make_name = make_name
+        self._on_decision = on_decision
         self._accounts: collections.OrderedDict[str, _Account] = (
             collections.OrderedDict()
         )
@@ -117,6 +155,7 @@
                 ):
                     continue
                 if account.is_fresh:
+                    self._note_refused(account, program, budget, turn, need)
                     return Outcome.SPENT
                 await self._refresh(account, program, until)
             raise store_module.StoreRefusedError('too many conflicts')
@@ -143,7 +182,9 @@
     def charge(self, program: str, budget: int, most: int) -> None:
         """Count what a home before this one may have given on credit."""
         account = self._open(program)
-        account.owed += grants.find_charge(budget, most)
+        tokens = grants.find_charge(budget, most)
+        account.owed += tokens
+        account.charged += tokens
         account.budget = budget
 
     def list_owing(self) -> list[str]:
@@ -209,7 +250,9 @@
 
     def deposit(self, program: str, tokens: int) -> None:
         """Take over what another instance was granted."""
-        self._open(program).purse.add(tokens)
+        account = self._open(program)
+        account.received += tokens
+        account.purse.add(tokens)
 
     def withdraw(self, program: str) -> int:
         """Give up what is not reserved, for another instance."""
@@ -220,6 +263,7 @@
         # What was given on credit is not handed on, but paid back.
         kept = min(free, account.owed)
         account.owed -= kept
+        account.received -= free - kept
         return free - kept
 
     def list_programs(self) -> list[str]:
@@ -291,6 +335,7 @@
             return False
         if await self._write(account, program, grant.row, until):
             account.owed -= owed
+            account.received += grant.tokens
             account.purse.add(grant.tokens)
         return True
 
@@ -335,10 +380,37 @@
             account.version = outcome.version
             account.is_fresh = True
             return True
-        self._take(account, outcome.rows)
+        self._take(account, program, outcome.rows)
         # An earlier try whose answer was lost may have written it.
         return account.row is not None and account.row.writer == row.writer
 
+    def _note_refused(
+        self,
+        account: _Account,
+        program: str,
+        budget: int,
+        turn: str,
+        need: int,
+    ) -> None:
+        row, purse = account.row, account.purse
+        age = 0.0 if row is None else self._timers.wall() - row.time
+        self._on_decision(
+            Refused(
+                program,
+                turn,
+                budget,
+                need,
+                account.known,
+                account.received,
+                purse.free,
+                purse.reserved,
+                purse.turns,
+                account.owed,
+                account.charged,
+                age,
+            )
+        )
+
     async def _refresh(
         self, account: _Account, program: str, until: float
     ) -> None:
@@ -348,9 +420,14 @@
         check = messages.Transaction(((where, NEVER_VERSION),))
         outcome = await retries.commit(self._store, check, until, self._timers)
         rows = outcome.rows if isinstance(outcome, messages.Conflict) else ()
-        self._take(account, rows)
+        self._take(account, program, rows)
 
-    def _take(self, account: _Account, rows: tuple[messages.Row, ...]) -> None:
+    def _take(
+        self,
+        account: _Account,
+        program: str,
+        rows: tuple[messages.Row, ...],
+    ) -> None:
         account.row = None
         account.version = 0
         account.is_fresh = True
@@ -362,6 +439,9 @@
                     f'budget row {row.where.key}: {error}'
                 ) from error
             account.version = row.version
+        found = account.row
+        if found is not None and not account.received:
+            self._on_decision(TakenOver(program, found.granted, found.budget))
 
     def _locate(self, program: str) -> messages.RowKey:
         return messages.RowKey(TABLE, parts.find_part(program), program)
--- a/libs/gateway/vanillayoke/gateway/notes.py
+++ b/libs/gateway/vanillayoke/gateway/notes.py
@@ -3,6 +3,7 @@
 from vanillayoke.cluster import messages as cluster_messages
 from vanillayoke.core import events as log_events
 from vanillayoke.core import logs
+from vanillayoke.gateway import ledger
 from vanillayoke.gateway import measures as measures_module
 from vanillayoke.scheduling import verdicts
 
@@ -43,6 +44,33 @@
             tokens=tokens,
         )
 
+    def note_budget(self, decision: ledger.Decision) -> None:
+        """Note what a program's home decided on its budget."""
+        match decision:
+            case ledger.TakenOver(program, granted, budget):
+                self._log.write(
+                    log_events.BUDGET_TAKEN_OVER,
+                    program=program,
+                    granted=granted,
+                    budget=budget,
+                )
+            case ledger.Refused():
+                self._log.write(
+                    log_events.BUDGET_REFUSED,
+                    program=decision.program,
+                    request=decision.turn,
+                    budget=decision.budget,
+                    need=decision.need,
+                    granted=decision.granted,
+                    received=decision.received,
+                    free=decision.free,
+                    reserved=decision.reserved,
+                    turns=decision.turns,
+                    owed=decision.owed,
+                    charged=decision.charged,
+                    row_age=round(decision.age, 2),
+                )
+
     def note_connection(self, address: str) -> None:
         """Note that a connection to a target is opened."""
         self._measures.connections.add()
--- a/libs/programs/vanillayoke/programs/grants.py
+++ b/libs/programs/vanillayoke/programs/grants.py
@@ -46,6 +46,11 @@
         """The tokens reserved for turns under way."""
         return sum(self._reserved.values())
 
+    @property
+    def turns(self) -> int:
+        """The number of turns under way."""
+        return len(self._reserved)
+
     def add(self, tokens: int) -> None:
         """Take over a grant."""
         self.free += tokens
