--- /dev/null
+++ b/tests/gateway/test_stranded_grants.py
@@ -0,0 +1,148 @@
+"""Tests of grants that nobody can use any more: they must not end a program.
+
+What an instance is granted of a program's budget counts as granted in the
+store, whether it is used or not. A budget that holds one turn and three
+quarters of another shows soonest what is lost on the way.
+"""
+
+import asyncio
+
+from tests.gateway import sites
+from vanillayoke.gateway import homes as homes_module
+from vanillayoke.gateway import peers
+from vanillayoke.testing import fixtures
+
+BUDGET = 175
+MOST = 100
+
+
+def _rank(program, names):
+    """Return instances, the best home for a program first."""
+    left = [homes_module.HomeMember(name, '') for name in names]
+    ranked = []
+    while left:
+        best = homes_module.find_home(program, left)
+        ranked.append(best.instance)
+        left.remove(best)
+    return ranked
+
+
+def _find_program(*wanted):
+    """Return a program whose homes rank in the order wanted."""
+    names = (f'new{number}' for number in range(100_000))
+    return next(name for name in names if _rank(name, wanted) == list(wanted))
+
+
+def _turn(site, instance, request, program):
+    return site.turn(
+        instance,
+        request,
+        program=program,
+        budget=BUDGET,
+        most=MOST,
+        previous='before',
+    )
+
+
+async def _lose_all(site, network):
+    """Let all instances lose power, after a turn that is kept."""
+    await site.start(1)
+    answer = await site.turn('i1', 'before', program='old')
+    sites.kill(site, network, 'i1')
+    await asyncio.sleep(1.0)
+    return answer
+
+
+async def _set_engines(site, are_leaving):
+    state = 'draining' if are_leaving else 'ready'
+    for name in ('m1', 'm2'):
+        host = 10 + int(name[1:])
+        site.register(name, f'10.8.0.{host - 10}:8080', state)
+    await asyncio.sleep(0.2)
+
+
+async def test_new_program_goes_on_after_its_home_changed_often(
+    case, site, network
+):
+    """A conversation is picked up again after all instances lost power.
+
+    Callers saw each try answered "budget spent" for as long as they came
+    back, though not a token had been generated. Instances came back one by
+    one while no engine took work yet: each try was reserved at the home of
+    its moment and then refused. Instances that join ask the best of the
+    others for what it has; where two had joined between two tries that was
+    one that had never heard of the program, and the grants before stayed
+    where they were, until the budget had no room for a further one.
+    """
+    program = _find_program('i6', 'i5', 'i4', 'i3', 'i2')
+    await _lose_all(site, network)
+    await _set_engines(site, are_leaving=True)
+    await site.add_front('i2')
+    await asyncio.sleep(1.0)
+    answer = await _turn(site, 'i2', 'a1', program)
+    case.assertEqual(503, answer.status)
+    for number, joining in enumerate((('i3', 'i4'), ('i5', 'i6')), 2):
+        for name in joining:
+            await site.add_front(name)
+        await asyncio.sleep(2.0)
+        answer = await _turn(site, joining[0], f'a{number}', program)
+        case.assertEqual(503, answer.status)
+    await _set_engines(site, are_leaving=False)
+    answer = await _turn(site, 'i5', 'a4', program)
+    case.assertEqual(200, answer.status)
+
+
+async def test_kept_program_is_not_charged_for_credit(case, site, network):
+    """A store that was slow at the start costs a new program its budget.
+
+    Homes that see trouble of the store count what their predecessor may have
+    given on credit. Turns that are kept never get credit, yet each new home
+    charged them anew.
+    """
+    program = _find_program('i3', 'i2')
+    await _lose_all(site, network)
+    site.store.delay = 0.2
+    await site.add_front('i2')
+    await asyncio.sleep(2.0)
+    site.store.delay = 0.004
+    await _set_engines(site, are_leaving=True)
+    answer = await _turn(site, 'i2', 'a1', program)
+    case.assertEqual(503, answer.status)
+    # What the first home has is out of reach: it loses power.
+    site.store.delay = 0.2
+    await site.add_front('i3')
+    await asyncio.sleep(2.0)
+    sites.kill(site, network, 'i2')
+    await asyncio.sleep(2.0)
+    site.store.delay = 0.004
+    await _set_engines(site, are_leaving=False)
+    answer = await _turn(site, 'i3', 'a2', program)
+    case.assertEqual(200, answer.status)
+
+
+async def test_turn_given_up_at_its_home_is_settled(case, site):
+    """The answer of a home is lost, or the caller leaves before it comes.
+
+    The home had reserved for a turn that never ran, and kept that for as
+    long as it lived: the program's next turn was refused for good.
+    """
+    await site.start(3)
+    program = 'new'
+    home = _rank(program, site.fronts)[0]
+    other = next(name for name in site.fronts if name != home)
+    site.store.delay = 0.3
+    front = site.fronts[other]
+    question = peers.Reserve(program, MOST, 'lost', MOST)
+    until = site.timers.now() + 0.1
+    task = asyncio.ensure_future(front._homes.reserve(question, until))
+    await asyncio.sleep(0.15)
+    task.cancel()
+    await asyncio.sleep(2.0)
+    site.store.delay = 0.004
+    answer = await site.turn(
+        other, 'a1', program=program, budget=MOST, most=MOST
+    )
+    case.assertEqual(200, answer.status)
+
+
+load_tests = fixtures.adapt(__name__, [sites])
