Called a budget spent only when no instance holds any of it.

Cause: the row of a program's budget counts what was granted. What an instance was granted and did not use stays there when it is no longer the program's home, and the home of the moment refused for good by the row alone. The same class elsewhere: a reservation whose answer is lost was never settled; a settlement or tokens that change hands were given up after .15 s; a grant whose caller left while its row was written belonged to nobody, likewise one whose reply was lost; each new home charged credit, also for turns that never get any. Ruled out: taking the extra turn beyond the budget up (breaks its bound); leases on grants (what a holder used is not known when it is gone). Change: the row names its holders. Before a home says spent, it asks them and the next best homes for what they hold; one that is silent makes the answer 'come again', not 'spent'. Who asks a home in vain settles there. Reservations from the store go on when their caller leaves; what a row adds is taken once the row shows it. Settlements and tokens are sent for 1.5 s. Only turns that may owe are charged.

--- a/libs/gateway/vanillayoke/gateway/front.py
+++ b/libs/gateway/vanillayoke/gateway/front.py
@@ -168,6 +168,7 @@
             store_module.Observer(self._note_store_call, self._note_store),
         )
         self._ledger = ledger_module.Ledger(
+            settings.instance,
             self._store,
             self._timers,
             self._make_name,
--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import collections
+import heapq
 import typing
 
 from vanillayoke.core import timers
@@ -31,6 +33,13 @@
 # the upkeep: a few programs begin on credit at each home, and all homes write
 # in the same moment.
 MOST_CREDITS = 10
+# The best homes of a program that are asked for what they hold of its budget
+# besides those that the row names: tokens that a stopping instance handed on
+# went to the best one of its moment.
+MOST_RANKED = 2
+# How many turns given up before they were reserved are remembered: those of
+# the last seconds, some ten a second at one home.
+MOST_GIVEN_UP = 1000
 # How often a home checks that it runs; a gap shows that it did not. Seconds.
 TICK = 0.25
 
@@ -96,6 +105,11 @@
         self._clocks = clocks.Clocks()
         self._peers: peers_module.Peers | None = None
         self.is_leaving = False
+        # Turns that ended before they were reserved, by program: the asker
+        # gave up, and nobody would settle them later.
+        self._given_up: collections.OrderedDict[tuple[str, str], None] = (
+            collections.OrderedDict()
+        )
 
     def use(self, peers: peers_module.Peers) -> None:
         """Ask other instances through this from now on."""
@@ -128,7 +142,7 @@
             return found
         home = find_home(question.program, self._list_members())
         if home is not None and home.instance != self._instance:
-            answer = await self._peers.ask(home.address, question, until)
+            answer = await self._ask_home(home, question, until)
             match answer:
                 case peers_module.Granted(slack, target):
                     return Reservation(True, home.address, slack, target)
@@ -138,10 +152,57 @@
                     raise store_module.StoreRefusedError(
                         f'{home.instance} could not ask the store'
                     )
-        outcome = await self._reserve_from_store(question, until)
+        outcome = await self._reserve_apart(question, until)
         is_granted = outcome is ledger_module.Outcome.GRANTED
         return self._make_reservation(question)._replace(is_granted=is_granted)
 
+    async def _ask_home(
+        self,
+        home: HomeMember,
+        question: peers_module.Reserve,
+        until: float,
+    ) -> peers_module.Answer | None:
+        """Ask a home to reserve; settle there what no answer tells of.
+
+        The home may have reserved, or do so later; nobody else would ever
+        end a turn that goes on elsewhere or not at all.
+        """
+        answer = None
+        try:
+            answer = await self._peers.ask(home.address, question, until)
+        finally:
+            if answer is None:
+                given_up = peers_module.Settle(
+                    question.program, question.turn, 0, question.session
+                )
+                self._spawn(self.settle(home.address, given_up))
+        return answer
+
+    async def _reserve_apart(
+        self, question: peers_module.Reserve, until: float
+    ) -> ledger_module.Outcome:
+        """Reserve in a task that goes on if the caller leaves.
+
+        A row may be written by then, and what it grants must be taken.
+        """
+        work = asyncio.ensure_future(self._reserve_from_store(question, until))
+        try:
+            return await asyncio.shield(work)
+        except asyncio.CancelledError:
+            self._spawn(self._drop_reservation(question, work))
+            raise
+
+    async def _drop_reservation(
+        self,
+        question: peers_module.Reserve,
+        work: asyncio.Future[ledger_module.Outcome],
+    ) -> None:
+        try:
+            await work
+        except store_module.StoreError:
+            return
+        self._ledger.settle(question.program, question.turn, 0)
+
     async def settle(
         self, address: str, question: peers_module.Settle
     ) -> None:
@@ -149,7 +210,12 @@
         if not address:
             self._settle(question)
             return
-        await self._peers.ask(address, question, self._timers.now())
+        await self._peers.ask(
+            address,
+            question,
+            self._timers.now(),
+            peers_module.LASTING_REPEATS,
+        )
 
     async def hand_over(self) -> int:
         """Give what was granted here to the programs' next homes.
@@ -193,7 +259,12 @@
         # and one that arrives late does not make them count twice.
         tokens = self._ledger.withdraw(program)
         question = peers_module.Transfer(program, tokens)
-        await self._peers.ask(home.address, question, self._timers.now())
+        await self._peers.ask(
+            home.address,
+            question,
+            self._timers.now(),
+            peers_module.LASTING_REPEATS,
+        )
 
     async def _reserve_from_store(
         self, question: peers_module.Reserve, until: float
@@ -206,7 +277,24 @@
         extra = 0
         if not is_sure:
             extra = self._allow_for_predecessor(question)
-        outcome = await self._ledger.reserve(
+        outcome = await self._reserve_in_ledger(question, until, extra)
+        if outcome is ledger_module.Outcome.SPENT:
+            if await self._collect(question.program):
+                outcome = await self._reserve_in_ledger(question, until, extra)
+        if outcome is ledger_module.Outcome.SPENT:
+            self._ledger.note_refused(
+                question.program,
+                question.budget,
+                question.turn,
+                question.need,
+            )
+        self._top_up(question)
+        return outcome
+
+    async def _reserve_in_ledger(
+        self, question: peers_module.Reserve, until: float, extra: int
+    ) -> ledger_module.Outcome:
+        return await self._ledger.reserve(
             question.program,
             question.budget,
             question.turn,
@@ -214,8 +302,69 @@
             until,
             extra,
         )
-        self._top_up(question)
-        return outcome
+
+    async def _collect(self, program: str) -> bool:
+        """Take over what other instances hold of a budget; say if any did.
+
+        The row counts what was granted, not what was used: while homes
+        change, grants stay with the ones before. "Spent" ends a program, so
+        it is said only once the others have been asked. Raise
+        ``StoreRefusedError`` if one of them does not answer.
+        """
+        if self._ledger.is_searched(program):
+            return False
+        holders = self._find_holders(program)
+        found = await asyncio.gather(
+            *(self._take_over(program, one) for one in holders)
+        )
+        if any(found):
+            return True
+        silent = [
+            one.instance
+            for one, tokens in zip(holders, found, strict=True)
+            if tokens is None
+        ]
+        if silent:
+            raise store_module.StoreRefusedError(
+                f'what {", ".join(silent)} hold of the budget is not known'
+            )
+        self._ledger.note_searched(program)
+        return False
+
+    def _find_holders(self, program: str) -> list[HomeMember]:
+        """Return the other live instances that may hold tokens."""
+        others = [
+            one
+            for one in self._list_members()
+            if one.instance != self._instance
+        ]
+        named = set(self._ledger.list_holders(program))
+        ranked = heapq.nlargest(
+            MOST_RANKED,
+            others,
+            key=lambda one: homes_ranking.find_score(program, one.instance),
+        )
+        named.update(one.instance for one in ranked)
+        return [one for one in others if one.instance in named]
+
+    async def _take_over(
+        self,
+        program: str,
+        holder: HomeMember,
+        repeats: typing.Sequence[float] = peers_module.LASTING_REPEATS,
+    ) -> int | None:
+        """Take over the tokens of a holder; ``None`` if it is silent."""
+        answer = await self._peers.ask(
+            holder.address,
+            peers_module.HandOver(program),
+            self._timers.now(),
+            repeats,
+        )
+        if not isinstance(answer, peers_module.Handed):
+            return None
+        if answer.tokens > 0:
+            self._ledger.deposit(program, answer.tokens)
+        return answer.tokens
 
     def _allow_for_predecessor(self, question: peers_module.Reserve) -> int:
         """Allow for what a home before this one may have taken with it.
@@ -225,7 +374,9 @@
         """
         is_new = not self._ledger.has_account(question.program)
         now = self._timers.now()
-        if is_new and self._tenure.may_have_been_trouble(now):
+        # A turn that is kept never gets credit, so none was given.
+        may_owe = is_new and question.may_owe
+        if may_owe and self._tenure.may_have_been_trouble(now):
             self._ledger.charge(
                 question.program, question.budget, question.need
             )
@@ -289,12 +440,9 @@
         former = find_home(program, others)
         if former is None:
             return
-        question = peers_module.HandOver(program)
-        answer = await self._peers.ask(
-            former.address, question, self._timers.now()
-        )
-        if isinstance(answer, peers_module.Handed) and answer.tokens > 0:
-            self._ledger.deposit(program, answer.tokens)
+        # Each first turn of a program waits for this; what a silent instance
+        # holds is asked for again before the budget is called spent.
+        await self._take_over(program, former, peers_module.REPEATS)
 
     def _top_up(self, question: peers_module.Reserve) -> None:
         if self._ledger.needs_more(question.program, question.need):
@@ -305,7 +453,11 @@
             )
 
     def _settle(self, question: peers_module.Settle) -> None:
-        self._ledger.settle(question.program, question.turn, question.used)
+        was_reserved = self._ledger.settle(
+            question.program, question.turn, question.used
+        )
+        if not was_reserved:
+            self._note_given_up(question.program, question.turn)
         self._clocks.lose(
             question.program,
             question.session,
@@ -317,6 +469,12 @@
                 question.program, question.session, question.target
             )
 
+    def _note_given_up(self, program: str, turn: str) -> None:
+        """Remember a turn that ended before it was reserved here."""
+        self._given_up[program, turn] = None
+        while len(self._given_up) > MOST_GIVEN_UP:
+            self._given_up.popitem(last=False)
+
     def _arrive(self, question: peers_module.Reserve) -> outlook.Slack | None:
         if question.time_left is None:
             return None
@@ -354,6 +512,8 @@
             case peers_module.HandOver(program):
                 return peers_module.Handed(self._ledger.withdraw(program))
             case peers_module.Reserve(program, _, turn, need):
+                if (program, turn) in self._given_up:
+                    return peers_module.Unable(False)
                 if self._ledger.reserve_now(program, turn, need):
                     self._top_up(question)
                     return self._grant(question)
@@ -375,4 +535,6 @@
             return peers_module.Unable(True)
         if outcome is ledger_module.Outcome.SPENT:
             return peers_module.Spent()
+        if (question.program, question.turn) in self._given_up:
+            self._ledger.settle(question.program, question.turn, 0)
         return self._grant(question)
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -25,6 +25,10 @@
 NEVER_VERSION = 2**53 - 1
 
 
+# For how long it is believed that other instances hold nothing of a budget;
+# a program that loops asks some ten times a second. Seconds.
+SEARCH_PAUSE = 0.5
+
 # How long a grant that no turn waits for is tried for. Seconds.
 TOP_UP_PATIENCE = 2.0
 
@@ -68,6 +72,16 @@
 Decision = Refused | TakenOver
 
 
+class _Written(typing.NamedTuple):
+    """What a row adds to an account once it is known to be in the store."""
+
+    tokens: int
+    owed: int
+
+
+_NOTHING = _Written(0, 0)
+
+
 class _Account:
     def __init__(self) -> None:
         self.purse = grants.Purse()
@@ -84,6 +98,10 @@
         # instances, and what it counts as given by homes before it.
         self.received = 0
         self.charged = 0
+        # Rows of this instance, by writer, that may be in the store or not.
+        self.doubted: dict[str, _Written] = {}
+        # When the other holders were last found to have nothing.
+        self.searched_at = float('-inf')
 
     @property
     def known(self) -> int:
@@ -100,11 +118,13 @@
 
     def __init__(
         self,
+        instance: str,
         store: store_module.StoreClient,
         timer_service: timers.TimerService,
         make_name: typing.Callable[[], str],
         on_decision: typing.Callable[[Decision], None],
     ) -> None:
+        self._instance = instance
         self._store = store
         self._timers = timer_service
         self._make_name = make_name
@@ -143,22 +163,75 @@
         ``StoreError`` if the store can't be asked until then.
         """
         account = self._open(program)
-        if account.purse.reserve(turn, need):
-            return Outcome.GRANTED
         async with account.lock:
-            for _ in range(MOST_CONFLICTS):
-                if account.purse.reserve(turn, need):
-                    return Outcome.GRANTED
-                missing = need - account.purse.free
-                if await self._grow(
-                    account, program, budget, missing, until, extra
-                ):
-                    continue
-                if account.is_fresh:
-                    self._note_refused(account, program, budget, turn, need)
-                    return Outcome.SPENT
-                await self._refresh(account, program, until)
-            raise store_module.StoreRefusedError('too many conflicts')
+            return await self._reserve(
+                account, program, budget, turn, need, until, extra
+            )
+
+    async def _reserve(
+        self,
+        account: _Account,
+        program: str,
+        budget: int,
+        turn: str,
+        need: int,
+        until: float,
+        extra: int,
+    ) -> Outcome:
+        for _ in range(MOST_CONFLICTS):
+            if account.purse.reserve(turn, need):
+                return Outcome.GRANTED
+            missing = need - account.purse.free
+            if await self._grow(
+                account, program, budget, missing, until, extra
+            ):
+                continue
+            if account.is_fresh:
+                return Outcome.SPENT
+            await self._refresh(account, program, until)
+        raise store_module.StoreRefusedError('too many conflicts')
+
+    def list_holders(self, program: str) -> tuple[str, ...]:
+        """Return the instances that were granted tokens, as far as known."""
+        account = self._accounts.get(program)
+        if account is None or account.row is None:
+            return ()
+        return account.row.holders
+
+    def is_searched(self, program: str) -> bool:
+        """Say whether other holders had nothing a moment ago."""
+        account = self._accounts.get(program)
+        if account is None:
+            return False
+        return self._timers.now() - account.searched_at < SEARCH_PAUSE
+
+    def note_searched(self, program: str) -> None:
+        """Note that other holders have nothing now."""
+        self._open(program).searched_at = self._timers.now()
+
+    def note_refused(
+        self, program: str, budget: int, turn: str, need: int
+    ) -> None:
+        """Tell what a turn is refused by."""
+        account = self._open(program)
+        row, purse = account.row, account.purse
+        age = 0.0 if row is None else self._timers.wall() - row.time
+        self._on_decision(
+            Refused(
+                program,
+                turn,
+                budget,
+                need,
+                account.known,
+                account.received,
+                purse.free,
+                purse.reserved,
+                purse.turns,
+                account.owed,
+                account.charged,
+                age,
+            )
+        )
 
     def give_credit(
         self, program: str, budget: int, turn: str, need: int
@@ -209,10 +282,11 @@
                     account.known + owed,
                     self._make_name(),
                     self._timers.wall(),
+                    self.list_holders(program),
                 )
+                added = _Written(0, owed)
                 try:
-                    if await self._write(account, program, row, until):
-                        account.owed -= owed
+                    await self._write(account, program, row, until, added)
                 except store_module.StoreError:
                     # Tried again at the next round.
                     return
@@ -274,11 +348,15 @@
             if account.purse.free > 0
         ]
 
-    def settle(self, program: str, turn: str, used: int) -> None:
-        """End a turn that generated ``used`` tokens."""
+    def settle(self, program: str, turn: str, used: int) -> bool:
+        """End a turn that generated ``used`` tokens.
+
+        Return whether anything was reserved for it.
+        """
         account = self._accounts.get(program)
-        if account is not None:
-            account.purse.settle(turn, used)
+        if account is None:
+            return False
+        return account.purse.settle(turn, used)
 
     def prune(self) -> None:
         """Drop the accounts of programs that have gone quiet."""
@@ -329,14 +407,16 @@
         owed = account.owed
         row = account.row
         if owed:
-            row = grants.BudgetRow(budget, account.known + owed, writer, now)
+            holders = self.list_holders(program)
+            row = grants.BudgetRow(
+                budget, account.known + owed, writer, now, holders
+            )
         grant = grants.plan_grant(row, budget, missing, writer, now, extra)
         if grant is None:
             return False
-        if await self._write(account, program, grant.row, until):
-            account.owed -= owed
-            account.received += grant.tokens
-            account.purse.add(grant.tokens)
+        row = grant.row.add_holder(self._instance)
+        added = _Written(grant.tokens, owed)
+        await self._write(account, program, row, until, added)
         return True
 
     async def _return(
@@ -364,8 +444,14 @@
         program: str,
         row: grants.BudgetRow,
         until: float,
+        added: _Written = _NOTHING,
     ) -> bool:
-        """Write a row if the known one is still there; say if it was."""
+        """Write a row if the known one is still there; say if it was.
+
+        A write whose answer is lost may take effect: what it adds is taken
+        as soon as the row shows that it did.
+        """
+        account.doubted[row.writer] = added
         where = self._locate(program)
         transaction = messages.Transaction(
             ((where, account.version),), ((where, _ENCODER.encode(row)),)
@@ -379,38 +465,13 @@
             account.row = row
             account.version = outcome.version
             account.is_fresh = True
+            self._claim(account, row.writer)
             return True
         self._take(account, program, outcome.rows)
+        account.doubted.pop(row.writer, None)
         # An earlier try whose answer was lost may have written it.
         return account.row is not None and account.row.writer == row.writer
 
-    def _note_refused(
-        self,
-        account: _Account,
-        program: str,
-        budget: int,
-        turn: str,
-        need: int,
-    ) -> None:
-        row, purse = account.row, account.purse
-        age = 0.0 if row is None else self._timers.wall() - row.time
-        self._on_decision(
-            Refused(
-                program,
-                turn,
-                budget,
-                need,
-                account.known,
-                account.received,
-                purse.free,
-                purse.reserved,
-                purse.turns,
-                account.owed,
-                account.charged,
-                age,
-            )
-        )
-
     async def _refresh(
         self, account: _Account, program: str, until: float
     ) -> None:
@@ -440,8 +501,18 @@
                 ) from error
             account.version = row.version
         found = account.row
-        if found is not None and not account.received:
+        if found is None:
+            return
+        self._claim(account, found.writer)
+        if not account.received:
             self._on_decision(TakenOver(program, found.granted, found.budget))
 
+    def _claim(self, account: _Account, writer: str) -> None:
+        """Take what one of this instance's rows adds, once."""
+        added = account.doubted.pop(writer, _NOTHING)
+        account.owed -= added.owed
+        account.received += added.tokens
+        account.purse.add(added.tokens)
+
     def _locate(self, program: str) -> messages.RowKey:
         return messages.RowKey(TABLE, parts.find_part(program), program)
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -23,6 +23,9 @@
 # When a question is sent again. A round trip takes two or three
 # milliseconds between zones; a busy peer some tens. Seconds.
 REPEATS = (0.02, 0.05, 0.08)
+# The same for what would strand tokens where it is lost: a turn's end, and
+# tokens that change hands. A peer that stands still for a second gets it.
+LASTING_REPEATS = (*REPEATS, 0.2, 0.4, 0.8)
 
 
 class Reserve(msgspec.Struct, frozen=True, array_like=True, tag='R'):
@@ -141,7 +144,7 @@
 # Told without an answer; one that is lost does no lasting harm.
 Note = Began | Ended
 # Questions that must not take effect twice when they are repeated.
-_ONCE = (Transfer, HandOver)
+_ONCE = (Settle, Transfer, HandOver)
 # How many answers to such questions are kept for repetitions.
 MOST_KEPT = 2000
 
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -1,5 +1,7 @@
 """Turns of programs: streams within a budget, with history where kept."""
 
+import msgspec
+
 from vanillayoke.gateway import dispatch
 from vanillayoke.gateway import events as stream_events
 from vanillayoke.gateway import forwarding
@@ -34,6 +36,8 @@
         self.progress = progress
         self.event_tokens = event_tokens
         self.before = b''
+        # Under which name its tokens are reserved.
+        self.reserved_as = progress.call.request
         self.call = progress.call
         self.data: list[bytes] = []
         self.events = 0
@@ -79,7 +83,7 @@
         finally:
             question = peers.Settle(
                 program.name,
-                progress.call.request,
+                turn.reserved_as,
                 turn.used,
                 program.session,
                 self._find_loss(turn),
@@ -148,8 +152,11 @@
             not progress.route.keeps_history,
         )
         found = self._parts.homes.reserve_here(question)
+        asked = 0
         while found is None:
             self._refuse_if_isolated()
+            question = self._name_reservation(turn, question, asked)
+            asked += 1
             try:
                 found = await self._parts.homes.reserve(
                     question, self._holding.find_latest_start(progress)
@@ -163,6 +170,18 @@
         progress.favourite = found.target
         progress.slack_at = self._parts.timers.now()
 
+    def _name_reservation(
+        self, turn: _Turn, question: peers.Reserve, asked: int
+    ) -> peers.Reserve:
+        """Name each further reservation anew.
+
+        The one before may have been made without an answer, and its end,
+        which is on the way, must not end this one.
+        """
+        if asked:
+            turn.reserved_as = f'{turn.progress.call.request}.{asked}'
+        return msgspec.structs.replace(question, turn=turn.reserved_as)
+
     def _find_need(self, progress: dispatch.Progress) -> float:
         """Return about how long it takes to serve a turn, in seconds."""
         first, each = self._find_usual(progress.service)
--- a/libs/programs/vanillayoke/programs/grants.py
+++ b/libs/programs/vanillayoke/programs/grants.py
@@ -18,6 +18,9 @@
 # the store can't be asked, at least one turn: as much as one grant, so that
 # what dies with a home stays of one size.
 CREDIT_SHARE = 0.25
+# How many holders a row names. A program has one home at a time; while many
+# instances start, some five of a hundred are its best one in turn.
+MOST_HOLDERS = 16
 
 
 class BudgetRow(msgspec.Struct, frozen=True, array_like=True):
@@ -26,12 +29,21 @@
     ``writer`` names the write that made this row, so that a writer whose
     answer was lost finds out whether its write took effect. ``time`` is the
     wall time of the write in seconds, for sweeping old rows away.
+    ``holders`` are the instances that were granted tokens, the last one at
+    the end: what they do not need any more may still lie there.
     """
 
     budget: int
     granted: int
     writer: str
     time: float
+    holders: tuple[str, ...] = ()
+
+    def add_holder(self, instance: str) -> 'BudgetRow':
+        """Return the row with an instance as the last holder."""
+        others = [one for one in self.holders if one != instance]
+        holders = (*others[1 - MOST_HOLDERS :], instance)
+        return msgspec.structs.replace(self, holders=holders)
 
 
 class Purse:
@@ -74,11 +86,16 @@
         self._reserved[turn] = tokens
         return True
 
-    def settle(self, turn: str, used: int) -> None:
-        """End a turn that generated ``used`` tokens; the rest is free."""
+    def settle(self, turn: str, used: int) -> bool:
+        """End a turn that generated ``used`` tokens; the rest is free.
+
+        Return whether anything was reserved for it.
+        """
         tokens = self._reserved.pop(turn, None)
-        if tokens is not None:
-            self.free += max(0, tokens - used)
+        if tokens is None:
+            return False
+        self.free += max(0, tokens - used)
+        return True
 
 
 class Grant(typing.NamedTuple):
@@ -107,7 +124,9 @@
     if need > left + extra:
         return None
     tokens = max(need, min(left, int(budget * GRANT_SHARE)))
-    return Grant(BudgetRow(budget, granted + tokens, writer, time), tokens)
+    holders = () if row is None else row.holders
+    granted += tokens
+    return Grant(BudgetRow(budget, granted, writer, time, holders), tokens)
 
 
 def plan_credit(budget: int, known: int, owed: int, need: int) -> int:
@@ -134,4 +153,5 @@
     row: BudgetRow, tokens: int, writer: str, time: float
 ) -> BudgetRow:
     """Return the row that takes an unused grant back."""
-    return BudgetRow(row.budget, row.granted - tokens, writer, time)
+    granted = row.granted - tokens
+    return BudgetRow(row.budget, granted, writer, time, row.holders)
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -145,4 +145,62 @@
     case.assertEqual(200, answer.status)
 
 
+async def test_grant_of_a_caller_that_left_is_not_lost(case, site):
+    """The caller leaves while its grant is being written.
+
+    The store took the row and its reply was lost: the row said that all was
+    granted, and no instance had it.
+    """
+    await site.start(1)
+    front = site.fronts['i1']
+    question = peers.Reserve('new', MOST, 'lost', MOST)
+    site.store.lost_replies = 1
+    until = site.timers.now() + 2.0
+    task = asyncio.ensure_future(front._homes.reserve(question, until))
+    # The row is written by then, and the next try is not made yet.
+    await asyncio.sleep(0.015)
+    case.assertIn('new', site.store.list_table('budgets'))
+    case.assertFalse(task.done())
+    task.cancel()
+    await asyncio.sleep(2.0)
+    answer = await site.turn('i1', 'a1', program='new', budget=MOST, most=MOST)
+    case.assertEqual(200, answer.status)
+
+
+async def test_budget_is_not_said_spent_while_a_holder_is_silent(case, site):
+    """What is left of a budget lies at an instance that does not answer.
+
+    The instance still counts as a member. "Spent" would end the program for
+    good; the caller is told to come again, and served once it answers.
+    """
+    program = _find_program('i2', 'i1')
+    await site.start(2)
+    await _set_engines(site, are_leaving=True)
+    answer = await site.turn(
+        'i2', 'a1', program=program, budget=BUDGET, most=MOST
+    )
+    case.assertEqual(503, answer.status)
+    sender = site.fronts['i2']._sender
+    receive = sender._receive
+
+    def hear_members_only(data, address):
+        if data[:1] == peers.MEMBERSHIP:
+            receive(data, address)
+
+    sender._receive = hear_members_only
+    stand_in = site.fronts['i1']._homes
+    question = peers.Reserve(program, BUDGET, 'under-way', MOST)
+    await stand_in.reserve(question, site.timers.now() + 1.0)
+    await _set_engines(site, are_leaving=False)
+    answer = await site.turn(
+        'i1', 'a2', program=program, budget=BUDGET, most=MOST
+    )
+    case.assertEqual(503, answer.status)
+    sender._receive = receive
+    answer = await site.turn(
+        'i1', 'a3', program=program, budget=BUDGET, most=MOST
+    )
+    case.assertEqual(200, answer.status)
+
+
 load_tests = fixtures.adapt(__name__, [sites])
