Let a turn wait for what others of its program have reserved.

Cause: a turn reserves the most that it may generate, and most generate less than half of it. A sub-agent that asked while another one ran was told for good that the budget is spent, though it fitted once the other had ended; so was a turn whose earlier try still waited somewhere for an engine. Ruled out: waiting without bound (an instance that dies never settles). Change: a home that finds no room while turns of the program are under way at it waits for the next one to end, for a second at the most. Test: test_turn_waits_for_what_another_one_has_reserved, red without it.

--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -25,6 +25,9 @@
 NEVER_VERSION = 2**53 - 1
 
 
+# For how long a turn that finds no room waits for others of its program that
+# have reserved some: most turns of sub-agents take less. Seconds.
+SETTLEMENT_PATIENCE = 1.0
 # For how long it is believed that other instances hold nothing of a budget;
 # a program that loops asks some ten times a second. Seconds.
 SEARCH_PAUSE = 0.5
@@ -100,6 +103,8 @@
         self.charged = 0
         # Rows of this instance, by writer, that may be in the store or not.
         self.doubted: dict[str, _Written] = {}
+        # Set when the next turn ends, and then replaced.
+        self.settlement = asyncio.Event()
         # When the other holders were last found to have nothing.
         self.searched_at = float('-inf')
 
@@ -163,10 +168,17 @@
         ``StoreError`` if the store can't be asked until then.
         """
         account = self._open(program)
-        async with account.lock:
-            return await self._reserve(
-                account, program, budget, turn, need, until, extra
-            )
+        patience = min(until, self._timers.now() + SETTLEMENT_PATIENCE)
+        while True:
+            settlement = account.settlement
+            async with account.lock:
+                outcome = await self._reserve(
+                    account, program, budget, turn, need, until, extra
+                )
+            if outcome is Outcome.GRANTED or not account.purse.reserved:
+                return outcome
+            if not await self._wait_for(settlement, patience):
+                return outcome
 
     async def _reserve(
         self,
@@ -191,6 +203,22 @@
             await self._refresh(account, program, until)
         raise store_module.StoreRefusedError('too many conflicts')
 
+    async def _wait_for(self, settlement: asyncio.Event, until: float) -> bool:
+        """Wait for a turn to end; say whether one did in time.
+
+        A turn reserves the most that it may generate, and most need a part
+        of it: what another one has reserved is not spent yet.
+        """
+        left = until - self._timers.now()
+        if left <= 0:
+            return False
+        try:
+            async with asyncio.timeout(left):
+                await settlement.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def list_holders(self, program: str) -> tuple[str, ...]:
         """Return the instances that were granted tokens, as far as known."""
         account = self._accounts.get(program)
@@ -356,6 +384,8 @@
         account = self._accounts.get(program)
         if account is None:
             return False
+        account.settlement.set()
+        account.settlement = asyncio.Event()
         return account.purse.settle(turn, used)
 
     def prune(self) -> None:
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -203,4 +203,20 @@
     case.assertEqual(200, answer.status)
 
 
+async def test_turn_waits_for_what_another_one_has_reserved(case, site):
+    """Two sub-agents of a program near the end of its budget ask at once.
+
+    The first reserves the most that a turn may make, and makes less than
+    half of it. The second was told "spent", though it still fits.
+    """
+    await site.start(2)
+    answers = await asyncio.gather(
+        *(
+            site.turn('i1', f'a{number}', program='new', budget=150, most=MOST)
+            for number in range(2)
+        )
+    )
+    case.assertEqual([200, 200], [answer.status for answer in answers])
+
+
 load_tests = fixtures.adapt(__name__, [sites])
