--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import collections
-import heapq
 import typing
 
 from vanillayoke.core import timers
 from vanillayoke.gateway import clocks
+from vanillayoke.gateway import holders
 from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import ledger as ledger_module
 from vanillayoke.gateway import peers as peers_module
@@ -33,10 +33,6 @@
 # the upkeep: a few programs begin on credit at each home, and all homes write
 # in the same moment.
 MOST_CREDITS = 10
-# The best homes of a program that are asked for what they hold of its budget
-# besides those that the row names: tokens that a stopping instance handed on
-# went to the best one of its moment.
-MOST_RANKED = 2
 # How many turns given up before they were reserved are remembered: those of
 # the last seconds, some ten a second at one home.
 MOST_GIVEN_UP = 1000
@@ -44,14 +40,6 @@
 TICK = 0.25
 
 
-class HomeMember(typing.NamedTuple):
-    """A live instance and where it takes datagrams."""
-
-    instance: str
-    address: str
-    zone: str = ''
-
-
 class Reservation(typing.NamedTuple):
     """How a reservation ended.
 
@@ -65,17 +53,6 @@
     target: str | None = None
 
 
-def find_home(
-    program: str, members: typing.Sequence[HomeMember]
-) -> HomeMember | None:
-    """Return the instance that keeps a program's budget."""
-    return max(
-        members,
-        key=lambda one: homes_ranking.find_score(program, one.instance),
-        default=None,
-    )
-
-
 async def _wait_for(task: asyncio.Future) -> None:
     """Keep a task going behind whoever started it."""
     await task
@@ -88,7 +65,7 @@
         self,
         instance: str,
         ledger: ledger_module.Ledger,
-        list_members: typing.Callable[[], typing.Sequence[HomeMember]],
+        list_members: homes_ranking.ListMembers,
         timer_service: timers.TimerService,
         spawn: typing.Callable[[typing.Coroutine], None],
         tenure: tenure_module.Tenure,
@@ -103,6 +80,9 @@
         self._spawn = spawn
         self._began = timer_service.now()
         self._clocks = clocks.Clocks()
+        self._holders = holders.Holders(
+            instance, ledger, list_members, timer_service
+        )
         self._peers: peers_module.Peers | None = None
         self.is_leaving = False
         # Turns that ended before they were reserved, by program: the asker
@@ -114,6 +94,15 @@
     def use(self, peers: peers_module.Peers) -> None:
         """Ask other instances through this from now on."""
         self._peers = peers
+        self._holders.use(peers)
+
+    async def hand_over(self) -> int:
+        """Give what was granted here to the programs' next homes.
+
+        For an instance that stops; no call to the store is needed. Returns
+        the number of programs.
+        """
+        return await self._holders.hand_over()
 
     def reserve_here(
         self, question: peers_module.Reserve
@@ -140,7 +129,7 @@
         found = self.reserve_here(question)
         if found is not None:
             return found
-        home = find_home(question.program, self._list_members())
+        home = homes_ranking.find_home(question.program, self._list_members())
         if home is not None and home.instance != self._instance:
             answer = await self._ask_home(home, question, until)
             match answer:
@@ -158,7 +147,7 @@
 
     async def _ask_home(
         self,
-        home: HomeMember,
+        home: homes_ranking.HomeMember,
         question: peers_module.Reserve,
         until: float,
     ) -> peers_module.Answer | None:
@@ -217,24 +206,6 @@
             peers_module.LASTING_REPEATS,
         )
 
-    async def hand_over(self) -> int:
-        """Give what was granted here to the programs' next homes.
-
-        For an instance that stops; no call to the store is needed. Returns
-        the number of programs.
-        """
-        others = [
-            one
-            for one in self._list_members()
-            if one.instance != self._instance
-        ]
-        programs = self._ledger.list_programs()
-        if others:
-            await asyncio.gather(
-                *(self._transfer(program, others) for program in programs)
-            )
-        return len(programs)
-
     def prune(self) -> None:
         """Forget what has ended."""
         self._ledger.prune()
@@ -251,25 +222,11 @@
         for program in self._ledger.list_owing()[:MOST_CREDITS]:
             self._spawn(self._ledger.record_credit(program))
 
-    async def _transfer(
-        self, program: str, others: typing.Sequence[HomeMember]
-    ) -> None:
-        home = find_home(program, others)
-        # Given up before it is sent: a message that is lost loses tokens,
-        # and one that arrives late does not make them count twice.
-        tokens = self._ledger.withdraw(program)
-        question = peers_module.Transfer(program, tokens)
-        await self._peers.ask(
-            home.address,
-            question,
-            self._timers.now(),
-            peers_module.LASTING_REPEATS,
-        )
-
     async def _reserve_from_store(
         self, question: peers_module.Reserve, until: float
     ) -> ledger_module.Outcome:
-        await self._pull(question.program)
+        if self._timers.now() - self._began < NEWCOMER:
+            await self._holders.ask_former_home(question.program)
         is_sure = self._is_sure(question.program)
         if is_sure and question.may_owe:
             if await self._reserve_soon(question):
@@ -279,7 +236,7 @@
             extra = self._allow_for_predecessor(question)
         outcome = await self._reserve_in_ledger(question, until, extra)
         if outcome is ledger_module.Outcome.SPENT:
-            if await self._collect(question.program):
+            if await self._holders.collect(question.program):
                 outcome = await self._reserve_in_ledger(question, until, extra)
         if outcome is ledger_module.Outcome.SPENT:
             self._ledger.note_refused(
@@ -303,69 +260,6 @@
             extra,
         )
 
-    async def _collect(self, program: str) -> bool:
-        """Take over what other instances hold of a budget; say if any did.
-
-        The row counts what was granted, not what was used: while homes
-        change, grants stay with the ones before. "Spent" ends a program, so
-        it is said only once the others have been asked. Raise
-        ``StoreRefusedError`` if one of them does not answer.
-        """
-        if self._ledger.is_searched(program):
-            return False
-        holders = self._find_holders(program)
-        found = await asyncio.gather(
-            *(self._take_over(program, one) for one in holders)
-        )
-        if any(found):
-            return True
-        silent = [
-            one.instance
-            for one, tokens in zip(holders, found, strict=True)
-            if tokens is None
-        ]
-        if silent:
-            raise store_module.StoreRefusedError(
-                f'what {", ".join(silent)} hold of the budget is not known'
-            )
-        self._ledger.note_searched(program)
-        return False
-
-    def _find_holders(self, program: str) -> list[HomeMember]:
-        """Return the other live instances that may hold tokens."""
-        others = [
-            one
-            for one in self._list_members()
-            if one.instance != self._instance
-        ]
-        named = set(self._ledger.list_holders(program))
-        ranked = heapq.nlargest(
-            MOST_RANKED,
-            others,
-            key=lambda one: homes_ranking.find_score(program, one.instance),
-        )
-        named.update(one.instance for one in ranked)
-        return [one for one in others if one.instance in named]
-
-    async def _take_over(
-        self,
-        program: str,
-        holder: HomeMember,
-        repeats: typing.Sequence[float] = peers_module.LASTING_REPEATS,
-    ) -> int | None:
-        """Take over the tokens of a holder; ``None`` if it is silent."""
-        answer = await self._peers.ask(
-            holder.address,
-            peers_module.HandOver(program),
-            self._timers.now(),
-            repeats,
-        )
-        if not isinstance(answer, peers_module.Handed):
-            return None
-        if answer.tokens > 0:
-            self._ledger.deposit(program, answer.tokens)
-        return answer.tokens
-
     def _allow_for_predecessor(self, question: peers_module.Reserve) -> int:
         """Allow for what a home before this one may have taken with it.
 
@@ -418,32 +312,11 @@
         now = self._timers.now()
         members = self._list_members()
         self._tenure.note_members((one.instance for one in members), now)
-        home = find_home(program, members)
+        home = homes_ranking.find_home(program, members)
         if home is None or home.instance != self._instance:
             return False
         return self._tenure.covers(program, now, self._timers.wall(), TICK)
 
-    async def _pull(self, program: str) -> None:
-        """Ask the former home of a program for what it still has.
-
-        An instance that has just joined became the home of programs that
-        are under way.
-        """
-        is_new = self._timers.now() - self._began < NEWCOMER
-        if not is_new or self._ledger.has_account(program):
-            return
-        others = [
-            one
-            for one in self._list_members()
-            if one.instance != self._instance
-        ]
-        former = find_home(program, others)
-        if former is None:
-            return
-        # Each first turn of a program waits for this; what a silent instance
-        # holds is asked for again before the budget is called spent.
-        await self._take_over(program, former, peers_module.REPEATS)
-
     def _top_up(self, question: peers_module.Reserve) -> None:
         if self._ledger.needs_more(question.program, question.need):
             self._spawn(
--- a/libs/gateway/vanillayoke/gateway/homes_ranking.py
+++ b/libs/gateway/vanillayoke/gateway/homes_ranking.py
@@ -6,6 +6,18 @@
 import xxhash
 
 
+class HomeMember(typing.NamedTuple):
+    """A live instance and where it takes datagrams."""
+
+    instance: str
+    address: str
+    zone: str = ''
+
+
+# Returns the instances that may be homes now.
+ListMembers = typing.Callable[[], typing.Sequence[HomeMember]]
+
+
 @functools.lru_cache(maxsize=4096)
 def _seed(instance: str) -> int:
     return xxhash.xxh3_64_intdigest(instance.encode())
@@ -21,3 +33,14 @@
     return max(
         instances, key=lambda one: find_score(program, one), default=None
     )
+
+
+def find_home(
+    program: str, members: typing.Sequence[HomeMember]
+) -> HomeMember | None:
+    """Return the instance that keeps a program's budget."""
+    return max(
+        members,
+        key=lambda one: find_score(program, one.instance),
+        default=None,
+    )
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from vanillayoke.core import timers
+from vanillayoke.gateway import accounts
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import parts
 from vanillayoke.gateway import retries
@@ -43,77 +44,6 @@
     SPENT = 1
 
 
-class Refused(typing.NamedTuple):
-    """What a turn was refused by: the row, and what of it is held here.
-
-    All but ``turns``, the number of turns under way, are tokens; ``age`` is
-    that of the row, in seconds.
-    """
-
-    program: str
-    turn: str
-    budget: int
-    need: int
-    granted: int
-    received: int
-    free: int
-    reserved: int
-    turns: int
-    owed: int
-    charged: int
-    age: float
-
-
-class TakenOver(typing.NamedTuple):
-    """A program comes to this instance with tokens granted to others."""
-
-    program: str
-    granted: int
-    budget: int
-
-
-Decision = Refused | TakenOver
-
-
-class _Written(typing.NamedTuple):
-    """What a row adds to an account once it is known to be in the store."""
-
-    tokens: int
-    owed: int
-
-
-_NOTHING = _Written(0, 0)
-
-
-class _Account:
-    def __init__(self) -> None:
-        self.purse = grants.Purse()
-        self.lock = asyncio.Lock()
-        self.row: grants.BudgetRow | None = None
-        self.version = 0
-        self.is_fresh = False
-        self.is_spent = False
-        self.used_at = 0.0
-        # Given on credit and not yet in the row, and the program's budget.
-        self.owed = 0
-        self.budget = 0
-        # What this instance got of the budget, from the store or from other
-        # instances, and what it counts as given by homes before it.
-        self.received = 0
-        self.charged = 0
-        # Rows of this instance, by writer, that may be in the store or not.
-        self.doubted: dict[str, _Written] = {}
-        # Set when the next turn ends, and then replaced.
-        self.settlement = asyncio.Event()
-        # When the other holders were last found to have nothing.
-        self.searched_at = float('-inf')
-
-    @property
-    def known(self) -> int:
-        """The tokens granted by the row, as far as it is known."""
-        return 0 if self.row is None else self.row.granted
-
-
 _DECODER = msgspec.msgpack.Decoder(grants.BudgetRow)
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -127,14 +57,14 @@
         store: store_module.StoreClient,
         timer_service: timers.TimerService,
         make_name: typing.Callable[[], str],
-        on_decision: typing.Callable[[Decision], None],
+        on_decision: typing.Callable[[accounts.Decision], None],
     ) -> None:
         self._instance = instance
         self._store = store
         self._timers = timer_service
         self._make_name = make_name
         self._on_decision = on_decision
-        self._accounts: collections.OrderedDict[str, _Account] = (
+        self._accounts: collections.OrderedDict[str, accounts.Account] = (
             collections.OrderedDict()
         )
 
@@ -182,7 +112,7 @@
 
     async def _reserve(
         self,
-        account: _Account,
+        account: accounts.Account,
         program: str,
         budget: int,
         turn: str,
@@ -245,7 +175,7 @@
         row, purse = account.row, account.purse
         age = 0.0 if row is None else self._timers.wall() - row.time
         self._on_decision(
-            Refused(
+            accounts.Refused(
                 program,
                 turn,
                 budget,
@@ -312,7 +242,7 @@
                     self._timers.wall(),
                     self.list_holders(program),
                 )
-                added = _Written(0, owed)
+                added = accounts.Written(0, owed)
                 try:
                     await self._write(account, program, row, until, added)
                 except store_module.StoreError:
@@ -415,17 +345,17 @@
                     break
         return returned
 
-    def _open(self, program: str) -> _Account:
+    def _open(self, program: str) -> accounts.Account:
         account = self._accounts.get(program)
         if account is None:
-            account = self._accounts[program] = _Account()
+            account = self._accounts[program] = accounts.Account()
         account.used_at = self._timers.now()
         self._accounts.move_to_end(program)
         return account
 
     async def _grow(
         self,
-        account: _Account,
+        account: accounts.Account,
         program: str,
         budget: int,
         missing: int,
@@ -445,12 +375,12 @@
         if grant is None:
             return False
         row = grant.row.add_holder(self._instance)
-        added = _Written(grant.tokens, owed)
+        added = accounts.Written(grant.tokens, owed)
         await self._write(account, program, row, until, added)
         return True
 
     async def _return(
-        self, account: _Account, program: str, until: float
+        self, account: accounts.Account, program: str, until: float
     ) -> bool:
         tokens = account.purse.take_free()
         for _ in range(MOST_CONFLICTS):
@@ -470,11 +400,11 @@
 
     async def _write(
         self,
-        account: _Account,
+        account: accounts.Account,
         program: str,
         row: grants.BudgetRow,
         until: float,
-        added: _Written = _NOTHING,
+        added: accounts.Written = accounts.NOTHING,
     ) -> bool:
         """Write a row if the known one is still there; say if it was.
 
@@ -495,7 +425,7 @@
             account.row = row
             account.version = outcome.version
             account.is_fresh = True
-            self._claim(account, row.writer)
+            account.claim(row.writer)
             return True
         self._take(account, program, outcome.rows)
         account.doubted.pop(row.writer, None)
@@ -503,7 +433,7 @@
         return account.row is not None and account.row.writer == row.writer
 
     async def _refresh(
-        self, account: _Account, program: str, until: float
+        self, account: accounts.Account, program: str, until: float
     ) -> None:
         where = self._locate(program)
         # A transaction that changes nothing reads what is committed, where
@@ -515,7 +445,7 @@
 
     def _take(
         self,
-        account: _Account,
+        account: accounts.Account,
         program: str,
         rows: tuple[messages.Row, ...],
     ) -> None:
@@ -533,16 +463,11 @@
         found = account.row
         if found is None:
             return
-        self._claim(account, found.writer)
+        account.claim(found.writer)
         if not account.received:
-            self._on_decision(TakenOver(program, found.granted, found.budget))
-
-    def _claim(self, account: _Account, writer: str) -> None:
-        """Take what one of this instance's rows adds, once."""
-        added = account.doubted.pop(writer, _NOTHING)
-        account.owed -= added.owed
-        account.received += added.tokens
-        account.purse.add(added.tokens)
+            self._on_decision(
+                accounts.TakenOver(program, found.granted, found.budget)
+            )
 
     def _locate(self, program: str) -> messages.RowKey:
         return messages.RowKey(TABLE, parts.find_part(program), program)
--- a/libs/gateway/vanillayoke/gateway/members.py
+++ b/libs/gateway/vanillayoke/gateway/members.py
@@ -9,7 +9,7 @@
 from vanillayoke.cluster import membership_events
 from vanillayoke.cluster import messages as cluster_messages
 from vanillayoke.core import timers
-from vanillayoke.gateway import homes
+from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import messages
 from vanillayoke.settings import process
 
@@ -54,7 +54,7 @@
         self._listed: dict[str, cluster_messages.Member] = {}
         self._tick: timers.Subscription | None = None
         self.is_leaving = False
-        self._homes: tuple[homes.HomeMember, ...] = ()
+        self._homes: tuple[homes_ranking.HomeMember, ...] = ()
 
     def start(self) -> None:
         """Begin to probe."""
@@ -91,7 +91,7 @@
         alive = cluster_messages.State.ALIVE
         return [one for one in self.list_members() if one.state is alive]
 
-    def list_homes(self) -> typing.Sequence[homes.HomeMember]:
+    def list_homes(self) -> typing.Sequence[homes_ranking.HomeMember]:
         """Return the instances that may keep programs."""
         return self._homes
 
@@ -140,7 +140,7 @@
 
     def _refresh(self) -> None:
         self._homes = tuple(
-            homes.HomeMember(one.instance, one.peer_address, one.zone)
+            homes_ranking.HomeMember(one.instance, one.peer_address, one.zone)
             for one in self.list_live()
         )
 
--- a/libs/gateway/vanillayoke/gateway/scouting.py
+++ b/libs/gateway/vanillayoke/gateway/scouting.py
@@ -8,7 +8,6 @@
 import typing
 
 from vanillayoke.core import timers
-from vanillayoke.gateway import homes
 from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import peers as peers_module
@@ -27,7 +26,7 @@
     def __init__(
         self,
         instance: str,
-        list_members: typing.Callable[[], typing.Sequence[homes.HomeMember]],
+        list_members: homes_ranking.ListMembers,
         timer_service: timers.TimerService,
     ) -> None:
         self._instance = instance
@@ -35,7 +34,7 @@
         self._timers = timer_service
         self._tallies = tallies.Tallies()
         self._peers: peers_module.Peers | None = None
-        self._members: typing.Sequence[homes.HomeMember] = ()
+        self._members: typing.Sequence[homes_ranking.HomeMember] = ()
         self._homes: dict[str, str | None] = {}
 
     def use(self, peers: peers_module.Peers) -> None:
--- a/libs/gateway/vanillayoke/gateway/sweeping.py
+++ b/libs/gateway/vanillayoke/gateway/sweeping.py
@@ -11,7 +11,7 @@
 from vanillayoke.core import timers
 from vanillayoke.gateway import catalog as catalog_module
 from vanillayoke.gateway import histories
-from vanillayoke.gateway import homes
+from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import ledger
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import parts
@@ -41,7 +41,7 @@
         instance: str,
         store: store_module.StoreClient,
         catalog: catalog_module.Catalog,
-        list_members: typing.Callable[[], typing.Sequence[homes.HomeMember]],
+        list_members: homes_ranking.ListMembers,
         timer_service: timers.TimerService,
     ) -> None:
         self._instance = instance
@@ -59,7 +59,7 @@
                 await self._visit(parts.name_part(index))
 
     async def _visit(self, part: str) -> None:
-        home = homes.find_home(part, self._list_members())
+        home = homes_ranking.find_home(part, self._list_members())
         if home is None or home.instance != self._instance:
             return
         if self._store.is_away or self._catalog.configuration is None:
--- a/libs/gateway/vanillayoke/gateway/verdict_news.py
+++ b/libs/gateway/vanillayoke/gateway/verdict_news.py
@@ -1,10 +1,9 @@
 """Spreading what is found out about sick targets among the instances."""
 
 import random
-import typing
 
 from vanillayoke.core import timers
-from vanillayoke.gateway import homes
+from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import notes as notes_module
 from vanillayoke.gateway import peers as peers_module
 from vanillayoke.scheduling import verdicts as verdicts_module
@@ -21,7 +20,7 @@
         self,
         instance: str,
         verdicts: verdicts_module.Verdicts,
-        list_homes: typing.Callable[[], typing.Sequence[homes.HomeMember]],
+        list_homes: homes_ranking.ListMembers,
         timer_service: timers.TimerService,
         source: random.Random,
         notes: notes_module.Notes,
--- a/libs/soak/vanillayoke/soak/demo.py
+++ b/libs/soak/vanillayoke/soak/demo.py
@@ -16,7 +16,7 @@
 import typing
 
 from vanillayoke.core import stories
-from vanillayoke.gateway import homes
+from vanillayoke.gateway import homes_ranking
 from vanillayoke.soak import callers as callers_module
 from vanillayoke.soak import checks
 from vanillayoke.soak import control
@@ -115,10 +115,10 @@
     def _find_home(self) -> str:
         """Return the instance that keeps the program's budget."""
         members = [
-            homes.HomeMember(child.name, host)
+            homes_ranking.HomeMember(child.name, host)
             for host, child in self.site.instances.items()
         ]
-        return homes.find_home(PROGRAM, members).address
+        return homes_ranking.find_home(PROGRAM, members).address
 
     def _find_server(self) -> str:
         """Return the instance that the newest turn was sent to."""
--- a/tests/gateway/test_credit.py
+++ b/tests/gateway/test_credit.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from tests.gateway import sites
-from vanillayoke.gateway import homes as homes_module
+from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import peers
 from vanillayoke.gateway import tenure
 from vanillayoke.standins import store as store_module
@@ -16,10 +16,10 @@
 
 def _find_home(site, program):
     members = [
-        homes_module.HomeMember(name, front.settings.front)
+        homes_ranking.HomeMember(name, front.settings.front)
         for name, front in site.fronts.items()
     ]
-    return homes_module.find_home(program, members).instance
+    return homes_ranking.find_home(program, members).instance
 
 
 async def _go_away(site, mode=store_module.Mode.RESET):
@@ -181,12 +181,12 @@
 
 def _find_program(wanted):
     """Return a program whose home is ``wanted`` among two."""
-    members = [homes_module.HomeMember(name, '') for name in ('i1', 'i2')]
+    members = [homes_ranking.HomeMember(name, '') for name in ('i1', 'i2')]
     names = (f'p{number}' for number in range(100))
     return next(
         name
         for name in names
-        if homes_module.find_home(name, members).instance == wanted
+        if homes_ranking.find_home(name, members).instance == wanted
     )
 
 
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -8,7 +8,7 @@
 import asyncio
 
 from tests.gateway import sites
-from vanillayoke.gateway import homes as homes_module
+from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import peers
 from vanillayoke.testing import fixtures
 
@@ -18,10 +18,10 @@
 
 def _rank(program, names):
     """Return instances, the best home for a program first."""
-    left = [homes_module.HomeMember(name, '') for name in names]
+    left = [homes_ranking.HomeMember(name, '') for name in names]
     ranked = []
     while left:
-        best = homes_module.find_home(program, left)
+        best = homes_ranking.find_home(program, left)
         ranked.append(best.instance)
         left.remove(best)
     return ranked
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from tests.gateway import sites
-from vanillayoke.gateway import homes as homes_module
+from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import peers
 from vanillayoke.standins import calls
 from vanillayoke.standins import store as store_module
@@ -159,7 +159,7 @@
     """
     await site.start(3)
     homes = site.fronts['i1']._members.list_homes()
-    home = homes_module.find_home('p1', homes).instance
+    home = homes_ranking.find_home('p1', homes).instance
     other = next(name for name in ('i1', 'i2', 'i3') if name != home)
     for number in range(3):
         await site.turn(other, f'a{number}', route='plan', budget=400)
@@ -213,9 +213,9 @@
     )
     case.assertEqual(200, answer.status)
     members = [
-        homes_module.HomeMember(name, '') for name in sorted(site.fronts)
+        homes_ranking.HomeMember(name, '') for name in sorted(site.fronts)
     ]
-    home = homes_module.find_home('small', members).instance
+    home = homes_ranking.find_home('small', members).instance
     sites.kill(site, network, home)
     await asyncio.sleep(3.0)
     other = next(iter(site.fronts))
