Took a chunked answer for whole that ends together with its connection.

Cause: the end of a connection set whether an answer without a length is complete, also where its last chunk had been read already. If both came before the reader was woken, as from a server that leaves and closes behind its answer, the whole answer counted as broken off: a turn that must not run twice was lost to its caller. Found by a test of instances that leave, whose every stream broke. Ruled out: an end within the last chunk (that stays broken off). Change: the end of a connection decides only on answers still open. Test: test_whole_answer_stays_whole_when_its_connection_ends, red without it.

--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -96,7 +96,8 @@
         self._wakeup.set()
 
     def eof_received(self) -> bool:
-        if self._is_busy and self.head is not None and not self._has_length:
+        is_open = self._is_busy and not self._is_complete
+        if is_open and self.head is not None and not self._has_length:
             # An answer without a length ends with its connection. A reset
             # does not come here, so what was reset never looks complete.
             self._is_complete = not self._is_chunked
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -182,4 +182,27 @@
     case.assertEqual(2, len(servers))
 
 
+async def test_whole_answer_stays_whole_when_its_connection_ends(
+    case, network
+):
+    """A server that leaves closes each connection behind its answer.
+
+    The end of a chunked answer and that of its connection come at once,
+    before the reader is woken. The answer was taken for broken off.
+    """
+    answer = (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
+        b'Connection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+    )
+    servers = _serve(network, answer)
+    pool = client.Pool(1.0)
+    connection = await pool.open(ADDRESS)
+    connection.send(b'GET', b'/', [], b'')
+    await connection.read_head()
+    servers[0].transport.close()
+    await asyncio.sleep(0.1)
+    case.assertTrue(connection.is_closed)
+    case.assertEqual(b'ok', await connection.read_body())
+
+
 load_tests = fixtures.adapt(__name__)
