--- a/libs/gateway/vanillayoke/gateway/accounts.py
+++ b/libs/gateway/vanillayoke/gateway/accounts.py
@@ -70,17 +70,45 @@
         self.doubted: dict[str, Written] = {}
         # Set when the next turn ends, and then replaced.
         self.settlement = asyncio.Event()
-        # When the other holders were last found to have nothing.
-        self.searched_at = float('-inf')
 
     @property
     def known(self) -> int:
         """The tokens granted by the row, as far as it is known."""
         return 0 if self.row is None else self.row.granted
 
+    @property
+    def known_at_most(self) -> int:
+        """The tokens that the row may have granted by now.
+
+        Rows in doubt expect the same version, so one of them at the most has
+        taken effect.
+        """
+        doubted = (added.tokens for added in self.doubted.values())
+        return self.known + max(doubted, default=0)
+
     def claim(self, writer: str) -> None:
         """Take what one of this instance's rows adds, once."""
         added = self.doubted.pop(writer, NOTHING)
         self.owed -= added.owed
         self.received += added.tokens
         self.purse.add(added.tokens)
+
+    def take_row(
+        self, instance: str, row: grants.BudgetRow | None, version: int
+    ) -> None:
+        """Take over what the store has; a row in doubt is so no longer.
+
+        What was written for another version than this one can't take effect
+        any more.
+        """
+        is_newer = version != self.version
+        self.row = row
+        self.version = version
+        self.is_fresh = True
+        if row is None or not is_newer:
+            return
+        self.claim(row.writer)
+        for holder, writer in row.holders:
+            if holder == instance:
+                self.claim(writer)
+        self.doubted.clear()
--- a/libs/gateway/vanillayoke/gateway/holders.py
+++ b/libs/gateway/vanillayoke/gateway/holders.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import heapq
 import typing
 
@@ -18,6 +19,32 @@
 # besides those that the row names: tokens that a stopping instance handed on
 # went to the best one of its moment.
 MOST_RANKED = 2
+# How long a turn waits for what others hold. Most answer within milliseconds;
+# one that stands still is gone from the members two seconds later. Seconds.
+COLLECTING_PATIENCE = 0.5
+# How long a holder that has to ask the store first is waited for. Seconds.
+ANSWER_PATIENCE = 1.0
+# How long an instance that has joined waits for the former home. Seconds.
+FORMER_PATIENCE = 0.15
+# How long an instance that stops waits for the programs' next homes; what is
+# not answered by then goes on being sent. Seconds.
+HANDING_PATIENCE = 0.3
+# How long the outcome of a search holds: a program that loops asks some ten
+# times a second. Seconds.
+SEARCH_PAUSE = 0.5
+MOST_SEARCHES = 1000
+
+
+class _Search(typing.NamedTuple):
+    """A search among the other holders that found nothing."""
+
+    at: float
+    silent: tuple[str, ...]
+
+
+async def _wait_for(work: asyncio.Future) -> None:
+    """Keep work going behind whoever started it."""
+    await work
 
 
 class Holders:
@@ -30,13 +57,19 @@
         list_members: homes_ranking.ListMembers,
         list_reachable: homes_ranking.ListMembers,
         timer_service: timers.TimerService,
+        spawn: typing.Callable[[typing.Coroutine], None],
     ) -> None:
         self._instance = instance
         self._ledger = ledger
         self._list_members = list_members
         self._list_reachable = list_reachable
         self._timers = timer_service
+        self._spawn = spawn
         self._peers: peers_module.Peers | None = None
+        self._running: dict[str, asyncio.Future[bool]] = {}
+        self._searches: collections.OrderedDict[str, _Search] = (
+            collections.OrderedDict()
+        )
 
     def use(self, peers: peers_module.Peers) -> None:
         """Ask other instances through this from now on."""
@@ -51,12 +84,13 @@
         others = self._drop_self(self._list_members())
         programs = self._ledger.list_programs()
         if others:
-            await asyncio.gather(
-                *(self._transfer(program, others) for program in programs)
+            await self._wait_within(
+                HANDING_PATIENCE,
+                [self._transfer(program, others) for program in programs],
             )
         return len(programs)
 
-    async def collect(self, program: str) -> bool:
+    async def collect(self, program: str, until: float) -> bool:
         """Take over what other instances hold of a budget; say if any did.
 
         The row counts what was granted, not what was used: while homes
@@ -64,30 +98,63 @@
         it is said only once the others have been asked. Raise
         ``StoreRefusedError`` if one of them does not answer.
         """
-        if self._ledger.is_searched(program):
+        running = self._running.get(program)
+        if running is None:
+            running = asyncio.ensure_future(self._collect(program, until))
+            self._running[program] = running
+            running.add_done_callback(lambda _: self._running.pop(program))
+        if await asyncio.shield(running):
+            return True
+        silent = self._searches[program].silent
+        if silent:
+            raise store_module.StoreRefusedError(
+                f'what {", ".join(silent)} hold of the budget is not known'
+            )
+        return False
+
+    async def _collect(self, program: str, until: float) -> bool:
+        now = self._timers.now()
+        last = self._searches.get(program)
+        if last is not None and now - last.at < SEARCH_PAUSE:
             return False
         holders = self._find_holders(program)
-        found = await asyncio.gather(
-            *(self._take_over(program, one) for one in holders)
+        found = await self._wait_within(
+            max(0.0, min(COLLECTING_PATIENCE, until - now)),
+            [self._take_over(program, one) for one in holders],
         )
         if any(found):
             return True
-        silent = [
+        silent = tuple(
             one.instance
             for one, tokens in zip(holders, found, strict=True)
             if tokens is None
-        ]
-        if silent:
-            raise store_module.StoreRefusedError(
-                f'what {", ".join(silent)} hold of the budget is not known'
-            )
-        self._ledger.note_searched(program)
+        )
+        self._searches[program] = _Search(self._timers.now(), silent)
+        self._searches.move_to_end(program)
+        if len(self._searches) > MOST_SEARCHES:
+            self._searches.popitem(last=False)
         return False
 
+    async def _wait_within(
+        self,
+        patience: float,
+        work: typing.Sequence[typing.Coroutine[typing.Any, typing.Any, int]],
+    ) -> list[int | None]:
+        """Return the results that come in time; the rest goes on.
+
+        Tokens that are on the way when the time is over must not be dropped.
+        """
+        tasks = [asyncio.ensure_future(one) for one in work]
+        for task in tasks:
+            self._spawn(_wait_for(task))
+        if tasks:
+            await asyncio.wait(tasks, timeout=patience)
+        return [one.result() if one.done() else None for one in tasks]
+
     def _find_holders(self, program: str) -> list[homes_ranking.HomeMember]:
         """Return the other instances that may hold tokens."""
         others = self._drop_self(self._list_reachable())
-        named = set(self._ledger.list_holders(program))
+        named = {name for name, _ in self._ledger.list_holders(program)}
         ranked = heapq.nlargest(
             MOST_RANKED,
             others,
@@ -97,17 +164,14 @@
         return [one for one in others if one.instance in named]
 
     async def _take_over(
-        self,
-        program: str,
-        holder: homes_ranking.HomeMember,
-        repeats: typing.Sequence[float] = peers_module.LASTING_REPEATS,
+        self, program: str, holder: homes_ranking.HomeMember
     ) -> int | None:
         """Take over the tokens of a holder; ``None`` if it is silent."""
         answer = await self._peers.ask(
             holder.address,
             peers_module.HandOver(program),
-            self._timers.now(),
-            repeats,
+            self._timers.now() + ANSWER_PATIENCE,
+            peers_module.LASTING_REPEATS,
         )
         if not isinstance(answer, peers_module.Handed):
             return None
@@ -127,15 +191,15 @@
         former = homes_ranking.find_home(program, others)
         if former is None:
             return
-        # Each first turn of a program waits for this; what a silent instance
-        # holds is asked for again before the budget is called spent.
-        await self._take_over(program, former, peers_module.REPEATS)
+        await self._wait_within(
+            FORMER_PATIENCE, [self._take_over(program, former)]
+        )
 
     async def _transfer(
         self,
         program: str,
         others: typing.Sequence[homes_ranking.HomeMember],
-    ) -> None:
+    ) -> int:
         home = homes_ranking.find_home(program, others)
         # Given up before it is sent: a message that is lost loses tokens,
         # and one that arrives late does not make them count twice.
@@ -146,6 +210,7 @@
             self._timers.now(),
             peers_module.LASTING_REPEATS,
         )
+        return tokens
 
     def _drop_self(
         self, members: typing.Iterable[homes_ranking.HomeMember]
--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -33,9 +33,9 @@
 # the upkeep: a few programs begin on credit at each home, and all homes write
 # in the same moment.
 MOST_CREDITS = 10
-# How many turns given up before they were reserved are remembered: those of
-# the last seconds, some ten a second at one home.
-MOST_GIVEN_UP = 1000
+# How many turns that are over, and programs that others have a part in, are
+# remembered: some ten a second come to one home, and programs last seconds.
+MOST_REMEMBERED = 2000
 # How often a home checks that it runs; a gap shows that it did not. Seconds.
 TICK = 0.25
 
@@ -58,6 +58,16 @@
     await task
 
 
+def _remember(
+    known: collections.OrderedDict[typing.Any, None], key: typing.Any
+) -> None:
+    """Remember a key, and forget the oldest one beyond the bound."""
+    known[key] = None
+    known.move_to_end(key)
+    if len(known) > MOST_REMEMBERED:
+        known.popitem(last=False)
+
+
 class Homes:
     """Reserves and settles with the home of each program."""
 
@@ -82,13 +92,22 @@
         self._began = timer_service.now()
         self._clocks = clocks.Clocks()
         self._holders = holders.Holders(
-            instance, ledger, list_members, list_reachable, timer_service
+            instance,
+            ledger,
+            list_members,
+            list_reachable,
+            timer_service,
+            spawn,
         )
         self._peers: peers_module.Peers | None = None
         self.is_leaving = False
-        # Turns that ended before they were reserved, by program: the asker
-        # gave up, and nobody would settle them later.
-        self._given_up: collections.OrderedDict[tuple[str, str], None] = (
+        # Turns that are over, by program. The question to reserve for one may
+        # still come, late or a second time, and nobody would settle it again.
+        self._ended: collections.OrderedDict[tuple[str, str], None] = (
+            collections.OrderedDict()
+        )
+        # Programs that others have reserved for while this was their home.
+        self._shared: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
 
@@ -236,9 +255,16 @@
         if not is_sure:
             extra = self._allow_for_predecessor(question)
         outcome = await self._reserve_in_ledger(question, until, extra)
-        if outcome is ledger_module.Outcome.SPENT:
-            if await self._holders.collect(question.program):
+        while outcome is ledger_module.Outcome.SPENT:
+            if await self._holders.collect(question.program, until):
                 outcome = await self._reserve_in_ledger(question, until, extra)
+                continue
+            # Turns may have ended while the others were asked.
+            if self._ledger.reserve_now(
+                question.program, question.turn, question.need
+            ):
+                outcome = ledger_module.Outcome.GRANTED
+            break
         if outcome is ledger_module.Outcome.SPENT:
             self._ledger.note_refused(
                 question.program,
@@ -269,8 +295,8 @@
         """
         is_new = not self._ledger.has_account(question.program)
         now = self._timers.now()
-        # A turn that is kept never gets credit, so none was given.
-        may_owe = is_new and question.may_owe
+        # Where all turns are kept nobody ever gets credit.
+        may_owe = is_new and question.may_have_owed
         if may_owe and self._tenure.may_have_been_trouble(now):
             self._ledger.charge(
                 question.program, question.budget, question.need
@@ -308,7 +334,7 @@
 
     def _is_sure(self, program: str) -> bool:
         """Whether no other instance can have granted to the program."""
-        if self.is_leaving:
+        if self.is_leaving or program in self._shared:
             return False
         now = self._timers.now()
         members = self._list_members()
@@ -331,7 +357,8 @@
             question.program, question.turn, question.used
         )
         if not was_reserved:
-            self._note_given_up(question.program, question.turn)
+            _remember(self._shared, question.program)
+        _remember(self._ended, (question.program, question.turn))
         self._clocks.lose(
             question.program,
             question.session,
@@ -343,12 +370,6 @@
                 question.program, question.session, question.target
             )
 
-    def _note_given_up(self, program: str, turn: str) -> None:
-        """Remember a turn that ended before it was reserved here."""
-        self._given_up[program, turn] = None
-        while len(self._given_up) > MOST_GIVEN_UP:
-            self._given_up.popitem(last=False)
-
     def _arrive(self, question: peers_module.Reserve) -> outlook.Slack | None:
         if question.time_left is None:
             return None
@@ -384,9 +405,12 @@
                 self._ledger.deposit(program, tokens)
                 return peers_module.Granted()
             case peers_module.HandOver(program):
+                _remember(self._shared, program)
+                if self._ledger.is_in_doubt(program):
+                    return self._give_up_sure(program)
                 return peers_module.Handed(self._ledger.withdraw(program))
             case peers_module.Reserve(program, _, turn, need):
-                if (program, turn) in self._given_up:
+                if (program, turn) in self._ended:
                     return peers_module.Unable(False)
                 if self._ledger.reserve_now(program, turn, need):
                     self._top_up(question)
@@ -399,6 +423,14 @@
                     return peers_module.Unable(True)
                 return self._reserve_for_other(question)
 
+    async def _give_up_sure(self, program: str) -> peers_module.Answer:
+        """Hand over, once it is known what this instance was granted."""
+        try:
+            await self._ledger.clear_doubt(program)
+        except store_module.StoreError:
+            return peers_module.Unable(True)
+        return peers_module.Handed(self._ledger.withdraw(program))
+
     async def _reserve_for_other(
         self, question: peers_module.Reserve
     ) -> peers_module.Answer:
@@ -409,6 +441,8 @@
             return peers_module.Unable(True)
         if outcome is ledger_module.Outcome.SPENT:
             return peers_module.Spent()
-        if (question.program, question.turn) in self._given_up:
+        if (question.program, question.turn) in self._ended:
+            # The asker has given up meanwhile, and settled it.
             self._ledger.settle(question.program, question.turn, 0)
+            return peers_module.Unable(False)
         return self._grant(question)
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -29,10 +29,8 @@
 # For how long a turn that finds no room waits for others of its program that
 # have reserved some: most turns of sub-agents take less. Seconds.
 SETTLEMENT_PATIENCE = 1.0
-# For how long it is believed that other instances hold nothing of a budget;
-# a program that loops asks some ten times a second. Seconds.
-SEARCH_PAUSE = 0.5
-
+# How long the store is asked what became of a row. Seconds.
+DOUBT_PATIENCE = 0.5
 # How long a grant that no turn waits for is tried for. Seconds.
 TOP_UP_PATIENCE = 2.0
 
@@ -149,23 +147,24 @@
             return False
         return True
 
-    def list_holders(self, program: str) -> tuple[str, ...]:
-        """Return the instances that were granted tokens, as far as known."""
+    def list_holders(self, program: str) -> tuple[tuple[str, str], ...]:
+        """Return who was granted tokens, with the writers of their rows."""
         account = self._accounts.get(program)
         if account is None or account.row is None:
             return ()
         return account.row.holders
 
-    def is_searched(self, program: str) -> bool:
-        """Say whether other holders had nothing a moment ago."""
+    def is_in_doubt(self, program: str) -> bool:
+        """Say whether a row of this instance may be in the store or not."""
         account = self._accounts.get(program)
-        if account is None:
-            return False
-        return self._timers.now() - account.searched_at < SEARCH_PAUSE
+        return account is not None and bool(account.doubted)
 
-    def note_searched(self, program: str) -> None:
-        """Note that other holders have nothing now."""
-        self._open(program).searched_at = self._timers.now()
+    async def clear_doubt(self, program: str) -> None:
+        """Find out which rows of this instance are in the store."""
+        account = self._open(program)
+        until = self._timers.now() + DOUBT_PATIENCE
+        async with account.lock:
+            await self._refresh(account, program, until)
 
     def note_refused(
         self, program: str, budget: int, turn: str, need: int
@@ -201,7 +200,7 @@
         account = self._open(program)
         missing = max(0, need - account.purse.free)
         tokens = grants.plan_credit(
-            budget, account.known, account.owed, missing
+            budget, account.known_at_most, account.owed, missing
         )
         if tokens < missing or account.is_spent:
             return 0
@@ -382,21 +381,22 @@
     async def _return(
         self, account: accounts.Account, program: str, until: float
     ) -> bool:
+        """Give the free tokens back, by one write.
+
+        It is not made again on another instance's row: if the first one took
+        effect and its answer was lost, the tokens would be given twice.
+        """
+        await self._refresh(account, program, until)
+        if account.row is None:
+            return False
         tokens = account.purse.take_free()
-        for _ in range(MOST_CONFLICTS):
-            if not account.is_fresh:
-                await self._refresh(account, program, until)
-            if account.row is None:
-                return False
-            row = grants.plan_return(
-                account.row,
-                tokens - account.owed,
-                self._make_name(),
-                self._timers.wall(),
-            )
-            if await self._write(account, program, row, until):
-                return True
-        return False
+        row = grants.plan_return(
+            account.row,
+            tokens - account.owed,
+            self._make_name(),
+            self._timers.wall(),
+        )
+        return await self._write(account, program, row, until)
 
     async def _write(
         self,
@@ -422,13 +422,9 @@
             self._store, transaction, until, self._timers
         )
         if isinstance(outcome, messages.Committed):
-            account.row = row
-            account.version = outcome.version
-            account.is_fresh = True
-            account.claim(row.writer)
+            account.take_row(self._instance, row, outcome.version)
             return True
         self._take(account, program, outcome.rows)
-        account.doubted.pop(row.writer, None)
         # An earlier try whose answer was lost may have written it.
         return account.row is not None and account.row.writer == row.writer
 
@@ -449,25 +445,21 @@
         program: str,
         rows: tuple[messages.Row, ...],
     ) -> None:
-        account.row = None
-        account.version = 0
-        account.is_fresh = True
+        decoded, version = None, 0
         for row in rows:
             try:
-                account.row = _DECODER.decode(row.value)
+                decoded = _DECODER.decode(row.value)
             except msgspec.DecodeError as error:
                 raise store_module.StoreSilentError(
                     f'budget row {row.where.key}: {error}'
                 ) from error
-            account.version = row.version
-        found = account.row
-        if found is None:
-            return
-        account.claim(found.writer)
-        if not account.received:
-            self._on_decision(
-                accounts.TakenOver(program, found.granted, found.budget)
+            version = row.version
+        account.take_row(self._instance, decoded, version)
+        if decoded is not None and not account.received:
+            taken = accounts.TakenOver(
+                program, decoded.granted, decoded.budget
             )
+            self._on_decision(taken)
 
     def _locate(self, program: str) -> messages.RowKey:
         return messages.RowKey(TABLE, parts.find_part(program), program)
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -24,8 +24,8 @@
 # milliseconds between zones; a busy peer some tens. Seconds.
 REPEATS = (0.02, 0.05, 0.08)
 # The same for what would strand tokens where it is lost: a turn's end, and
-# tokens that change hands. A peer that stands still for a second gets it.
-LASTING_REPEATS = (*REPEATS, 0.2, 0.4, 0.8)
+# tokens that change hands. A peer that stands still for seconds gets it.
+LASTING_REPEATS = (*REPEATS, 0.2, 0.4, 0.8, 1.6, 3.0)
 
 
 class Reserve(msgspec.Struct, frozen=True, array_like=True, tag='R'):
@@ -34,7 +34,8 @@
     ``time_left`` is the program's, in seconds. ``may_owe`` allows credit
     while the store does not answer. A turn that has to be kept gets none: it
     can't go on without the store, and what it got would be lost with its home
-    where all instances end together.
+    where all instances end together. ``may_have_owed`` says whether any turn
+    of the program can have got credit before.
     """
 
     program: str
@@ -45,6 +46,7 @@
     route: str = ''
     time_left: float | None = None
     may_owe: bool = False
+    may_have_owed: bool = True
 
 
 class Settle(msgspec.Struct, frozen=True, array_like=True, tag='S'):
@@ -310,24 +312,33 @@
             self._reply(sender, envelope.number, self._answered[key])
             return
         answer = self._handle(envelope.question)
-        if isinstance(envelope.question, _ONCE):
-            self._answered[key] = answer
-            while len(self._answered) > MOST_KEPT:
-                self._answered.popitem(last=False)
+        is_once = isinstance(envelope.question, _ONCE)
         if not asyncio.iscoroutine(answer):
-            self._reply(sender, envelope.number, answer)
+            self._give(key, answer, is_once)
             return
         self._reply(sender, envelope.number, Pending())
-        task = asyncio.get_running_loop().create_task(self._work(key, answer))
+        task = asyncio.get_running_loop().create_task(
+            self._work(key, answer, is_once)
+        )
         self._working[key] = task
 
+    def _give(
+        self, key: tuple[str, int], answer: Answer, is_once: bool
+    ) -> None:
+        if is_once:
+            self._answered[key] = answer
+            while len(self._answered) > MOST_KEPT:
+                self._answered.popitem(last=False)
+        self._reply(*key, answer)
+
     async def _work(
         self,
         key: tuple[str, int],
         work: typing.Coroutine[typing.Any, typing.Any, Answer],
+        is_once: bool,
     ) -> None:
         try:
-            self._reply(*key, await work)
+            self._give(key, await work, is_once)
         finally:
             del self._working[key]
 
--- a/libs/programs/vanillayoke/programs/grants.py
+++ b/libs/programs/vanillayoke/programs/grants.py
@@ -30,19 +30,21 @@
     answer was lost finds out whether its write took effect. ``time`` is the
     wall time of the write in seconds, for sweeping old rows away.
     ``holders`` are the instances that were granted tokens, the last one at
-    the end: what they do not need any more may still lie there.
+    the end, each with the writer of its last row: what they do not need any
+    more may still lie there, and one whose answer was lost finds its row out
+    also under that of another.
     """
 
     budget: int
     granted: int
     writer: str
     time: float
-    holders: tuple[str, ...] = ()
+    holders: tuple[tuple[str, str], ...] = ()
 
     def add_holder(self, instance: str) -> 'BudgetRow':
         """Return the row with an instance as the last holder."""
-        others = [one for one in self.holders if one != instance]
-        holders = (*others[1 - MOST_HOLDERS :], instance)
+        others = [one for one in self.holders if one[0] != instance]
+        holders = (*others[1 - MOST_HOLDERS :], (instance, self.writer))
         return msgspec.structs.replace(self, holders=holders)
 
 
--- a/libs/soak/vanillayoke/soak/budgets.py
+++ b/libs/soak/vanillayoke/soak/budgets.py
@@ -6,12 +6,12 @@
 from vanillayoke.soak import records
 from vanillayoke.soak import violations
 
-# The share of a budget, at least one turn, that a home which is not sure of a
-# program counts as given on credit by the home before it, where the store was
-# in trouble. Turns that are kept get no credit. Equals CREDIT_SHARE.
-_CREDIT_SHARE = 0.25
 # What was granted to an instance is lost with it, and counted as used.
 _LOSES_GRANTS = frozenset(('kill', 'freeze', 'clock'))
+# Homes that take a program over within so long after trouble of the store
+# count what the ones before may have given on credit, each anew. Seconds.
+_CREDIT_MEMORY = 8.0
+_CHARGES = frozenset(('store', 'link'))
 
 
 def check_budgets(
@@ -42,9 +42,8 @@
     """Find programs told that their budget is spent while a turn still fits.
 
     Turns that a server ran and that did not end whole count at their most,
-    those that reached no server not at all. Programs that an instance may
-    have died with are left out; what may have been given on credit is not
-    held against the product.
+    those that reached no server not at all. Left out are programs that an
+    instance may have died with, and those that may have had credit.
     """
     first: dict[str, float] = {}
     turns: dict[str, list[records.Sent]] = collections.defaultdict(list)
@@ -56,15 +55,16 @@
             )
     found = []
     for sent, answered in history.list_pairs(settled):
-        if answered.status != 402 or history.is_disturbed(
-            first[sent.program], answered.at, _LOSES_GRANTS
+        began = first.get(sent.program, 0.0)
+        if answered.status != 402 or _is_excused(
+            history, sent, began, answered.at
         ):
             continue
         used = sum(
             _find_most_used(history, one, answered.at)
             for one in turns[sent.program]
         )
-        if used + sent.most + _find_credit(sent) <= sent.budget:
+        if used + sent.most <= sent.budget:
             detail = f'{used} of {sent.budget} used, {sent.most} needed'
             found.append(
                 violations.Violation(
@@ -87,8 +87,15 @@
     return len(events) * history.bounds.event_tokens
 
 
-def _find_credit(sent: records.Sent) -> int:
-    """Return the tokens that a program may have got on credit."""
-    if not sent.is_resumable:
-        return 0
-    return max(sent.most, int(sent.budget * _CREDIT_SHARE))
+def _is_excused(
+    history: histories.History,
+    sent: records.Sent,
+    began: float,
+    until: float,
+) -> bool:
+    if history.is_disturbed(began, until, _LOSES_GRANTS):
+        return True
+    # Only turns that are not kept, and so may be resumed here, get credit.
+    return sent.is_resumable and history.is_disturbed(
+        began - _CREDIT_MEMORY, until, _CHARGES
+    )
--- a/tests/gateway/test_credit.py
+++ b/tests/gateway/test_credit.py
@@ -112,6 +112,65 @@
     case.assertGreaterEqual(runs * MOST, 800 - 400)
 
 
+async def test_kept_turn_does_not_hide_credit_of_a_home_that_died(
+    case, site, network
+):
+    """A program has turns of both kinds, and its home dies with its credit.
+
+    The first turn at the next home is kept, so it never had credit itself;
+    what the former home gave to the others still counts.
+    """
+    await site.start(3)
+    await _go_away(site)
+    home = _find_home(site, 'new')
+    other = next(name for name in site.fronts if name != home)
+    for number in range(8):
+        await _turn(site, other, number)
+    sites.kill(site, network, home)
+    await asyncio.sleep(3.0)
+    site.store.mode = store_module.Mode.SERVE
+    await asyncio.sleep(1.0)
+    number = 8
+    await site.turn(other, 'a8', route='chat', program='new', budget=800)
+    while (await _turn(site, other, number + 1)).status == 200:
+        number += 1
+    runs = sum(len(site.list_runs(f'a{n}')) for n in range(number + 2))
+    case.assertLessEqual(runs * MOST, 800 + MOST)
+
+
+async def test_credit_is_not_given_beside_a_grant_in_doubt(case, site):
+    """The store takes a grant, its reply is lost, and then it is away.
+
+    The home must not give on credit what the row may have granted already.
+    """
+    await site.start(1)
+    await site.turn('i1', 'before', route='plan', program='old')
+    ledger = site.fronts['i1']._ledger
+    number = 0
+    while True:
+        number += 1
+        await _turn(site, 'i1', number)
+        account = ledger._accounts['new']
+        if account.known == 600 and account.purse.free == 40:
+            break
+    site.store.lost_replies = 1
+    task = asyncio.ensure_future(_turn(site, 'i1', number + 1))
+    while site.store.lost_replies:
+        case.assertFalse(task.done())
+        await asyncio.sleep(0.001)
+    site.store.mode = store_module.Mode.RESET
+    await task
+    await asyncio.sleep(3.0)
+    for n in range(number + 2, number + 10):
+        await _turn(site, 'i1', n)
+    site.store.mode = store_module.Mode.SERVE
+    await asyncio.sleep(4.0)
+    for n in range(number + 10, number + 40):
+        await _turn(site, 'i1', n)
+    runs = sum(len(site.list_runs(f'a{n}')) for n in range(number + 40))
+    case.assertLessEqual(runs * MOST, 800 + MOST)
+
+
 async def test_spent_program_gets_no_credit_of_a_new_home(case, site, network):
     """A program that was stopped comes back while the store is away.
 
