Kept one home for each program while all instances leave.

Cause: instances that leave are no homes, so where all were told to stop at once each reserved for the turns that came to it. Ruled out: more rounds of collecting (each asker holds a part). Change: where no member is alive, the best of those that leave is the home, and answers. Test: test_program_keeps_one_home_while_all_instances_leave, two of five turns 402 without the change.

--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -90,6 +90,7 @@
         self._on_credit = on_credit
         self._ledger = ledger
         self._list_members = list_members
+        self._list_reachable = list_reachable
         self._timers = timer_service
         self._spawn = spawn
         self._began = timer_service.now()
@@ -152,7 +153,10 @@
         found = self.reserve_here(question)
         if found is not None:
             return found
-        home = homes_ranking.find_home(question.program, self._list_members())
+        # Where all are told to stop, the best of them stays the home: a budget
+        # split over all instances ends in parts too small for a turn.
+        members = self._list_members() or self._list_reachable()
+        home = homes_ranking.find_home(question.program, members)
         if home is not None and home.instance != self._instance:
             answer = await self._ask_home(home, question, until)
             match answer:
@@ -433,7 +437,7 @@
                 if self._ledger.reserve_now(program, turn, need):
                     self._top_up(question)
                     return self._grant(question)
-                if self.is_leaving:
+                if self.is_leaving and self._list_members():
                     return peers_module.Unable(False)
                 if self._ledger.is_closed:
                     if self._give_credit(question):
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -361,6 +361,33 @@
     case.assertTrue(await found)
 
 
+async def test_program_keeps_one_home_while_all_instances_leave(case, site):
+    """All instances are told to stop at once while sub-agents run.
+
+    Each reserved for the turns that came to it, so the budget ended in parts
+    that were too small for a turn, and two of five were told "spent".
+    """
+    await site.start(3)
+    await site.turn('i1', 'first', program='new', budget=320, most=MOST)
+    for front in site.fronts.values():
+        front._members.leave()
+        front._homes.is_leaving = True
+    await asyncio.sleep(0.5)
+    answers = await asyncio.gather(
+        *(
+            site.turn(
+                f'i{1 + number % 3}',
+                f'a{number}',
+                program='new',
+                budget=320,
+                most=MOST,
+            )
+            for number in range(5)
+        )
+    )
+    case.assertEqual([200] * 5, [answer.status for answer in answers])
+
+
 async def test_two_that_lack_a_little_do_not_take_it_from_each_other(
     case, site
 ):
