Charged credit only to turns that may have had some.

The mend so far left this in where any route has turns that get credit. Ruled out: charging once by a mark in the row (two grants and a charge are still over 500 and one turn). Change: a home that takes a program over behind trouble remembers it, and charges with its first turn that may owe, before any other reservation for that. Open: a program with turns of both kinds, whose home dies with credit not written down and which then has kept turns only, can get that quarter on top.

--- a/libs/gateway/vanillayoke/gateway/catalog.py
+++ b/libs/gateway/vanillayoke/gateway/catalog.py
@@ -19,9 +19,6 @@
     def __init__(self) -> None:
         self.configuration: messages.Configuration | None = None
         self.has_targets = False
-        # Whether any route ever had turns that may run without the store, and
-        # so on credit.
-        self.may_owe = False
         self._targets: dict[str, messages.Target] = {}
         self._versions: dict[str, int] = {}
         self._missing: dict[str, float] = {}
@@ -34,10 +31,6 @@
         if now is not None and new.version <= now.version:
             return False
         self.configuration = new
-        self.may_owe |= any(
-            route.kind is messages.RouteKind.STREAM and not route.keeps_history
-            for route in new.routes
-        )
         self._routes = {}
         for route in new.routes:
             self._routes.setdefault(route.host, []).append(route)
--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -110,6 +110,11 @@
         self._ended: collections.OrderedDict[tuple[str, str], None] = (
             collections.OrderedDict()
         )
+        # Programs that came here behind trouble of the store: the home before
+        # may have given them credit.
+        self._uncharged: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         # Programs that others have reserved for while this was their home.
         self._shared: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -136,6 +141,7 @@
         It was granted as the program's home or in place of it.
         """
         self._tenure.note_program()
+        self._charge(question)
         if not self._ledger.reserve_now(
             question.program, question.turn, question.need
         ):
@@ -317,13 +323,22 @@
         """
         is_new = not self._ledger.has_account(question.program)
         now = self._timers.now()
-        # Where all turns are kept nobody ever gets credit.
-        may_owe = is_new and question.may_have_owed
-        if may_owe and self._tenure.may_have_been_trouble(now):
+        if is_new and self._tenure.may_have_been_trouble(now):
+            _remember(self._uncharged, question.program)
+        self._charge(question)
+        return question.need
+
+    def _charge(self, question: peers_module.Reserve) -> None:
+        """Count what the home before may have given, once it matters.
+
+        Turns that are kept get no credit. Charged for it, a new program of
+        theirs is told "spent" before its first turn once a home or two died.
+        """
+        if question.may_owe and question.program in self._uncharged:
+            del self._uncharged[question.program]
             self._ledger.charge(
                 question.program, question.budget, question.need
             )
-        return question.need
 
     async def _reserve_soon(self, question: peers_module.Reserve) -> bool:
         """Reserve from the store if it answers soon, else on credit."""
@@ -434,6 +449,7 @@
             case peers_module.Reserve(program, _, turn, need):
                 if (program, turn) in self._ended:
                     return peers_module.Unable(False)
+                self._charge(question)
                 if self._ledger.reserve_now(program, turn, need):
                     self._top_up(question)
                     return self._grant(question)
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -34,8 +34,7 @@
     ``time_left`` is the program's, in seconds. ``may_owe`` allows credit
     while the store does not answer. A turn that has to be kept gets none: it
     can't go on without the store, and what it got would be lost with its home
-    where all instances end together. ``may_have_owed`` says whether any turn
-    of the program can have got credit before.
+    where all instances end together.
     """
 
     program: str
@@ -46,7 +45,6 @@
     route: str = ''
     time_left: float | None = None
     may_owe: bool = False
-    may_have_owed: bool = True
 
 
 class Settle(msgspec.Struct, frozen=True, array_like=True, tag='S'):
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -150,7 +150,6 @@
             progress.route.name,
             program.time_left,
             not progress.route.keeps_history,
-            self._parts.catalog.may_owe,
         )
         found = self._parts.homes.reserve_here(question)
         asked = 0
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -9,14 +9,11 @@
 
 import msgspec
 
-from tests.gateway import site as site_module
 from tests.gateway import sites
-from vanillayoke.adapter import fields
 from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import ledger as ledger_module
 from vanillayoke.gateway import peers
 from vanillayoke.gateway import store as store_client
-from vanillayoke.standins import calls
 from vanillayoke.testing import fixtures
 
 BUDGET = 175
@@ -99,23 +96,17 @@
     case.assertEqual(200, answer.status)
 
 
-async def test_no_credit_is_charged_where_all_turns_are_kept(
-    case, site, network
-):
+async def test_kept_program_is_not_charged_for_credit(case, site, network):
     """A store that was slow at the start costs a new program its budget.
 
     Homes that see trouble of the store count what their predecessor may have
-    given on credit. Where all turns are kept nobody gets any, yet each new
-    home charged it anew.
+    given on credit. Turns that are kept never get any, yet each new home
+    charged them anew. Seen in a whole play of a large deployment: programs
+    behind a loss of all power were told "spent" for ten seconds, by rows of
+    four turns of which none had run.
     """
     program = _find_program('i3', 'i2')
     await _lose_all(site, network)
-    kept = [route for route in site_module.ROUTES if route['name'] != 'plan']
-    site.store.put(
-        fields.CONFIGURATION_TABLE,
-        fields.CONFIGURATION_KEY,
-        calls.make_configuration(2, kept),
-    )
     site.store.delay = 0.2
     await site.add_front('i2')
     await asyncio.sleep(2.0)
