Followed the tokens of a budget to whoever got them while all instances leave.

Cause: while all instances are told to stop they differ about who stays. Ruled out by a trace of all messages: tokens lost on the way, holders that did not answer. Tried and reverted: passing tokens on to the best of those that leave; what reaches one that ends is lost, where it went back to the store. Change: each instance remembers who got a program's tokens and tells a search, which goes on there. Giving back at the stop no longer waits for an account that something else is at work on (a test held it for 20 s).

--- a/libs/gateway/vanillayoke/gateway/holders.py
+++ b/libs/gateway/vanillayoke/gateway/holders.py
@@ -36,6 +36,11 @@
 # times a second. Seconds.
 SEARCH_PAUSE = 0.5
 MOST_SEARCHES = 1000
+# How many programs are remembered that others got tokens of, and how many of
+# these others: an instance that stops keeps some hundred programs and answers
+# for seconds more, and the homes that a program has in that time are few.
+MOST_HANDED_ON = 2000
+MOST_RECEIVERS = 4
 
 
 class _Search(typing.NamedTuple):
@@ -73,6 +78,9 @@
         self._searches: collections.OrderedDict[str, _Search] = (
             collections.OrderedDict()
         )
+        self._receivers: collections.OrderedDict[str, tuple[str, ...]] = (
+            collections.OrderedDict()
+        )
 
     def use(self, peers: peers_module.Peers) -> None:
         """Ask other instances through this from now on."""
@@ -93,6 +101,28 @@
             )
         return len(programs)
 
+    def give_up(self, program: str, asker: str) -> peers_module.Handed:
+        """Give what is free to an asker, and say who got what was here.
+
+        While all instances leave they differ about who stays, and tokens go
+        to instances that no row names and that rank too low to be asked by
+        themselves. A search follows them from those that are.
+        """
+        before = self._receivers.get(program, ())
+        tokens = self._ledger.withdraw(program)
+        if tokens > 0 and asker:
+            self._note_receiver(program, asker)
+        return peers_module.Handed(tokens, before)
+
+    def _note_receiver(self, program: str, receiver: str) -> None:
+        others = [
+            one for one in self._receivers.get(program, ()) if one != receiver
+        ]
+        self._receivers[program] = (*others[1 - MOST_RECEIVERS :], receiver)
+        self._receivers.move_to_end(program)
+        if len(self._receivers) > MOST_HANDED_ON:
+            self._receivers.popitem(last=False)
+
     async def collect(self, program: str, until: float) -> bool:
         """Take over what other instances hold of a budget; say if any did.
 
@@ -132,8 +162,9 @@
     async def _search(self, program: str, patience: float) -> bool:
         """Ask all that may hold tokens; say if any did."""
         holders = self._find_holders(program)
+        asked = {self._instance, *(one.instance for one in holders)}
         found = await self._wait_within(
-            patience, [self._take_over(program, one) for one in holders]
+            patience, [self._take_over(program, one, asked) for one in holders]
         )
         silent = tuple(
             one.instance
@@ -172,15 +203,38 @@
             key=lambda one: homes_ranking.find_score(program, one.instance),
         )
         named.update(one.instance for one in ranked)
+        named.update(self._receivers.get(program, ()))
         return [one for one in others if one.instance in named]
 
     async def _take_over(
-        self, program: str, holder: homes_ranking.HomeMember
+        self, program: str, holder: homes_ranking.HomeMember, asked: set[str]
     ) -> int | None:
-        """Take over the tokens of a holder; ``None`` if it is silent."""
+        """Take over the tokens of a holder and of those it gave some to.
+
+        ``asked`` names who is left out, and grows. Return ``None`` if one is
+        silent and nothing was got.
+        """
+        answer = await self._ask_for_tokens(program, holder)
+        if answer is None:
+            return None
+        further = [
+            one
+            for one in self._list_reachable()
+            if one.instance in answer.receivers and one.instance not in asked
+        ]
+        asked.update(one.instance for one in further)
+        found = await asyncio.gather(
+            *(self._take_over(program, one, asked) for one in further)
+        )
+        taken = answer.tokens + sum(filter(None, found))
+        return None if not taken and None in found else taken
+
+    async def _ask_for_tokens(
+        self, program: str, holder: homes_ranking.HomeMember
+    ) -> peers_module.Handed | None:
         answer = await self._peers.ask(
             holder.address,
-            peers_module.HandOver(program),
+            peers_module.HandOver(program, self._instance),
             self._timers.now() + ANSWER_PATIENCE,
             peers_module.LASTING_REPEATS,
         )
@@ -188,7 +242,7 @@
             return None
         if answer.tokens > 0:
             self._ledger.deposit(program, answer.tokens)
-        return answer.tokens
+        return answer
 
     async def ask_former_home(self, program: str) -> None:
         """Ask the former home of a program for what it still has.
@@ -203,7 +257,8 @@
         if former is None:
             return
         await self._wait_within(
-            FORMER_PATIENCE, [self._take_over(program, former)]
+            FORMER_PATIENCE,
+            [self._take_over(program, former, {self._instance})],
         )
 
     async def _transfer(
@@ -215,6 +270,7 @@
         # Given up before it is sent: a message that is lost loses tokens,
         # and one that arrives late does not make them count twice.
         tokens = self._ledger.withdraw(program)
+        self._note_receiver(program, home.instance)
         await self._peers.ask(
             home.address,
             peers_module.Transfer(program, tokens),
--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -441,11 +441,11 @@
             case peers_module.Transfer(program, tokens):
                 self._ledger.deposit(program, tokens)
                 return peers_module.Granted()
-            case peers_module.HandOver(program):
+            case peers_module.HandOver(program, asker):
                 _remember(self._shared, program)
                 if self._ledger.is_in_doubt(program):
-                    return self._give_up_sure(program)
-                return peers_module.Handed(self._ledger.withdraw(program))
+                    return self._give_up_sure(program, asker)
+                return self._holders.give_up(program, asker)
             case peers_module.Reserve(program, _, turn, need):
                 if (program, turn) in self._ended:
                     return peers_module.Unable(False)
@@ -461,13 +461,15 @@
                     return peers_module.Unable(True)
                 return self._reserve_for_other(question)
 
-    async def _give_up_sure(self, program: str) -> peers_module.Answer:
+    async def _give_up_sure(
+        self, program: str, asker: str
+    ) -> peers_module.Answer:
         """Hand over, once it is known what this instance was granted."""
         try:
             await self._ledger.clear_doubt(program)
         except store_module.StoreError:
             return peers_module.Unable(True)
-        return peers_module.Handed(self._ledger.withdraw(program))
+        return self._holders.give_up(program, asker)
 
     async def _reserve_for_other(
         self, question: peers_module.Reserve
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -329,19 +329,21 @@
     async def give_back(self, until: float) -> int:
         """Return what was granted and is not reserved; count the programs.
 
-        A store that fails meanwhile keeps the rest counted as granted.
+        A store that fails meanwhile keeps the rest counted as granted, and so
+        does an account that something else is at work on for too long: the
+        process would outlive the time that its stop may take.
         """
         returned = 0
-        for program, account in list(self._accounts.items()):
-            if account.purse.free <= 0:
-                continue
-            if self._timers.now() >= until:
-                break
-            async with account.lock:
-                try:
-                    returned += await self._return(account, program, until)
-                except store_module.StoreError:
-                    break
+        try:
+            async with asyncio.timeout(max(0.0, until - self._timers.now())):
+                for program, account in list(self._accounts.items()):
+                    if account.purse.free > 0:
+                        async with account.lock:
+                            returned += await self._return(
+                                account, program, until
+                            )
+        except (TimeoutError, store_module.StoreError):
+            return returned
         return returned
 
     def _open(self, program: str) -> accounts.Account:
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -70,9 +70,13 @@
 
 
 class HandOver(msgspec.Struct, frozen=True, array_like=True, tag='H'):
-    """Give up what is free for a program that the asker now keeps."""
+    """Give up what is free for a program that the asker now keeps.
+
+    ``asker`` is the instance that asks.
+    """
 
     program: str
+    asker: str = ''
 
 
 class Count(msgspec.Struct, frozen=True, array_like=True, tag='C'):
@@ -109,9 +113,13 @@
 
 
 class Handed(msgspec.Struct, frozen=True, array_like=True, tag='D'):
-    """The tokens given up; they are the asker's now."""
+    """The tokens given up; they are the asker's now.
+
+    ``receivers`` are instances that got what the answering one had before.
+    """
 
     tokens: int
+    receivers: tuple[str, ...] = ()
 
 
 class Granted(msgspec.Struct, frozen=True, array_like=True, tag='G'):
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -6,6 +6,7 @@
 from vanillayoke.core import timers
 from vanillayoke.testing import fixtures
 from vanillayoke.testing import networks
+from vanillayoke.transport import client
 
 
 @fixtures.fixture
@@ -31,6 +32,21 @@
         return error
 
 
+async def try_turn(site, instance, request, program, budget, most, route):
+    """Return the answer to a turn; ``None`` if the connection failed."""
+    try:
+        return await site.turn(
+            instance,
+            request,
+            program=program,
+            budget=budget,
+            most=most,
+            route=route,
+        )
+    except (client.TransportError, OSError):
+        return None
+
+
 def kill(site, network, name):
     """End an instance at once, as a loss of power does."""
     front = site.fronts.pop(name)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -279,4 +279,28 @@
     case.assertEqual([40] * 4, granted)
 
 
+async def test_stop_does_not_wait_for_an_account_at_work(case, site):
+    """An instance was killed in its planned stop, and cut its callers off.
+
+    At its end it gave back what it held of budgets. One of these was still
+    being asked for at a store that took seconds, and the stop waited.
+    """
+    await site.start(1)
+    front = site.fronts['i1']
+    ledger = front._ledger
+    await site.turn('i1', 'a', route='plan', program='p', budget=400)
+    await sites.settle()
+    asking = asyncio.ensure_future(_hold(ledger._accounts['p'].lock, 20.0))
+    began = site.timers.now()
+    await front.stop()
+    asking.cancel()
+    grace = front.settings.bounds.grace
+    case.assertLess(site.timers.now() - began, grace)
+
+
+async def _hold(lock, seconds):
+    async with lock:
+        await asyncio.sleep(seconds)
+
+
 load_tests = fixtures.adapt(__name__, [sites])
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -379,6 +379,64 @@
     case.assertEqual([200] * 5, [answer.status for answer in answers])
 
 
+async def _use_a_part(front, program):
+    """Grant an instance a whole budget, of which one turn uses some."""
+    ledger, until = front._ledger, front._timers.now() + 1.0
+    await ledger.reserve(program, BUDGET, 'first', BUDGET, until)
+    ledger.settle(program, 'first', 40)
+
+
+async def _send_turns(site, program):
+    """Send turns that the rest of the budget holds; return the answers."""
+    return [
+        await site.turn(
+            name, site.name_request(), program=program, budget=BUDGET, most=60
+        )
+        for name in ('i2', 'i3', 'i2')
+    ]
+
+
+async def test_last_one_to_leave_gives_what_it_was_handed(case, site):
+    """All instances are told to stop, one shortly behind the others.
+
+    A program's sub-agents were told "spent" with half of the budget unused.
+    The home handed its tokens to the one that still stayed, which ranked last
+    for the program. That one was told to stop too, found nobody who stays and
+    kept them, where the next home did not look for them.
+    """
+    program = _find_program('i1', 'i2', 'i3', 'i4')
+    await site.start(4)
+    fronts = list(site.fronts.values())
+    await _use_a_part(fronts[0], program)
+    for leaving in (fronts[:3], fronts[3:]):
+        for front in leaving:
+            front._members.leave()
+            front._homes.is_leaving = True
+        await asyncio.sleep(0.5)
+        for front in leaving:
+            await front._homes.hand_over()
+    answers = await _send_turns(site, program)
+    case.assertEqual([200] * 3, [answer.status for answer in answers])
+
+
+async def test_tokens_that_were_collected_are_found_again(case, site):
+    """Instances that all leave collect a budget from one another.
+
+    Each takes itself for the home for a moment. The last one that did had
+    never written the budget's row, ranked low, and kept what it collected:
+    the others were told "spent" while it had room for three turns.
+    """
+    program = _find_program('i1', 'i2', 'i3', 'i4')
+    await site.start(4)
+    await _use_a_part(site.fronts['i1'], program)
+    until = site.timers.now() + 1.0
+    for name in ('i2', 'i4'):
+        holders = site.fronts[name]._homes._holders
+        case.assertTrue(await holders.collect(program, until))
+    answers = await _send_turns(site, program)
+    case.assertEqual([200] * 3, [answer.status for answer in answers])
+
+
 async def test_two_that_lack_a_little_do_not_take_it_from_each_other(
     case, site
 ):
