Held kept turns to their whole budget in the soak's check.

The check 'budget not withheld' allowed for one charge of credit on all routes; turns that are kept are not charged any more, so theirs is 0 now. Stricter: a second turn of 40 under a budget of 80 must be served (was 120).

--- a/libs/soak/vanillayoke/soak/budgets.py
+++ b/libs/soak/vanillayoke/soak/budgets.py
@@ -65,7 +65,7 @@
             _find_most_used(history, one, answered.at)
             for one in turns[sent.program]
         )
-        charge = max(sent.most, int(sent.budget * _CHARGE_SHARE))
+        charge = _find_charge(sent)
         # One charge leaves room for a turn in every budget.
         if not used or used + charge + sent.most <= sent.budget:
             detail = f'{used} of {sent.budget} used, {sent.most} needed'
@@ -77,6 +77,14 @@
     return found
 
 
+def _find_charge(sent: records.Sent) -> int:
+    """Return what may have been counted as given on credit."""
+    if not sent.is_resumable:
+        # These routes keep their turns, and such turns get no credit.
+        return 0
+    return max(sent.most, int(sent.budget * _CHARGE_SHARE))
+
+
 def _find_most_used(
     history: histories.History, sent: records.Sent, at: float
 ) -> int:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -154,25 +154,28 @@
 
 
 def test_budget_that_is_withheld_is_found(case):
-    """One turn of 40 tokens ran under a budget of 100 and a charge of 40.
+    """One turn of 40 tokens ran, and a second one is refused.
 
-    A second one of a budget of 120 fits, one of 100 does not, and a first one
-    always does. Where an instance was killed or the store was in trouble
-    meanwhile, what it had been granted or charged may be lost.
+    A budget of 80 holds both; of turns that may get credit 40 more may have
+    been charged for it. A first turn always fits. Where an instance was
+    killed or the store was in trouble meanwhile, what it had been granted or
+    charged may be lost.
     """
 
-    def refuse(budget, *others):
+    def refuse(budget, *others, may_owe=False):
         whole = (
-            _turn('t1', budget=budget),
+            _turn('t1', budget=budget, is_resumable=may_owe),
             _start_turn('t1'),
             _answer('t1', body=_stream('t1')),
         )
-        refused = _turn('t2', at=3.0, budget=budget)
+        refused = _turn('t2', at=3.0, budget=budget, is_resumable=may_owe)
         answer = _answer('t2', 402, '', at=4.0)
         return _check(*whole, refused, answer, *others)
 
-    case.assertEqual(['budget not withheld'], refuse(120))
-    case.assertEqual([], refuse(100))
+    case.assertEqual(['budget not withheld'], refuse(80))
+    case.assertEqual([], refuse(79))
+    case.assertEqual(['budget not withheld'], refuse(120, may_owe=True))
+    case.assertEqual([], refuse(100, may_owe=True))
     for kind in ('kill', 'store_mute'):
         fault = records.Disturbed(0.5, 1.5, kind, 'i1')
         case.assertEqual([], refuse(120, fault))
