Took calls that ran out of patience behind an outage for no new one.

Cause: probes sent into a silent store time out 2.5 s later, also behind its return. Three of them with no answer between make the store count as away; an instance among 195 has next to no other calls. Ruled out: a second outage (relayed calls and other instances' calls were answered meanwhile). Change: a failed call that was sent before the last answer says nothing of the whole store. Its test was red without the change.

--- a/libs/gateway/vanillayoke/gateway/availability.py
+++ b/libs/gateway/vanillayoke/gateway/availability.py
@@ -31,6 +31,8 @@
         self.is_away = False
         self.away_since = float('-inf')
         self.returned_at = float('-inf')
+        # When a call was last answered.
+        self._answered_at = float('-inf')
         # When parts were last seen to fail together.
         self.disturbed_at = float('-inf')
         # How long the last outages lasted, in seconds.
@@ -47,6 +49,7 @@
 
     def note_success(self, part: str, now: float) -> bool:
         """Take that a part answered; say if the store is back with it."""
+        self._answered_at = now
         self._known_bad.update(dict.fromkeys(self._failed, now))
         self._known_bad.pop(part, None)
         self._failed.clear()
@@ -59,15 +62,25 @@
         return True
 
     def note_failure(
-        self, part: str, now: float, is_rate: bool = False
+        self,
+        part: str,
+        now: float,
+        is_rate: bool = False,
+        began: float | None = None,
     ) -> bool:
         """Take that a part failed; say if the store is away with it.
 
         ``is_rate`` says that it refused for too many calls: that is no
-        disturbance for those who write there.
+        disturbance for those who write there. ``began`` is when the call was
+        sent, now if it is left out.
         """
         if not is_rate:
             self._note_part(part, now)
+        if began is not None and began < self._answered_at:
+            # Calls into a silence run out of patience for seconds behind the
+            # store's return. An instance with little to do has no answers
+            # between them: it would take the store for gone once more.
+            return False
         if now - self._known_bad.get(part, float('-inf')) < KNOWN_BAD:
             self._known_bad[part] = now
             return False
--- a/libs/gateway/vanillayoke/gateway/store.py
+++ b/libs/gateway/vanillayoke/gateway/store.py
@@ -377,7 +377,7 @@
     ) -> None:
         now = self._timers.now()
         self._observer.on_call(kind, outcome, now - began)
-        if self.availability.note_failure(part, now, is_rate):
+        if self.availability.note_failure(part, now, is_rate, began):
             self._returned.clear()
             self._lost.set()
             self._observer.on_change(False)
--- a/tests/gateway/test_availability.py
+++ b/tests/gateway/test_availability.py
@@ -34,6 +34,26 @@
     case.assertEqual(4.0, store.returned_at)
 
 
+def test_old_calls_that_fail_are_no_new_outage(case, store):
+    """Turns were refused for two seconds behind the end of an outage.
+
+    The store had been silent. Probes sent into the silence ran out of
+    patience one after another, seconds behind its return, and an instance
+    with little other work took them for the next outage.
+    """
+    for number in range(3):
+        store.note_failure(f'a{number}', 1.0, began=0.5)
+    case.assertTrue(store.is_away)
+    store.note_success('b', 6.0)
+    for number in range(10):
+        at = 6.1 + number / 4
+        store.note_failure(f'c{number}', at, began=at - 2.5)
+    case.assertFalse(store.is_away)
+    for number in range(3):
+        store.note_failure(f'd{number}', 9.0, began=8.5)
+    case.assertTrue(store.is_away)
+
+
 def test_third_of_the_parts_down_is_seldom_taken_for_an_outage(case, store):
     """Calls go to random parts while a third of them refuse.
 
