Kept budgets together while many instances start.

Cause: behind a loss of all power 195 instances differ for seconds about who lives. Three ways: a search that found tokens which another home took back at once counted as one that found nothing; holders that count as failed, because they started a little later, were not asked; a home that does not answer was replaced by each asker itself, so the budget was split among them. Ruled out: lost grants (holders named in the rows were alive). Change: only searches that found nothing are remembered; holders that count as failed are asked too, without waiting for them; a silent home is passed over for a second and all ask the same next one. Three tests, red without it.

--- a/libs/gateway/vanillayoke/gateway/front.py
+++ b/libs/gateway/vanillayoke/gateway/front.py
@@ -15,6 +15,7 @@
 from vanillayoke.gateway import followed
 from vanillayoke.gateway import histories
 from vanillayoke.gateway import homes as homes_module
+from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import ledger as ledger_module
 from vanillayoke.gateway import measures as measures_module
 from vanillayoke.gateway import members as members_module
@@ -211,8 +212,11 @@
         self._homes = homes_module.Homes(
             settings.instance,
             self._ledger,
-            lambda: self._members.list_homes(),
-            lambda: self._members.list_reachable(),
+            homes_ranking.Roster(
+                lambda: self._members.list_homes(),
+                lambda: self._members.list_reachable(),
+                lambda: self._members.list_failed(),
+            ),
             self._timers,
             self._spawn,
             self._tenure,
--- a/libs/gateway/vanillayoke/gateway/holders.py
+++ b/libs/gateway/vanillayoke/gateway/holders.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import collections
-import heapq
 import typing
 
 from vanillayoke.core import timers
@@ -62,15 +61,13 @@
         self,
         instance: str,
         ledger: ledger_module.Ledger,
-        list_members: homes_ranking.ListMembers,
-        list_reachable: homes_ranking.ListMembers,
+        roster: homes_ranking.Roster,
         timer_service: timers.TimerService,
         spawn: typing.Callable[[typing.Coroutine], None],
     ) -> None:
         self._instance = instance
         self._ledger = ledger
-        self._list_members = list_members
-        self._list_reachable = list_reachable
+        self._roster = roster
         self._timers = timer_service
         self._spawn = spawn
         self._peers: peers_module.Peers | None = None
@@ -92,7 +89,7 @@
         For an instance that stops; no call to the store is needed. Returns
         the number of programs.
         """
-        others = self._drop_self(self._list_members())
+        others = self._drop_self(self._roster.list_homes())
         programs = self._ledger.list_programs()
         if others:
             await self._wait_within(
@@ -161,8 +158,10 @@
 
     async def _search(self, program: str, patience: float) -> bool:
         """Ask all that may hold tokens; say if any did."""
-        holders = self._find_holders(program)
+        named = self._name_holders(program)
+        holders = self._find_holders(program, named)
         asked = {self._instance, *(one.instance for one in holders)}
+        self._ask_failed(program, named, asked)
         found = await self._wait_within(
             patience, [self._take_over(program, one, asked) for one in holders]
         )
@@ -171,11 +170,16 @@
             for one, tokens in zip(holders, found, strict=True)
             if tokens is None
         )
+        if any(found):
+            # Another one may take it back at once: that is no reason to call
+            # the budget spent without a further search.
+            self._searches.pop(program, None)
+            return True
         self._searches[program] = _Search(self._timers.now(), silent)
         self._searches.move_to_end(program)
         if len(self._searches) > MOST_SEARCHES:
             self._searches.popitem(last=False)
-        return any(found)
+        return False
 
     async def _wait_within(
         self,
@@ -193,18 +197,33 @@
             await asyncio.wait(tasks, timeout=patience)
         return [one.result() if one.done() else None for one in tasks]
 
-    def _find_holders(self, program: str) -> list[homes_ranking.HomeMember]:
+    def _name_holders(self, program: str) -> set[str]:
+        """Return the instances that are known to have been given tokens."""
+        granted = (name for name, _ in self._ledger.list_holders(program))
+        return {*granted, *self._receivers.get(program, ())}
+
+    def _find_holders(
+        self, program: str, named: set[str]
+    ) -> list[homes_ranking.HomeMember]:
         """Return the other instances that may hold tokens."""
-        others = self._drop_self(self._list_reachable())
-        named = {name for name, _ in self._ledger.list_holders(program)}
-        ranked = heapq.nlargest(
-            MOST_RANKED,
-            others,
-            key=lambda one: homes_ranking.find_score(program, one.instance),
-        )
-        named.update(one.instance for one in ranked)
-        named.update(self._receivers.get(program, ()))
-        return [one for one in others if one.instance in named]
+        others = self._drop_self(self._roster.list_reachable())
+        ranked = homes_ranking.list_best(program, others, MOST_RANKED)
+        wanted = named.union(one.instance for one in ranked)
+        return [one for one in others if one.instance in wanted]
+
+    def _ask_failed(
+        self, program: str, named: set[str], asked: set[str]
+    ) -> None:
+        """Ask holders that count as failed, without waiting for them.
+
+        While many instances start at once, each takes those that start a
+        little later for failed, and hears seconds later that they live. What
+        they give is there before a second search has confirmed the first.
+        """
+        for one in self._roster.list_failed():
+            if one.instance in named and one.instance not in asked:
+                asked.add(one.instance)
+                self._spawn(self._take_over(program, one, asked))
 
     async def _take_over(
         self, program: str, holder: homes_ranking.HomeMember, asked: set[str]
@@ -219,7 +238,7 @@
             return None
         further = [
             one
-            for one in self._list_reachable()
+            for one in self._roster.list_reachable()
             if one.instance in answer.receivers and one.instance not in asked
         ]
         asked.update(one.instance for one in further)
@@ -252,7 +271,7 @@
         """
         if self._ledger.has_account(program):
             return
-        others = self._drop_self(self._list_members())
+        others = self._drop_self(self._roster.list_homes())
         former = homes_ranking.find_home(program, others)
         if former is None:
             return
--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import math
 import typing
 
 from vanillayoke.core import timers
@@ -39,6 +40,12 @@
 # How many turns that are over, and programs that others have a part in, are
 # remembered: some ten a second come to one home, and programs last seconds.
 MOST_REMEMBERED = 2000
+# How many homes of a program are asked: the second one where the first does
+# not answer or leaves, as while many instances stop or start.
+MOST_ASKED = 2
+# For how long a home that did not answer is passed over. It is found to have
+# failed some two seconds later. Seconds.
+SILENCE = 1.0
 # How often a home checks that it runs; a gap shows that it did not. Seconds.
 TICK = 0.25
 
@@ -78,8 +85,7 @@
         self,
         instance: str,
         ledger: ledger_module.Ledger,
-        list_members: homes_ranking.ListMembers,
-        list_reachable: homes_ranking.ListMembers,
+        roster: homes_ranking.Roster,
         timer_service: timers.TimerService,
         spawn: typing.Callable[[typing.Coroutine], None],
         tenure: tenure_module.Tenure,
@@ -89,8 +95,7 @@
         self._tenure = tenure
         self._on_credit = on_credit
         self._ledger = ledger
-        self._list_members = list_members
-        self._list_reachable = list_reachable
+        self._roster = roster
         self._timers = timer_service
         self._spawn = spawn
         self._began = timer_service.now()
@@ -98,13 +103,14 @@
         self._holders = holders.Holders(
             instance,
             ledger,
-            list_members,
-            list_reachable,
+            roster,
             timer_service,
             spawn,
         )
         self._peers: peers_module.Peers | None = None
         self.is_leaving = False
+        # When homes were last asked in vain, by instance.
+        self._silent: dict[str, float] = {}
         # Turns that are over, by program. The question to reserve for one may
         # still come, late or a second time, and nobody would settle it again.
         self._ended: collections.OrderedDict[tuple[str, str], None] = (
@@ -159,11 +165,9 @@
         found = self.reserve_here(question)
         if found is not None:
             return found
-        # Where all are told to stop, the best of them stays the home: a budget
-        # split over all instances ends in parts too small for a turn.
-        members = self._list_members() or self._list_reachable()
-        home = homes_ranking.find_home(question.program, members)
-        if home is not None and home.instance != self._instance:
+        for home in self._list_homes(question.program):
+            if home.instance == self._instance:
+                break
             answer = await self._ask_home(home, question, until)
             match answer:
                 case peers_module.Granted(slack, target):
@@ -174,10 +178,28 @@
                     raise store_module.StoreRefusedError(
                         f'{home.instance} could not ask the store'
                     )
+                case peers_module.Pending():
+                    break
         outcome = await self._reserve_apart(question, until)
         is_granted = outcome is ledger_module.Outcome.GRANTED
         return self._make_reservation(question)._replace(is_granted=is_granted)
 
+    def _list_homes(self, program: str) -> list[homes_ranking.HomeMember]:
+        """Return the best homes, those that were silent a moment ago left out.
+
+        All that miss a home ask the same next one. Each for itself would
+        split the budget into parts that are too small for a turn. Where all
+        are told to stop, the best of them stays the home.
+        """
+        now = self._timers.now()
+        members = self._roster.list_homes() or self._roster.list_reachable()
+        answering = [
+            one
+            for one in members
+            if now - self._silent.get(one.instance, -math.inf) >= SILENCE
+        ]
+        return homes_ranking.list_best(program, answering, MOST_ASKED)
+
     async def _ask_home(
         self,
         home: homes_ranking.HomeMember,
@@ -189,11 +211,13 @@
         The home may have reserved, or do so later; nobody else would ever
         end a turn that goes on elsewhere or not at all.
         """
-        answer = None
+        answer = peers_module.Pending()
         try:
             answer = await self._peers.ask(home.address, question, until)
-        finally:
             if answer is None:
+                self._silent[home.instance] = self._timers.now()
+        finally:
+            if answer in (None, peers_module.Pending()):
                 given_up = peers_module.Settle(
                     question.program, question.turn, 0, question.session
                 )
@@ -242,9 +266,16 @@
     def prune(self) -> None:
         """Forget what has ended."""
         self._ledger.prune()
+        self._forget_silent()
         self.record_credit()
         self._clocks.prune(self._timers.now())
 
+    def _forget_silent(self) -> None:
+        limit = self._timers.now() - SILENCE
+        self._silent = {
+            name: at for name, at in self._silent.items() if at > limit
+        }
+
     def record_credit(self) -> None:
         """Write down what was given on credit, if the store answers.
 
@@ -374,7 +405,7 @@
         if self.is_leaving or program in self._shared:
             return False
         now = self._timers.now()
-        members = self._list_members()
+        members = self._roster.list_homes()
         self._tenure.note_members((one.instance for one in members), now)
         home = homes_ranking.find_home(program, members)
         if home is None or home.instance != self._instance:
@@ -453,7 +484,7 @@
                 if self._ledger.reserve_now(program, turn, need):
                     self._top_up(question)
                     return self._grant(question)
-                if self.is_leaving and self._list_members():
+                if self.is_leaving and self._roster.list_homes():
                     return peers_module.Unable(False)
                 if self._ledger.is_closed:
                     if self._give_credit(question):
--- a/libs/gateway/vanillayoke/gateway/homes_ranking.py
+++ b/libs/gateway/vanillayoke/gateway/homes_ranking.py
@@ -1,6 +1,7 @@
 """Which instance is a program's home: the highest rendezvous score."""
 
 import functools
+import heapq
 import typing
 
 import xxhash
@@ -14,10 +15,21 @@
     zone: str = ''
 
 
-# Returns the instances that may be homes now.
 ListMembers = typing.Callable[[], typing.Sequence[HomeMember]]
 
 
+class Roster(typing.NamedTuple):
+    """Lists the instances as this one sees them now.
+
+    Homes may keep programs. Reachable ones answer, or may do so in a moment;
+    those that leave are no homes any more. Failed ones do not answer.
+    """
+
+    list_homes: ListMembers
+    list_reachable: ListMembers
+    list_failed: ListMembers
+
+
 @functools.lru_cache(maxsize=4096)
 def _seed(instance: str) -> int:
     return xxhash.xxh3_64_intdigest(instance.encode())
@@ -44,3 +56,12 @@
         key=lambda one: find_score(program, one.instance),
         default=None,
     )
+
+
+def list_best(
+    program: str, members: typing.Iterable[HomeMember], count: int
+) -> list[HomeMember]:
+    """Return the best instances for a program, the best one first."""
+    return heapq.nlargest(
+        count, members, key=lambda one: find_score(program, one.instance)
+    )
--- a/libs/gateway/vanillayoke/gateway/members.py
+++ b/libs/gateway/vanillayoke/gateway/members.py
@@ -115,6 +115,15 @@
             if one.state in _REACHABLE
         ]
 
+    def list_failed(self) -> list[homes_ranking.HomeMember]:
+        """Return the instances that did not answer and may yet come back."""
+        failed = cluster_messages.State.FAILED
+        return [
+            _make_home(one)
+            for one in self.list_members()
+            if one.state is failed
+        ]
+
     @property
     def incarnation(self) -> int:
         """This instance's incarnation; it grows when others miss it."""
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -262,7 +262,8 @@
     ) -> Answer | None:
         """Return the answer of a peer; ``None`` if it seems not to be there.
 
-        A peer that says that it is at work is waited for until then.
+        A peer that says that it is at work is waited for until then; it is
+        ``Pending`` if it still is.
         ``repeats`` says for how long each copy of the question waits.
         """
         self._number += 1
@@ -299,7 +300,7 @@
 
     async def _await_work(
         self, queue: asyncio.Queue[Answer], until: float
-    ) -> Answer | None:
+    ) -> Answer:
         try:
             async with asyncio.timeout(until - self._timers.now()):
                 while True:
@@ -307,7 +308,7 @@
                     if not isinstance(answer, Pending):
                         return answer
         except TimeoutError:
-            return None
+            return Pending()
 
     def _take_question(self, envelope: _Envelope, sender: str) -> None:
         key = (sender, envelope.number)
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from tests.gateway import sites
+from vanillayoke.gateway import homes as homes_module
 from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import ledger as ledger_module
 from vanillayoke.gateway import peers
@@ -437,6 +438,65 @@
     case.assertEqual([200] * 3, [answer.status for answer in answers])
 
 
+async def test_tokens_that_were_taken_back_are_searched_again(case, site):
+    """Two homes of one program collect its budget from each other.
+
+    The first found some, lost them to the second one in the same moment and
+    took its own search for one that had found nothing: "spent" was said a
+    few milliseconds later, with all tokens at live instances.
+    """
+    await site.start(2)
+    ledgers = [site.fronts[name]._ledger for name in ('i1', 'i2')]
+    collect = site.fronts['i1']._homes._holders.collect
+    until = site.timers.now() + 2.0
+    for _ in range(2):
+        ledgers[1].deposit('new', MOST)
+        case.assertTrue(await collect('new', until))
+        case.assertEqual(MOST, ledgers[0].withdraw('new'))
+
+
+async def test_holder_that_counts_as_failed_is_asked(case, site):
+    """All instances start at once, and one takes another for failed.
+
+    The other one had started a little later. It held the rest of a budget
+    that the first called spent without having asked it.
+    """
+    program = _find_program('i1', 'i2')
+    await site.start(2)
+    await asyncio.sleep(homes_module.NEWCOMER)
+    await _use_a_part(site.fronts['i2'], program)
+    members = site.fronts['i1']._members
+    failed = [one for one in members.list_homes() if one.instance == 'i2']
+    members.list_reachable = lambda: []
+    members.list_failed = lambda: failed
+    question = peers.Reserve(program, BUDGET, 'a', 120)
+    outcome = await site.fronts['i1']._homes._reserve_from_store(
+        question, site.timers.now() + 2.0
+    )
+    case.assertIs(ledger_module.Outcome.GRANTED, outcome)
+
+
+async def test_all_that_miss_a_home_ask_the_same_next_one(case, site, network):
+    """A program's home loses power under a program with sub-agents.
+
+    Until it counted as failed, each instance reserved for the turns that came
+    to it: the budget ended in parts too small for a turn.
+    """
+    names = ['i1', 'i2', 'i3', 'i4', 'i5']
+    program = _find_program(*names)
+    await site.start(5)
+    sites.kill(site, network, 'i1')
+    answers = await asyncio.gather(
+        *(
+            site.turn(name, site.name_request(), program=program)
+            for name in names[1:]
+        )
+    )
+    case.assertEqual({200}, {answer.status for answer in answers})
+    row = msgspec.msgpack.decode(site.store.list_table('budgets')[program])
+    case.assertEqual(['i2'], [name for name, _ in row[4]])
+
+
 async def test_two_that_lack_a_little_do_not_take_it_from_each_other(
     case, site
 ):
