Agreed on homes at once where many instances start together.

Each was the home of the programs that came to it, and a program's budget was granted to four or more of them. Change: one that is listed and was not heard of yet may be a home. Relays to the store are asked among those heard of, as before.

--- a/libs/gateway/vanillayoke/gateway/front.py
+++ b/libs/gateway/vanillayoke/gateway/front.py
@@ -326,8 +326,8 @@
     def _list_relays(self) -> list[str]:
         me = self.settings.instance
         return [
-            find_relay(member.address)
-            for member in self._members.list_homes()
+            find_relay(member.peer_address)
+            for member in self._members.list_live()
             if member.instance != me
         ]
 
--- a/libs/gateway/vanillayoke/gateway/members.py
+++ b/libs/gateway/vanillayoke/gateway/members.py
@@ -7,6 +7,7 @@
 
 from vanillayoke.cluster import membership
 from vanillayoke.cluster import membership_events
+from vanillayoke.cluster import membership_table
 from vanillayoke.cluster import messages as cluster_messages
 from vanillayoke.core import timers
 from vanillayoke.gateway import homes_ranking
@@ -169,8 +170,7 @@
 
     def _refresh(self) -> None:
         self._homes = tuple(
-            homes_ranking.HomeMember(one.instance, one.peer_address, one.zone)
-            for one in self.list_live()
+            _make_home(one) for one in self.list_members() if _may_be_home(one)
         )
 
     def _schedule(self) -> None:
@@ -182,6 +182,18 @@
         self._schedule()
 
 
+def _may_be_home(member: cluster_messages.Member) -> bool:
+    """Say whether an instance may keep programs.
+
+    One that is listed and was not heard of yet may: where all start at the
+    same moment it takes them seconds to hear of one another, and each would
+    meanwhile be the home of all programs that come to it.
+    """
+    if member.state is cluster_messages.State.SUSPECTED:
+        return member.incarnation == membership_table.LISTED_INCARNATION
+    return member.state is cluster_messages.State.ALIVE
+
+
 def _make_home(member: cluster_messages.Member) -> homes_ranking.HomeMember:
     return homes_ranking.HomeMember(
         member.instance, member.peer_address, member.zone
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -497,6 +497,31 @@
     case.assertEqual(['i2'], [name for name, _ in row[4]])
 
 
+async def test_instances_that_start_together_agree_on_a_home(
+    case, site, network
+):
+    """All instances start again after a loss of power, and callers are there.
+
+    Before they had heard of one another, each was the home of the programs
+    that came to it. Ten of a large site took four grants of a program within
+    half a second, a quarter of its budget each.
+    """
+    names = ['i1', 'i2', 'i3', 'i4', 'i5']
+    await site.start(5)
+    for name in names:
+        sites.kill(site, network, name)
+    await asyncio.sleep(1.0)
+    network.dark.clear()
+    await asyncio.gather(*(site.add_front(name) for name in names))
+    await asyncio.sleep(0.1)
+    answers = await asyncio.gather(
+        *(site.turn(name, site.name_request(), program='p') for name in names)
+    )
+    case.assertEqual({200}, {answer.status for answer in answers})
+    row = msgspec.msgpack.decode(site.store.list_table('budgets')['p'])
+    case.assertEqual(_rank('p', names)[:1], [name for name, _ in row[4]])
+
+
 async def test_two_that_lack_a_little_do_not_take_it_from_each_other(
     case, site
 ):
