Made readings of the tables cost the same for each row.

Cause: each row of a target built the index of all anew, each row of an instance handed the whole list to the membership, and each change made the list of homes anew: the first reading was quadratic and held the event loop, and a heartbeat cost a walk over all targets and a log line. Each instance also wrote a line for each other one that it met: 74,000 at a start of 195. Change: one row touches one entry, lists are made when asked for; lines only for what is new (a row that is a heartbeat tells nothing) and for instances that were heard of before or failed.

--- a/libs/cluster/vanillayoke/cluster/membership.py
+++ b/libs/cluster/vanillayoke/cluster/membership.py
@@ -46,7 +46,7 @@
         self._sequence = 0
         self._probe: membership_probes.Probe | None = None
         self._relays = membership_probes.Relays()
-        self._listed: frozenset[str] = frozenset()
+        self._listed: set[str] = set()
         # Instances started together must not probe in step.
         self._next_probe = now + source.random() * settings.interval
         self._next_forget = now + FORGET_INTERVAL
@@ -65,6 +65,10 @@
                 self._receive(message, now)
             case membership_events.Listed(members):
                 self._take_list(members, now)
+            case membership_events.Added(member):
+                self._add_listed(member, now)
+            case membership_events.Removed(instance):
+                self._listed.discard(instance)
             case membership_events.Published(news):
                 self._learn(news, now)
             case membership_events.Leaving():
@@ -336,16 +340,20 @@
     def _take_list(
         self, members: tuple[messages.Member, ...], now: float
     ) -> None:
-        self._listed = frozenset(member.instance for member in members)
+        self._listed.clear()
         for member in members:
-            if member.instance == self.me.instance:
-                continue
-            if self._table.find(member.instance) is None:
-                unheard = member._replace(
-                    incarnation=membership_table.LISTED_INCARNATION,
-                    state=messages.State.SUSPECTED,
-                )
-                self._merge_member(unheard, now)
+            self._add_listed(member, now)
+
+    def _add_listed(self, member: messages.Member, now: float) -> None:
+        self._listed.add(member.instance)
+        if member.instance == self.me.instance:
+            return
+        if self._table.find(member.instance) is None:
+            unheard = member._replace(
+                incarnation=membership_table.LISTED_INCARNATION,
+                state=messages.State.SUSPECTED,
+            )
+            self._merge_member(unheard, now)
 
     def _change_own(self, state: messages.State) -> None:
         self.me = self.me._replace(
--- a/libs/cluster/vanillayoke/cluster/membership_events.py
+++ b/libs/cluster/vanillayoke/cluster/membership_events.py
@@ -21,6 +21,18 @@
     members: tuple[messages.Member, ...]
 
 
+class Added(typing.NamedTuple):
+    """One member more stands in the platform's list, of incarnation 0."""
+
+    member: messages.Member
+
+
+class Removed(typing.NamedTuple):
+    """An instance stands in the platform's list no more."""
+
+    instance: str
+
+
 class Published(typing.NamedTuple):
     """This instance has news for the others."""
 
@@ -35,7 +47,16 @@
     """This instance stops now."""
 
 
-Event = Ticked | Received | Listed | Published | Leaving | Departed
+Event = (
+    Ticked
+    | Received
+    | Listed
+    | Added
+    | Removed
+    | Published
+    | Leaving
+    | Departed
+)
 
 
 class Send(typing.NamedTuple):
--- a/libs/gateway/vanillayoke/gateway/catalog.py
+++ b/libs/gateway/vanillayoke/gateway/catalog.py
@@ -23,7 +23,11 @@
         self._versions: dict[str, int] = {}
         self._missing: dict[str, float] = {}
         self._routes: dict[str, list[messages.Route]] = {}
-        self._by_service: dict[str, list[messages.Target]] = {}
+        # Those that may get work, by service and name, and the same as lists
+        # that are made when asked for. A heartbeat of one of 1,700 targets
+        # must not cost a walk over all.
+        self._ready: dict[str, dict[str, messages.Target]] = {}
+        self._lists: dict[str, list[messages.Target]] = {}
 
     def put_configuration(self, new: messages.Configuration) -> bool:
         """Take a configuration over unless it is older; say if it was."""
@@ -46,13 +50,21 @@
         return None
 
     def put_target(self, target: messages.Target, version: int) -> bool:
-        """Take a target's row over unless it is older than the known one."""
+        """Take a target's row over unless it is older than the known one.
+
+        Return whether it tells anything new: most are heartbeats.
+        """
         if version <= self._versions.get(target.name, -1):
             return False
         self._versions[target.name] = version
-        self._missing.pop(target.name, None)
+        was_missing = self._missing.pop(target.name, None) is not None
+        if self._targets.get(target.name) == target:
+            return was_missing
+        self._drop_ready(target.name)
         self._targets[target.name] = target
-        self._index()
+        if not target.is_leaving:
+            self._ready.setdefault(target.service, {})[target.name] = target
+            self._lists.pop(target.service, None)
         return True
 
     def is_restart(self, target: messages.Target) -> bool:
@@ -103,7 +115,11 @@
 
     def list_targets(self, service: str) -> list[messages.Target]:
         """Return the targets of a service that may get new work."""
-        return self._by_service.get(service, [])
+        found = self._lists.get(service)
+        if found is None:
+            found = list(self._ready.get(service, {}).values())
+            self._lists[service] = found
+        return found
 
     @property
     def names(self) -> typing.Collection[str]:
@@ -112,15 +128,14 @@
 
     def _drop(self, name: str) -> None:
         self._missing.pop(name, None)
+        self._drop_ready(name)
         self._targets.pop(name, None)
-        self._index()
-
-    def _index(self) -> None:
-        found: dict[str, list[messages.Target]] = {}
-        for target in self._targets.values():
-            if not target.is_leaving:
-                found.setdefault(target.service, []).append(target)
-        self._by_service = found
+
+    def _drop_ready(self, name: str) -> None:
+        target = self._targets.get(name)
+        if target is not None:
+            self._ready.get(target.service, {}).pop(name, None)
+            self._lists.pop(target.service, None)
 
 
 def choose_service(route: messages.Route, point: float) -> str:
--- a/libs/gateway/vanillayoke/gateway/members.py
+++ b/libs/gateway/vanillayoke/gateway/members.py
@@ -49,7 +49,9 @@
         timer_service: timers.TimerService,
         source: random.Random,
         send: typing.Callable[[str, bytes], None],
-        on_change: typing.Callable[[cluster_messages.Member], None],
+        on_change: typing.Callable[
+            [cluster_messages.Member | None, cluster_messages.Member], None
+        ],
     ) -> None:
         self._timers = timer_service
         self._send = send
@@ -60,14 +62,16 @@
         self._membership = membership.Membership(
             member, PROBES, source, timer_service.now()
         )
-        self._listed: dict[str, cluster_messages.Member] = {}
+        # The instances that the table lists, by the keys of their rows.
+        self._listed: dict[str, str] = {}
         self._tick: timers.Subscription | None = None
         self.is_leaving = False
-        self._homes: tuple[homes_ranking.HomeMember, ...] = ()
+        # Made when asked for: while many instances start, one changes after
+        # another, and nobody asks between.
+        self._homes: tuple[homes_ranking.HomeMember, ...] | None = None
 
     def start(self) -> None:
         """Begin to probe."""
-        self._refresh()
         self._schedule()
 
     def receive(self, data: bytes, sender: str) -> None:
@@ -79,17 +83,19 @@
     def put_row(self, key: str, value: bytes | None) -> None:
         """Take a row of the table over; a removed one is forgotten."""
         if value is None:
-            self._listed.pop(key, None)
-        else:
-            try:
-                row = _ROWS.decode(value)
-            except msgspec.DecodeError:
-                return
-            self._listed[key] = cluster_messages.Member(
-                row.instance, 0, row.zone, row.region, row.front, row.peer
-            )
-        listed = membership_events.Listed(tuple(self._listed.values()))
-        self._decide(listed)
+            name = self._listed.pop(key, None)
+            if name is not None:
+                self._decide(membership_events.Removed(name))
+            return
+        try:
+            row = _ROWS.decode(value)
+        except msgspec.DecodeError:
+            return
+        self._listed[key] = row.instance
+        member = cluster_messages.Member(
+            row.instance, 0, row.zone, row.region, row.front, row.peer
+        )
+        self._decide(membership_events.Added(member))
 
     def list_members(self) -> list[cluster_messages.Member]:
         """Return all known instances, this one first."""
@@ -101,7 +107,16 @@
         return [one for one in self.list_members() if one.state is alive]
 
     def list_homes(self) -> typing.Sequence[homes_ranking.HomeMember]:
-        """Return the instances that may keep programs."""
+        """Return the instances that may keep programs.
+
+        It is the same sequence for as long as nothing changes.
+        """
+        if self._homes is None:
+            self._homes = tuple(
+                _make_home(one)
+                for one in self.list_members()
+                if _may_be_home(one)
+            )
         return self._homes
 
     def list_reachable(self) -> list[homes_ranking.HomeMember]:
@@ -162,16 +177,11 @@
                 case membership_events.Send(address, message):
                     packet = cluster_messages.Packet(0, message)
                     self._send(address, cluster_messages.encode_packet(packet))
-                case membership_events.MemberChanged(_, after):
-                    self._refresh()
-                    self._on_change(after)
+                case membership_events.MemberChanged(before, after):
+                    self._homes = None
+                    self._on_change(before, after)
         if isinstance(event, membership_events.Leaving):
-            self._refresh()
-
-    def _refresh(self) -> None:
-        self._homes = tuple(
-            _make_home(one) for one in self.list_members() if _may_be_home(one)
-        )
+            self._homes = None
 
     def _schedule(self) -> None:
         delay = max(0.0, self._membership.next_wake() - self._timers.now())
--- a/libs/gateway/vanillayoke/gateway/notes.py
+++ b/libs/gateway/vanillayoke/gateway/notes.py
@@ -7,6 +7,11 @@
 from vanillayoke.gateway import measures as measures_module
 from vanillayoke.scheduling import verdicts
 
+# The states that an instance is met in at first.
+_EXPECTED = frozenset(
+    (cluster_messages.State.ALIVE, cluster_messages.State.SUSPECTED)
+)
+
 
 class Notes:
     """Writes down what the parts of an instance tell."""
@@ -75,8 +80,20 @@
         """Note that a connection to a target is opened."""
         self._measures.connections.add()
 
-    def note_member(self, member: cluster_messages.Member) -> None:
-        """Note that another instance changed its state."""
+    def note_member(
+        self,
+        before: cluster_messages.Member | None,
+        member: cluster_messages.Member,
+    ) -> None:
+        """Note that another instance changed its state.
+
+        That one is listed or heard of for the first time is no loss and no
+        return; its own lines tell when it began. Written down by all, a start
+        of 200 instances made 74,000 lines.
+        """
+        was_heard = before is not None and before.incarnation > 0
+        if not was_heard and member.state in _EXPECTED:
+            return
         self._log.write(
             log_events.PEER_CHANGED,
             peer=member.instance,
