--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 bench: venv
 	$(PYTHON) -m vanillayoke.bench policy
 	$(PYTHON) -m vanillayoke.bench.gateway
+	$(PYTHON) -m vanillayoke.bench.tables
 
 slopes: venv
 	$(PYTHON) -m vanillayoke.bench.slopes
