Played changes over a configuration of 1,000 more routes in the soak.

One run in two gets them, drawn by itself, so that the other faults of a seed stay as they were. Its test wants the new kind drawn within fifty seeds.

--- a/libs/soak/vanillayoke/soak/plans.py
+++ b/libs/soak/vanillayoke/soak/plans.py
@@ -77,7 +77,12 @@
     'server_reborn': (1.5, 1, 2),
     'server_foreign': (2.0, 1, 2),
 }
-# Seconds between two of these on average.
+# One run in so many gets a configuration of many more routes, in its first
+# half: what comes behind reads and decodes all of them.
+GROWN_KIND = 'configure_grown'
+GROWN_RUNS = 2
+GROWN_ROUTES = 1000
+# Seconds between two of the later kinds on average.
 LATER_PAUSE = 4.0
 # Faults begin in small groups, so that they overlap and follow on one
 # another; groups are this many seconds apart on average.
@@ -113,6 +118,7 @@
             )
         at += source.expovariate(1 / GROUP_PAUSE)
     faults += _draw_later(seed, faulty)
+    faults += _draw_grown(seed, faulty)
     faults.sort(key=lambda fault: fault.at)
     return Plan(seed, instances, callers, faulty, calm, tuple(faults))
 
@@ -131,6 +137,14 @@
     return faults
 
 
+def _draw_grown(seed: int, faulty: float) -> list[Fault]:
+    source = random.Random(f'grown {seed}')
+    if source.randrange(GROWN_RUNS):
+        return []
+    at = round(source.uniform(0, faulty / 2), 2)
+    return [Fault(at, GROWN_KIND, strength=GROWN_ROUTES)]
+
+
 def list_halves(plan: Plan) -> list[Plan]:
     """Return plans with some of the faults dropped, the smallest first.
 
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -160,6 +160,10 @@
             case 'link' | 'caller':
                 await self._hit_link(fault, what)
             case 'configure':
+                if fault.kind == plans.GROWN_KIND:
+                    self._site.grown_routes += int(fault.strength)
+                    self._site.configure()
+                    return
                 for _ in range(max(1, int(fault.strength))):
                     self._site.configure()
                     await asyncio.sleep(0.15)
--- a/libs/soak/vanillayoke/soak/sites.py
+++ b/libs/soak/vanillayoke/soak/sites.py
@@ -61,6 +61,8 @@
             first = len(self.servers)
             self.servers += [Server(first + n, service) for n in range(TOOLS)]
         self.version = 0
+        # Routes that nobody calls, which all instances read and decode.
+        self.grown_routes = 0
         self._children: list[processes.Child] = []
         self._spare = instances
         self._tasks: set[asyncio.Task] = set()
@@ -181,6 +183,10 @@
         tools = TOOL_SERVICES[self.version % len(TOOL_SERVICES)]
         routes = calls.make_routes(tools)
         routes += calls.make_version_routes(self.version, TOOL_SERVICES[0])
+        routes += [
+            calls.make_route(f'grown{number}', tools, 'safe')
+            for number in range(self.grown_routes)
+        ]
         content = calls.make_configuration(self.version, routes, TOOL_SERVICES)
         services = {
             'chat': 'models', 'plan': 'models', 'look': tools, 'order': tools,
--- a/tests/soak/test_plans.py
+++ b/tests/soak/test_plans.py
@@ -15,7 +15,8 @@
         for seed in range(50)
         for fault in plans.draw_plan(seed).faults
     }
-    case.assertEqual({*plans.KINDS, *plans.LATER_KINDS}, drawn)
+    wanted = {*plans.KINDS, *plans.LATER_KINDS, plans.GROWN_KIND}
+    case.assertEqual(wanted, drawn)
 
 
 def test_faults_overlap(case):
