Took a stop that is told twice for one.

Ruled out: a start too young to have its handlers (it had run for 31 s). Its test ended the test process before.

--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import signal
 import tempfile
 
 import msgspec
@@ -116,4 +117,31 @@
         case.assertIn(name, names)
 
 
+@fixtures.fixture
+def stop_signals():
+    numbers = (signal.SIGTERM, signal.SIGINT)
+    before = [signal.getsignal(number) for number in numbers]
+    yield numbers
+    for number, handler in zip(numbers, before, strict=True):
+        signal.signal(number, handler)
+
+
+def test_stop_that_is_told_twice_is_one(case, stop_signals):
+    """A process that had drained and written its last line "crashed".
+
+    It was told to stop a second time while its event loop was closing, which
+    had given the signal back, and ended by the signal instead of with 0.
+    """
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        for number in stop_signals:
+            loop.add_signal_handler(number, lambda: None)
+        process.ignore_stops()
+
+    asyncio.run(run())
+    for number in stop_signals:
+        os.kill(os.getpid(), number)
+
+
 load_tests = fixtures.adapt(__name__)
