--- a/libs/gateway/vanillayoke/gateway/holders.py
+++ b/libs/gateway/vanillayoke/gateway/holders.py
@@ -9,6 +9,7 @@
 import typing
 
 from vanillayoke.core import timers
+from vanillayoke.gateway import background
 from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import ledger as ledger_module
 from vanillayoke.gateway import peers as peers_module
@@ -49,11 +50,6 @@
     silent: tuple[str, ...]
 
 
-async def _wait_for(work: asyncio.Future) -> None:
-    """Keep work going behind whoever started it."""
-    await work
-
-
 class Holders:
     """Collects from other instances what they hold, and hands it on."""
 
@@ -190,9 +186,7 @@
 
         Tokens that are on the way when the time is over must not be dropped.
         """
-        tasks = [asyncio.ensure_future(one) for one in work]
-        for task in tasks:
-            self._spawn(_wait_for(task))
+        tasks = [background.start(one, self._spawn) for one in work]
         if tasks:
             await asyncio.wait(tasks, timeout=patience)
         return [one.result() if one.done() else None for one in tasks]
--- a/libs/gateway/vanillayoke/gateway/homes.py
+++ b/libs/gateway/vanillayoke/gateway/homes.py
@@ -8,12 +8,13 @@
 
 import asyncio
 import collections
-import math
 import typing
 
 from vanillayoke.core import timers
+from vanillayoke.gateway import background
 from vanillayoke.gateway import clocks
 from vanillayoke.gateway import holders
+from vanillayoke.gateway import home_calls
 from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import ledger as ledger_module
 from vanillayoke.gateway import peers as peers_module
@@ -40,12 +41,6 @@
 # How many turns that are over, and programs that others have a part in, are
 # remembered: some ten a second come to one home, and programs last seconds.
 MOST_REMEMBERED = 2000
-# How many homes of a program are asked: the second one where the first does
-# not answer or leaves, as while many instances stop or start.
-MOST_ASKED = 2
-# For how long a home that did not answer is passed over. It is found to have
-# failed some two seconds later. Seconds.
-SILENCE = 1.0
 # How often a home checks that it runs; a gap shows that it did not. Seconds.
 TICK = 0.25
 
@@ -63,11 +58,6 @@
     target: str | None = None
 
 
-async def _wait_for(task: asyncio.Future) -> None:
-    """Keep a task going behind whoever started it."""
-    await task
-
-
 def _remember(
     known: collections.OrderedDict[typing.Any, None], key: typing.Any
 ) -> None:
@@ -107,10 +97,8 @@
             timer_service,
             spawn,
         )
-        self._peers: peers_module.Peers | None = None
+        self._calls = home_calls.HomeCalls(roster, timer_service, spawn)
         self.is_leaving = False
-        # When homes were last asked in vain, by instance.
-        self._silent: dict[str, float] = {}
         # Turns that are over, by program. The question to reserve for one may
         # still come, late or a second time, and nobody would settle it again.
         self._ended: collections.OrderedDict[tuple[str, str], None] = (
@@ -128,7 +116,7 @@
 
     def use(self, peers: peers_module.Peers) -> None:
         """Ask other instances through this from now on."""
-        self._peers = peers
+        self._calls.use(peers)
         self._holders.use(peers)
 
     async def hand_over(self) -> int:
@@ -165,10 +153,10 @@
         found = self.reserve_here(question)
         if found is not None:
             return found
-        for home in self._list_homes(question.program):
+        for home in self._calls.list_homes(question.program):
             if home.instance == self._instance:
                 break
-            answer = await self._ask_home(home, question, until)
+            answer = await self._calls.reserve(home, question, until)
             match answer:
                 case peers_module.Granted(slack, target):
                     return Reservation(True, home.address, slack, target)
@@ -184,46 +172,6 @@
         is_granted = outcome is ledger_module.Outcome.GRANTED
         return self._make_reservation(question)._replace(is_granted=is_granted)
 
-    def _list_homes(self, program: str) -> list[homes_ranking.HomeMember]:
-        """Return the best homes, those that were silent a moment ago left out.
-
-        All that miss a home ask the same next one. Each for itself would
-        split the budget into parts that are too small for a turn. Where all
-        are told to stop, the best of them stays the home.
-        """
-        now = self._timers.now()
-        members = self._roster.list_homes() or self._roster.list_reachable()
-        answering = [
-            one
-            for one in members
-            if now - self._silent.get(one.instance, -math.inf) >= SILENCE
-        ]
-        return homes_ranking.list_best(program, answering, MOST_ASKED)
-
-    async def _ask_home(
-        self,
-        home: homes_ranking.HomeMember,
-        question: peers_module.Reserve,
-        until: float,
-    ) -> peers_module.Answer | None:
-        """Ask a home to reserve; settle there what no answer tells of.
-
-        The home may have reserved, or do so later; nobody else would ever
-        end a turn that goes on elsewhere or not at all.
-        """
-        answer = peers_module.Pending()
-        try:
-            answer = await self._peers.ask(home.address, question, until)
-            if answer is None:
-                self._silent[home.instance] = self._timers.now()
-        finally:
-            if answer in (None, peers_module.Pending()):
-                given_up = peers_module.Settle(
-                    question.program, question.turn, 0, question.session
-                )
-                self._spawn(self.settle(home.address, given_up))
-        return answer
-
     async def _reserve_apart(
         self, question: peers_module.Reserve, until: float
     ) -> ledger_module.Outcome:
@@ -256,26 +204,14 @@
         if not address:
             self._settle(question)
             return
-        await self._peers.ask(
-            address,
-            question,
-            self._timers.now(),
-            peers_module.LASTING_REPEATS,
-        )
+        await self._calls.settle(address, question)
 
     def prune(self) -> None:
         """Forget what has ended."""
         self._ledger.prune()
-        self._forget_silent()
         self.record_credit()
         self._clocks.prune(self._timers.now())
 
-    def _forget_silent(self) -> None:
-        limit = self._timers.now() - SILENCE
-        self._silent = {
-            name: at for name, at in self._silent.items() if at > limit
-        }
-
     def record_credit(self) -> None:
         """Write down what was given on credit, if the store answers.
 
@@ -373,12 +309,12 @@
 
     async def _reserve_soon(self, question: peers_module.Reserve) -> bool:
         """Reserve from the store if it answers soon, else on credit."""
-        asked = asyncio.ensure_future(
+        asked = background.start(
             self._ledger.top_up(
                 question.program, question.budget, question.need
-            )
+            ),
+            self._spawn,
         )
-        self._spawn(_wait_for(asked))
         await asyncio.wait((asked,), timeout=CREDIT_PATIENCE)
         if self._ledger.reserve_now(
             question.program, question.turn, question.need
