--- a/libs/gateway/vanillayoke/gateway/front.py
+++ b/libs/gateway/vanillayoke/gateway/front.py
@@ -214,6 +214,7 @@
             self._ledger,
             homes_ranking.Roster(
                 lambda: self._members.list_homes(),
+                lambda: self._members.list_live_homes(),
                 lambda: self._members.list_reachable(),
                 lambda: self._members.list_failed(),
             ),
--- a/libs/gateway/vanillayoke/gateway/holders.py
+++ b/libs/gateway/vanillayoke/gateway/holders.py
@@ -85,7 +85,8 @@
         For an instance that stops; no call to the store is needed. Returns
         the number of programs.
         """
-        others = self._drop_self(self._roster.list_homes())
+        # Tokens that go to one that is listed and never started are lost.
+        others = self._drop_self(self._roster.list_live())
         programs = self._ledger.list_programs()
         if others:
             await self._wait_within(
--- a/libs/gateway/vanillayoke/gateway/homes_ranking.py
+++ b/libs/gateway/vanillayoke/gateway/homes_ranking.py
@@ -21,11 +21,13 @@
 class Roster(typing.NamedTuple):
     """Lists the instances as this one sees them now.
 
-    Homes may keep programs. Reachable ones answer, or may do so in a moment;
-    those that leave are no homes any more. Failed ones do not answer.
+    Homes may keep programs; live ones are those of them that were heard of.
+    Reachable ones answer, or may do so in a moment; those that leave are no
+    homes any more. Failed ones do not answer.
     """
 
     list_homes: ListMembers
+    list_live: ListMembers
     list_reachable: ListMembers
     list_failed: ListMembers
 
--- a/libs/gateway/vanillayoke/gateway/members.py
+++ b/libs/gateway/vanillayoke/gateway/members.py
@@ -119,6 +119,10 @@
             )
         return self._homes
 
+    def list_live_homes(self) -> list[homes_ranking.HomeMember]:
+        """Return the instances that keep programs and were heard of."""
+        return [_make_home(one) for one in self.list_live()]
+
     def list_reachable(self) -> list[homes_ranking.HomeMember]:
         """Return the instances that answer, or may do so in a moment.
 
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -13,6 +13,7 @@
 from vanillayoke.gateway import homes as homes_module
 from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import ledger as ledger_module
+from vanillayoke.gateway import messages
 from vanillayoke.gateway import peers
 from vanillayoke.gateway import store as store_client
 from vanillayoke.testing import fixtures
@@ -522,6 +523,30 @@
     case.assertEqual(_rank('p', names)[:1], [name for name, _ in row[4]])
 
 
+async def test_stop_hands_nothing_to_one_that_never_started(case, site):
+    """An instance stops soon behind its start, beside one that is only listed.
+
+    That one ranked best for a program, was not there, and took its tokens
+    with it: the program was told "spent" at its next turn.
+    """
+    program = _find_program('i9', 'i1', 'i2')
+    await site.start(2)
+    row = messages.InstanceRow(
+        instance='i9',
+        incarnation=1,
+        zone='z1',
+        region='r1',
+        front='10.1.0.9:8149',
+        peer='10.1.0.9:7380',
+    )
+    site.fronts['i1']._members.put_row('i9', msgspec.json.encode(row))
+    homes = site.fronts['i1']._members.list_homes()
+    case.assertIn('i9', [one.instance for one in homes])
+    await _use_a_part(site.fronts['i1'], program)
+    await site.fronts['i1']._homes.hand_over()
+    case.assertEqual(BUDGET - 40, site.fronts['i2']._ledger.withdraw(program))
+
+
 async def test_two_that_lack_a_little_do_not_take_it_from_each_other(
     case, site
 ):
