--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -4,6 +4,7 @@
 
 from tests.gateway import site as site_module
 from vanillayoke.core import timers
+from vanillayoke.gateway import homes_ranking
 from vanillayoke.testing import fixtures
 from vanillayoke.testing import networks
 from vanillayoke.transport import client
@@ -24,6 +25,23 @@
     return site_module.Site(clock, networks.HOST.set)
 
 
+def rank(program, names):
+    """Return instances, the best home for a program first."""
+    left = [homes_ranking.HomeMember(name, '') for name in names]
+    ranked = []
+    while left:
+        best = homes_ranking.find_home(program, left)
+        ranked.append(best.instance)
+        left.remove(best)
+    return ranked
+
+
+def find_program(*wanted):
+    """Return a program whose homes rank in the order wanted."""
+    names = (f'new{number}' for number in range(100_000))
+    return next(name for name in names if rank(name, wanted) == list(wanted))
+
+
 async def call_whole(site, instance, route, **more):
     """Return an answer, or the error that ended it."""
     try:
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -10,10 +10,7 @@
 import msgspec
 
 from tests.gateway import sites
-from vanillayoke.gateway import homes as homes_module
-from vanillayoke.gateway import homes_ranking
 from vanillayoke.gateway import ledger as ledger_module
-from vanillayoke.gateway import messages
 from vanillayoke.gateway import peers
 from vanillayoke.gateway import store as store_client
 from vanillayoke.testing import fixtures
@@ -22,23 +19,6 @@
 MOST = 100
 
 
-def _rank(program, names):
-    """Return instances, the best home for a program first."""
-    left = [homes_ranking.HomeMember(name, '') for name in names]
-    ranked = []
-    while left:
-        best = homes_ranking.find_home(program, left)
-        ranked.append(best.instance)
-        left.remove(best)
-    return ranked
-
-
-def _find_program(*wanted):
-    """Return a program whose homes rank in the order wanted."""
-    names = (f'new{number}' for number in range(100_000))
-    return next(name for name in names if _rank(name, wanted) == list(wanted))
-
-
 def _turn(site, instance, request, program):
     return site.turn(
         instance,
@@ -80,7 +60,7 @@
     one that had never heard of the program, and the grants before stayed
     where they were, until the budget had no room for a further one.
     """
-    program = _find_program('i6', 'i5', 'i4', 'i3', 'i2')
+    program = sites.find_program('i6', 'i5', 'i4', 'i3', 'i2')
     await _lose_all(site, network)
     await _set_engines(site, are_leaving=True)
     await site.add_front('i2')
@@ -107,7 +87,7 @@
     behind a loss of all power were told "spent" for ten seconds, by rows of
     four turns of which none had run.
     """
-    program = _find_program('i3', 'i2')
+    program = sites.find_program('i3', 'i2')
     await _lose_all(site, network)
     site.store.delay = 0.2
     await site.add_front('i2')
@@ -136,7 +116,7 @@
     """
     await site.start(3)
     program = 'new'
-    home = _rank(program, site.fronts)[0]
+    home = sites.rank(program, site.fronts)[0]
     other = next(name for name in site.fronts if name != home)
     site.store.delay = 0.3
     front = site.fronts[other]
@@ -181,7 +161,7 @@
     The instance still counts as a member. "Spent" would end the program for
     good; the caller is told to come again, and served once it answers.
     """
-    program = _find_program('i2', 'i1')
+    program = sites.find_program('i2', 'i1')
     await site.start(2)
     await _set_engines(site, are_leaving=True)
     answer = await site.turn(
@@ -253,7 +233,7 @@
 
     What the second holds is still open, so the budget is not spent.
     """
-    program = _find_program('i3', 'i2', 'i1')
+    program = sites.find_program('i3', 'i2', 'i1')
     await site.start(3)
     for name in ('i2', 'i3'):
         site.fronts[name]._ledger.deposit(
@@ -323,7 +303,7 @@
     The row names the last writer of each holder, so this one finds its grant
     out when it is asked for what it holds.
     """
-    program = _find_program('i1', 'i2')
+    program = sites.find_program('i1', 'i2')
     await site.start(2)
     ledger = site.fronts['i1']._ledger
     site.store.lost_replies = 1
@@ -344,7 +324,7 @@
     They are at neither of the two when a third one asks both.
     """
     await site.start(3)
-    program = _find_program('i1', 'i2', 'i3')
+    program = sites.find_program('i1', 'i2', 'i3')
     site.fronts['i1']._ledger.deposit(program, MOST)
     tokens = site.fronts['i1']._ledger.withdraw(program)
     collect = site.fronts['i3']._homes._holders.collect
@@ -354,91 +334,6 @@
     case.assertTrue(await found)
 
 
-async def test_program_keeps_one_home_while_all_instances_leave(case, site):
-    """All instances are told to stop at once while sub-agents run.
-
-    Each reserved for the turns that came to it, so the budget ended in parts
-    that were too small for a turn, and two of five were told "spent".
-    """
-    await site.start(3)
-    await site.turn('i1', 'first', program='new', budget=320, most=MOST)
-    for front in site.fronts.values():
-        front._members.leave()
-        front._homes.is_leaving = True
-    await asyncio.sleep(0.5)
-    answers = await asyncio.gather(
-        *(
-            site.turn(
-                f'i{1 + number % 3}',
-                f'a{number}',
-                program='new',
-                budget=320,
-                most=MOST,
-            )
-            for number in range(5)
-        )
-    )
-    case.assertEqual([200] * 5, [answer.status for answer in answers])
-
-
-async def _use_a_part(front, program):
-    """Grant an instance a whole budget, of which one turn uses some."""
-    ledger, until = front._ledger, front._timers.now() + 1.0
-    await ledger.reserve(program, BUDGET, 'first', BUDGET, until)
-    ledger.settle(program, 'first', 40)
-
-
-async def _send_turns(site, program):
-    """Send turns that the rest of the budget holds; return the answers."""
-    return [
-        await site.turn(
-            name, site.name_request(), program=program, budget=BUDGET, most=60
-        )
-        for name in ('i2', 'i3', 'i2')
-    ]
-
-
-async def test_last_one_to_leave_gives_what_it_was_handed(case, site):
-    """All instances are told to stop, one shortly behind the others.
-
-    A program's sub-agents were told "spent" with half of the budget unused.
-    The home handed its tokens to the one that still stayed, which ranked last
-    for the program. That one was told to stop too, found nobody who stays and
-    kept them, where the next home did not look for them.
-    """
-    program = _find_program('i1', 'i2', 'i3', 'i4')
-    await site.start(4)
-    fronts = list(site.fronts.values())
-    await _use_a_part(fronts[0], program)
-    for leaving in (fronts[:3], fronts[3:]):
-        for front in leaving:
-            front._members.leave()
-            front._homes.is_leaving = True
-        await asyncio.sleep(0.5)
-        for front in leaving:
-            await front._homes.hand_over()
-    answers = await _send_turns(site, program)
-    case.assertEqual([200] * 3, [answer.status for answer in answers])
-
-
-async def test_tokens_that_were_collected_are_found_again(case, site):
-    """Instances that all leave collect a budget from one another.
-
-    Each takes itself for the home for a moment. The last one that did had
-    never written the budget's row, ranked low, and kept what it collected:
-    the others were told "spent" while it had room for three turns.
-    """
-    program = _find_program('i1', 'i2', 'i3', 'i4')
-    await site.start(4)
-    await _use_a_part(site.fronts['i1'], program)
-    until = site.timers.now() + 1.0
-    for name in ('i2', 'i4'):
-        holders = site.fronts[name]._homes._holders
-        case.assertTrue(await holders.collect(program, until))
-    answers = await _send_turns(site, program)
-    case.assertEqual([200] * 3, [answer.status for answer in answers])
-
-
 async def test_tokens_that_were_taken_back_are_searched_again(case, site):
     """Two homes of one program collect its budget from each other.
 
@@ -456,97 +351,6 @@
         case.assertEqual(MOST, ledgers[0].withdraw('new'))
 
 
-async def test_holder_that_counts_as_failed_is_asked(case, site):
-    """All instances start at once, and one takes another for failed.
-
-    The other one had started a little later. It held the rest of a budget
-    that the first called spent without having asked it.
-    """
-    program = _find_program('i1', 'i2')
-    await site.start(2)
-    await asyncio.sleep(homes_module.NEWCOMER)
-    await _use_a_part(site.fronts['i2'], program)
-    members = site.fronts['i1']._members
-    failed = [one for one in members.list_homes() if one.instance == 'i2']
-    members.list_reachable = lambda: []
-    members.list_failed = lambda: failed
-    question = peers.Reserve(program, BUDGET, 'a', 120)
-    outcome = await site.fronts['i1']._homes._reserve_from_store(
-        question, site.timers.now() + 2.0
-    )
-    case.assertIs(ledger_module.Outcome.GRANTED, outcome)
-
-
-async def test_all_that_miss_a_home_ask_the_same_next_one(case, site, network):
-    """A program's home loses power under a program with sub-agents.
-
-    Until it counted as failed, each instance reserved for the turns that came
-    to it: the budget ended in parts too small for a turn.
-    """
-    names = ['i1', 'i2', 'i3', 'i4', 'i5']
-    program = _find_program(*names)
-    await site.start(5)
-    sites.kill(site, network, 'i1')
-    answers = await asyncio.gather(
-        *(
-            site.turn(name, site.name_request(), program=program)
-            for name in names[1:]
-        )
-    )
-    case.assertEqual({200}, {answer.status for answer in answers})
-    row = msgspec.msgpack.decode(site.store.list_table('budgets')[program])
-    case.assertEqual(['i2'], [name for name, _ in row[4]])
-
-
-async def test_instances_that_start_together_agree_on_a_home(
-    case, site, network
-):
-    """All instances start again after a loss of power, and callers are there.
-
-    Before they had heard of one another, each was the home of the programs
-    that came to it. Ten of a large site took four grants of a program within
-    half a second, a quarter of its budget each.
-    """
-    names = ['i1', 'i2', 'i3', 'i4', 'i5']
-    await site.start(5)
-    for name in names:
-        sites.kill(site, network, name)
-    await asyncio.sleep(1.0)
-    network.dark.clear()
-    await asyncio.gather(*(site.add_front(name) for name in names))
-    await asyncio.sleep(0.1)
-    answers = await asyncio.gather(
-        *(site.turn(name, site.name_request(), program='p') for name in names)
-    )
-    case.assertEqual({200}, {answer.status for answer in answers})
-    row = msgspec.msgpack.decode(site.store.list_table('budgets')['p'])
-    case.assertEqual(_rank('p', names)[:1], [name for name, _ in row[4]])
-
-
-async def test_stop_hands_nothing_to_one_that_never_started(case, site):
-    """An instance stops soon behind its start, beside one that is only listed.
-
-    That one ranked best for a program, was not there, and took its tokens
-    with it: the program was told "spent" at its next turn.
-    """
-    program = _find_program('i9', 'i1', 'i2')
-    await site.start(2)
-    row = messages.InstanceRow(
-        instance='i9',
-        incarnation=1,
-        zone='z1',
-        region='r1',
-        front='10.1.0.9:8149',
-        peer='10.1.0.9:7380',
-    )
-    site.fronts['i1']._members.put_row('i9', msgspec.json.encode(row))
-    homes = site.fronts['i1']._members.list_homes()
-    case.assertIn('i9', [one.instance for one in homes])
-    await _use_a_part(site.fronts['i1'], program)
-    await site.fronts['i1']._homes.hand_over()
-    case.assertEqual(BUDGET - 40, site.fronts['i2']._ledger.withdraw(program))
-
-
 async def test_two_that_lack_a_little_do_not_take_it_from_each_other(
     case, site
 ):
@@ -554,7 +358,7 @@
 
     Both collect, and both would go on as long as their callers wait.
     """
-    program = _find_program('i1', 'i2')
+    program = sites.find_program('i1', 'i2')
     await site.start(2)
     homes = [site.fronts[name]._homes for name in ('i1', 'i2')]
     ledgers = [site.fronts[name]._ledger for name in ('i1', 'i2')]
