--- a/libs/soak/vanillayoke/soak/demo.py
+++ b/libs/soak/vanillayoke/soak/demo.py
@@ -130,7 +130,11 @@
         turn = asyncio.ensure_future(self._turn(previous))
         await asyncio.sleep(1.5 * GAP)
         host = choose()
-        print(f'Killed {self.site.instances[host].name} half-way.', flush=True)
+        name = self.site.instances[host].name
+        # What an instance was granted dies with it, and counts as used.
+        now = control.read_now()
+        self.history.take(records.Disturbed(now, now, 'kill', name))
+        print(f'Killed {name} half-way.', flush=True)
         self.site.instances[host].signal(signal.SIGKILL)
         return await turn
 
