Added features that settings enable, and moved the process out of platform/.

No feature has code yet, so nothing changes for any deployment. Tests of adapter and features pass (19).

--- a/libs/gateway/vanillayoke/gateway/messages.py
+++ b/libs/gateway/vanillayoke/gateway/messages.py
@@ -281,10 +281,42 @@
     is_revocation_strict: bool = False
 
 
+class Feature(enum.Enum):
+    """A mechanism that only some deployments use."""
+
+    COMPLETION_TIME = 'completion_time'
+    SLOT_QUEUE = 'slot_queue'
+    PROGRAM_ADMISSION = 'program_admission'
+    ROUTE_PRIORITY = 'route_priority'
+    ZONE_BALANCING = 'zone_balancing'
+    HEDGING = 'hedging'
+    MEMORY_LIMIT = 'memory_limit'
+
+
+# Enabled by ``Settings.has_overload_control``.
+OVERLOAD_CONTROL_FEATURES = frozenset(
+    (
+        Feature.SLOT_QUEUE,
+        Feature.PROGRAM_ADMISSION,
+        Feature.ROUTE_PRIORITY,
+        Feature.ZONE_BALANCING,
+        Feature.HEDGING,
+    )
+)
+# Also enabled for targets that report how slow their machine is.
+CONTENTION_FEATURES = frozenset(
+    (Feature.COMPLETION_TIME, Feature.ZONE_BALANCING)
+)
+
+
 class Settings(typing.NamedTuple):
     """The settings of an instance; addresses are ``IP:PORT``.
 
     ``is_first_start`` says that the whole system starts for the first time.
+    ``has_overload_control`` says that callers compete for capacity.
+    ``memory_limit`` is that of the process; ``None`` means that there is no
+    limit. ``disabled_features`` are not used even if the deployment calls for
+    them.
     """
 
     instance: str
@@ -298,6 +330,27 @@
     store: StoreSettings
     bounds: Bounds
     is_first_start: bool = False
+    has_overload_control: bool = False
+    memory_limit: int | None = None
+    disabled_features: frozenset[Feature] = frozenset()
+
+    def has_feature(
+        self, feature: Feature, reports_contention: bool = False
+    ) -> bool:
+        """Return whether a feature is enabled.
+
+        ``reports_contention`` says that the targets in question report how
+        slow their machine is.
+        """
+        if feature in self.disabled_features:
+            return False
+        if feature is Feature.MEMORY_LIMIT:
+            return self.memory_limit is not None
+        if reports_contention and feature in CONTENTION_FEATURES:
+            return True
+        return (
+            self.has_overload_control and feature in OVERLOAD_CONTROL_FEATURES
+        )
 
 
 class InstanceRow(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/libs/gateway/vanillayoke/gateway/process.py
@@ -0,0 +1,140 @@
+"""The process of one instance: settings file, signals, metrics and log."""
+
+import asyncio
+import gc
+import signal
+import typing
+
+from vanillayoke.core import events
+from vanillayoke.core import lines
+from vanillayoke.core import logs
+from vanillayoke.core import timers
+from vanillayoke.gateway import dialect as dialect_module
+from vanillayoke.gateway import features
+from vanillayoke.gateway import instance as instance_module
+from vanillayoke.gateway import messages
+from vanillayoke.transport import server
+
+METRICS_PATH = b'/metrics'
+# Outside the port range of instances.
+METRICS_PORT = 9464
+# Polled because the settings file may change without a signal.
+SETTINGS_POLL_SECONDS = 1.0
+TIMELINE_CAPACITY = 2000
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class SettingsError(Exception):
+    """The settings file is invalid; the message names the file and field."""
+
+
+class Process:
+    """Runs one instance with its settings file, log, metrics and signals.
+
+    ``read_settings`` decodes the file at a path and raises ``SettingsError``
+    if it is invalid. Log lines are written to the file descriptor
+    ``descriptor`` without blocking. ``disabled_features`` are names separated
+    by commas.
+    """
+
+    def __init__(
+        self,
+        path: str,
+        descriptor: int,
+        read_settings: typing.Callable[[str], messages.Settings],
+        dialect: dialect_module.Dialect,
+        disabled_features: str = '',
+    ) -> None:
+        self._path = path
+        self._decode_settings = read_settings
+        self._disabled_features = features.decode_disabled(disabled_features)
+        self._settings = self._read_settings()
+        self._timers = timers.LoopTimers(asyncio.get_running_loop())
+        self._output = lines.LineOutput(descriptor, self._timers)
+        self._log = logs.Logger.from_config(
+            self._settings.instance,
+            self._timers,
+            TIMELINE_CAPACITY,
+            self._output,
+        )
+        self._instance = instance_module.Instance.from_config(
+            self._settings,
+            dialect,
+            self._timers,
+            self._log,
+        )
+        self._stop = asyncio.Event()
+
+    def stop(self) -> None:
+        """Start a graceful shutdown."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until ``stop`` is called or a stop signal arrives."""
+        loop = asyncio.get_running_loop()
+        for signal_number in _STOP_SIGNALS:
+            loop.add_signal_handler(signal_number, self.stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, 'signal')
+        started_at = self._timers.now()
+        self._log.write(
+            events.PROCESS_STARTED,
+            version='0.1.0',
+            zone=self._settings.zone,
+        )
+        await self._instance.start()
+        await self._serve_metrics()
+        self._timers.call_every(
+            SETTINGS_POLL_SECONDS, lambda: self._reload('look')
+        )
+        # Objects alive now are long-lived: exempt them from collection.
+        gc.freeze()
+        await self._stop.wait()
+        await self._instance.stop()
+        seconds = round(self._timers.now() - started_at, 1)
+        self._log.write(events.PROCESS_STOPPED, seconds=seconds)
+        self._output.flush()
+
+    async def _serve_metrics(self) -> None:
+        http_server = server.HttpServer(
+            self._handle_metrics, lambda error: None, lambda status: None
+        )
+        await http_server.listen(self._settings.ip, METRICS_PORT)
+
+    async def _handle_metrics(
+        self, request: server.Request, responder: server.Responder
+    ) -> None:
+        if request.target != METRICS_PATH:
+            responder.send(404, [], b'')
+            return
+        self._instance.metrics.lines_dropped.set(self._output.dropped)
+        page = self._instance.metrics.render()
+        content_type = (b'Content-Type', page.content_type.encode())
+        responder.send(200, [content_type], page.body)
+
+    def _read_settings(self) -> messages.Settings:
+        settings = self._decode_settings(self._path)
+        return settings._replace(disabled_features=self._disabled_features)
+
+    def _reload(self, cause: str) -> None:
+        try:
+            settings = self._read_settings()
+        except SettingsError as error:
+            self._log.write(events.SETTINGS_REJECTED, error=str(error))
+            return
+        if settings == self._settings and cause == 'look':
+            return
+        self._settings = settings
+        self._instance.settings = settings
+        self._log.write(events.SETTINGS_CHANGED, cause=cause)
+
+
+def ignore_stop_signals() -> None:
+    """Ignore stop signals that arrive after a graceful shutdown.
+
+    Closing the event loop restores the default signal handlers. A second
+    stop signal would then kill the process, which would look like a crash.
+    """
+    loop = asyncio.get_running_loop()
+    for signal_number in _STOP_SIGNALS:
+        loop.remove_signal_handler(signal_number)
+        signal.signal(signal_number, signal.SIG_IGN)
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from vanillayoke.adapter import process
+from vanillayoke.adapter import process as process_module
+from vanillayoke.gateway import process
 from vanillayoke.standins import calls
 from vanillayoke.standins import store as store_module
 from vanillayoke.testing import fixtures
@@ -90,7 +91,7 @@
     await store.listen(HOST, STORE_PORT)
     store.put('op', 'config', calls.make_configuration(1, []))
     path = _write_settings(folder)
-    instance = process.Process(path, write_end)
+    instance = process_module.make_process(path, write_end)
     task = asyncio.ensure_future(instance.run())
     await _wait_ready()
     status, page = await _get(process.METRICS_PORT, b'/metrics')
--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -12,6 +12,7 @@
 from vanillayoke.adapter import wire
 from vanillayoke.gateway import dialect
 from vanillayoke.gateway import messages
+from vanillayoke.gateway import process
 from vanillayoke.standins import calls
 from vanillayoke.testing import fixtures
 from vanillayoke.transport import server
@@ -50,10 +51,30 @@
     case.assertEqual(('i1', 'z1'), (decoded.instance, decoded.zone))
 
 
+def test_settings_without_rules_and_limits_enable_no_overload_control(
+    case, folder
+):
+    """An earlier deployment would be served differently."""
+    path = folder / 'settings.json'
+    path.write_bytes(msgspec.json.encode(SETTINGS))
+    decoded = settings.read_settings(str(path))
+    case.assertFalse(decoded.has_overload_control)
+    case.assertIsNone(decoded.memory_limit)
+
+
+def test_rules_and_limits_of_settings_are_decoded(case, folder):
+    path = folder / 'settings.json'
+    more = {'active_rules': ['base', 'pressure'], 'limits': {'memory_mb': 128}}
+    path.write_bytes(msgspec.json.encode({**SETTINGS, **more}))
+    decoded = settings.read_settings(str(path))
+    case.assertTrue(decoded.has_overload_control)
+    case.assertEqual(128 * 1024 * 1024, decoded.memory_limit)
+
+
 def test_error_for_invalid_settings_names_file_and_field(case, folder):
     path = folder / 'settings.json'
     path.write_bytes(msgspec.json.encode({**SETTINGS, 'zone': 7}))
-    with case.assertRaises(settings.SettingsError) as caught:
+    with case.assertRaises(process.SettingsError) as caught:
         settings.read_settings(str(path))
     case.assertIn('settings.json', str(caught.exception))
     case.assertIn('zone', str(caught.exception))
