Added a queue for the slots of a target at its coordinator.

Requests that find no free slot now ask the coordinator of the target, which grants slots by lateness, priority, share of the organisation and slack. It is used only where the feature slot_queue is enabled.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -723,6 +723,51 @@
     'state',
     'incarnation',
 )
+SLOT_WAIT_LONG = _define(
+    1035,
+    'slot_wait_long',
+    _INFO,
+    'Request {request} of {organisation} got a slot of {target} after '
+    '{seconds} s; its position was {position}.',
+    'request',
+    'organisation',
+    'target',
+    'position',
+    'priority',
+    'seconds',
+)
+SLOT_REFUSED = _define(
+    1036,
+    'slot_refused',
+    _INFO,
+    'Request {request} of {organisation} got no slot of {target} ({reason}): '
+    'position {position} of {waiting}, predicted wait {predicted_ms} ms, at '
+    'most {left_ms} ms left to wait.',
+    'request',
+    'organisation',
+    'target',
+    'reason',
+    'position',
+    'waiting',
+    'slots',
+    'priority',
+    'hold_ms',
+    'predicted_ms',
+    'left_ms',
+    'retry_ms',
+)
+SLOT_WAIT_ABANDONED = _define(
+    1037,
+    'slot_wait_abandoned',
+    _INFO,
+    'Request {request} of {organisation} stopped to wait for a slot of '
+    '{target} after {ms} ms ({cause}).',
+    'request',
+    'organisation',
+    'target',
+    'cause',
+    'ms',
+)
 GATEWAY_READY = _define(
     1040,
     'gateway_ready',
--- a/libs/gateway/vanillayoke/gateway/catalog.py
+++ b/libs/gateway/vanillayoke/gateway/catalog.py
@@ -129,6 +129,10 @@
             self._lists[service] = targets
         return targets
 
+    def get_target(self, name: str) -> messages.Target | None:
+        """Return a target, ``None`` if it is not known."""
+        return self._targets.get(name)
+
     @property
     def target_names(self) -> typing.Collection[str]:
         """The names of all known targets, missing and leaving ones too."""
--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -13,6 +13,7 @@
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import reservations as reservations_module
+from vanillayoke.gateway import slot_queues as slot_queues_module
 from vanillayoke.gateway import store as store_module
 from vanillayoke.scheduling import occupancy
 from vanillayoke.transport import client
@@ -37,6 +38,7 @@
     store: store_module.StoreClient
     reservations: reservations_module.Reservations
     load_queries: load_queries.LoadQueries
+    slot_queues: slot_queues_module.SlotQueues
     histories: histories_module.Histories
     log: logs.Logger
     metrics: metrics_module.Metrics
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -51,6 +51,10 @@
         self.broken_attempts = 0
         # The number of requests at the target when it was chosen, if known.
         self.target_load: float | None = None
+        # The number of requests that waited for its slots then.
+        self.target_waiting = 0
+        # Refusals by the slot queues of targets.
+        self.slot_refusals = 0
         self.queue_seconds = 0.0
         # Set when the request starts to wait for an unavailable store.
         self.store_wait_deadline: float | None = None
@@ -208,7 +212,8 @@
         """Return a target with a free slot, waiting for one if necessary.
 
         ``excluded`` holds names of targets not to use; it is cleared after
-        each wait. Raise ``RefusalError`` if the service has no targets.
+        each wait. Raise ``RefusalError`` if the service has no targets, or if
+        no slot is free in time.
         """
         timers = self._context.timers
         started_at = timers.now()
@@ -222,13 +227,21 @@
                 progress, targets, criteria, excluded
             )
             if candidate is not None:
-                progress.queue_seconds += now - started_at
-                progress.target = candidate.name
-                return next(
+                target = next(
                     target
                     for target in targets
                     if target.name == candidate.name
                 )
+                asked_at = timers.now()
+                if not await self._context.slot_queues.acquire(
+                    progress, target, excluded
+                ):
+                    continue
+                # Nothing may wait between the grant and the attempt.
+                progress.queue_seconds += now - started_at
+                progress.queue_seconds += timers.now() - asked_at
+                progress.target = candidate.name
+                return target
             await timers.sleep(
                 SLOT_RETRY_SECONDS * (0.5 + self._context.random_float())
             )
@@ -272,6 +285,7 @@
             )
         load = loads.get(best.name) if best is not None else None
         progress.target_load = None if load is None else load.requests
+        progress.target_waiting = 0 if load is None else load.waiting
         return best
 
     def record_failure(
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -30,6 +30,7 @@
 from vanillayoke.gateway import peers as peers_module
 from vanillayoke.gateway import rendezvous
 from vanillayoke.gateway import reservations as reservations_module
+from vanillayoke.gateway import slot_queues
 from vanillayoke.gateway import store as store_module
 from vanillayoke.gateway import sweeping
 from vanillayoke.gateway import table_sync
@@ -152,6 +153,7 @@
         self._log.write(log_events.DRAIN_STARTED, reason='stop requested')
         self._caller_server.drain()
         self._members.leave()
+        self._slot_queues.leave()
         self._reservations.is_leaving = True
         await self._reservations.hand_over()
         min_drain_end = started_at + MIN_DRAIN_SECONDS
@@ -251,6 +253,17 @@
             lambda: self._members.list_eligible(),
             self._timers,
         )
+        self._slot_queues = slot_queues.SlotQueues(
+            settings.instance,
+            incarnation,
+            settings.has_feature(messages.Feature.SLOT_QUEUE),
+            self._load_queries,
+            self._catalog,
+            self._occupancy,
+            self._timers,
+            self.metrics,
+            self._log,
+        )
         self._version_gossip = version_gossip.VersionGossip(
             self._row,
             self._relay_address,
@@ -294,7 +307,7 @@
             self._handle_peer_request,
             lambda data, sender: self._members.receive(data, sender),
             self._health_gossip.receive,
-            self._load_queries.handle,
+            self._handle_notification,
             self._version_gossip.receive,
             incarnation,
         )
@@ -302,6 +315,7 @@
         self._limits.set_peers(self._peers)
         self._reservations.set_peers(self._peers)
         self._load_queries.set_peers(self._peers)
+        self._slot_queues.set_peers(self._peers)
         self._health_gossip.set_peers(self._peers)
         self._members = members_module.Members(
             self._row,
@@ -325,6 +339,7 @@
             self._store,
             self._reservations,
             self._load_queries,
+            self._slot_queues,
             self._histories,
             self._log,
             self.metrics,
@@ -365,8 +380,18 @@
                 return self._load_queries.handle_request(request)
             case peer_messages.UsageReport():
                 return self._limit_accounts.handle_request(request)
+            case peer_messages.SlotRequest():
+                return self._slot_queues.handle_request(request)
         return self._reservations.handle_request(request)
 
+    def _handle_notification(
+        self, notification: peer_messages.Notification
+    ) -> None:
+        if isinstance(notification, peer_messages.SlotCancelled):
+            self._slot_queues.handle_cancelled(notification)
+        else:
+            self._load_queries.handle(notification)
+
     def _list_relays(self) -> list[str]:
         own_name = self.settings.instance
         return [
@@ -420,6 +445,7 @@
         self._limits.prune()
         self._limit_accounts.prune()
         self._occupancy.retain(self._catalog.target_names)
+        self._slot_queues.retain(self._catalog.target_names)
         self._load_queries.retain(self._catalog.target_names)
 
     def _handle_target_restart(self, target: messages.Target) -> None:
@@ -430,6 +456,7 @@
         self._pool.drop(target.address)
         self._occupancy.handle_restart(target.name)
         self._load_queries.handle_restart(target.name)
+        self._slot_queues.handle_restart(target.name)
         self._log.write(
             log_events.SERVER_RESTARTED,
             target=target.name,
@@ -455,6 +482,7 @@
         self._maintenance_timer.cancel()
         self._tick_timer.cancel()
         self._version_timer.cancel()
+        self._slot_queues.close()
         for task in list(self._tasks):
             task.cancel()
         self._sender.close()
--- a/libs/gateway/vanillayoke/gateway/load_queries.py
+++ b/libs/gateway/vanillayoke/gateway/load_queries.py
@@ -33,7 +33,11 @@
         self._instance = instance
         self._list_eligible = list_eligible
         self._timers = timer_service
-        self._load_counts = load_counts.LoadCounts()
+        self.load_counts = load_counts.LoadCounts()
+        # Called with each notification that this instance counts.
+        self._observer: (
+            typing.Callable[[peer_messages.Notification], None] | None
+        ) = None
         self._peers: peers_module.Peers | None = None
         self._eligible: typing.Sequence[rendezvous.Peer] = ()
         # Coordinators' addresses by target, None for this instance.
@@ -43,6 +47,12 @@
         """Set the connection to the other instances."""
         self._peers = peers
 
+    def set_observer(
+        self, observer: typing.Callable[[peer_messages.Notification], None]
+    ) -> None:
+        """Set what is called with each notification after it was counted."""
+        self._observer = observer
+
     async def query(
         self, candidates: typing.Iterable[occupancy.Candidate]
     ) -> dict[str, load_counts.Load]:
@@ -53,7 +63,7 @@
             address = self._find_coordinator(candidate.name, candidate.zone)
             if address is None:
                 now = self._timers.now()
-                loads[candidate.name] = self._load_counts.get_load(
+                loads[candidate.name] = self.load_counts.get_load(
                     candidate.name, now
                 )
             else:
@@ -73,7 +83,7 @@
         )
         if isinstance(response, peer_messages.LoadResponse):
             loads[target] = load_counts.Load(
-                response.requests, response.latency_ratio
+                response.requests, response.latency_ratio, response.waiting
             )
 
     def record_start(
@@ -103,41 +113,49 @@
         now = self._timers.now()
         match notification:
             case peer_messages.RequestStarted(target, request, max_duration):
-                self._load_counts.begin(
+                self.load_counts.begin(
                     target, request, now + max_duration, now
                 )
             case peer_messages.RequestEnded(
                 target, request, reported_count, latency_ratio
             ):
-                self._load_counts.end(
+                self.load_counts.end(
                     target, request, reported_count, latency_ratio, now
                 )
+        if self._observer is not None:
+            self._observer(notification)
 
     def handle_request(
         self, request: peer_messages.LoadQuery
     ) -> peer_messages.LoadResponse:
         """Return the load for a query of another instance."""
-        load = self._load_counts.get_load(request.target, self._timers.now())
-        return peer_messages.LoadResponse(load.requests, load.latency_ratio)
+        load = self.load_counts.get_load(request.target, self._timers.now())
+        return peer_messages.LoadResponse(
+            load.requests, load.latency_ratio, load.waiting
+        )
 
     def retain(self, targets: typing.Container[str]) -> None:
         """Drop what is known of targets other than these."""
-        self._load_counts.retain(targets)
+        self.load_counts.retain(targets)
         self._coordinators.clear()
 
     def handle_restart(self, target: str) -> None:
         """Drop the requests of a target that has restarted."""
-        self._load_counts.reset(target)
+        self.load_counts.reset(target)
 
     def _notify_coordinator(
         self, target: messages.Target, notification: peer_messages.Notification
     ) -> None:
-        address = self._find_coordinator(target.name, target.zone)
+        address = self.find_coordinator(target)
         if address is None:
             self.handle(notification)
         else:
             self._peers.notify(address, notification)
 
+    def find_coordinator(self, target: messages.Target) -> str | None:
+        """Return the coordinator's address, ``None`` for this instance."""
+        return self._find_coordinator(target.name, target.zone)
+
     def _find_coordinator(self, target: str, zone: str) -> str | None:
         """Return the coordinator's address, ``None`` for this instance."""
         eligible = self._list_eligible()
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -23,6 +23,9 @@
 )
 _TARGET = metrics.Label('target')
 _ORGANISATION = metrics.Label('organisation')
+_SERVICE = metrics.Label('service')
+_SLOT_REASON = metrics.Label('reason', ('late', 'full'))
+_SLOT_CAUSE = metrics.Label('cause', ('silent', 'released', 'unusable'))
 _RESULT = metrics.Label('result', ('answered', 'over_limit', 'failed'))
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 
@@ -91,6 +94,7 @@
             'target_connections_total',
             'Connections opened to targets.',
         )
+        self._define_slot_queues(registry)
         self.members = metrics.Gauge(
             registry, 'gateway_members', 'Instances known, by state.', _STATE
         )
@@ -103,6 +107,45 @@
             registry, 'requests_active', 'Requests under way.'
         )
 
+    def _define_slot_queues(self, registry: aioprometheus.Registry) -> None:
+        self.slot_waiting = metrics.Gauge(
+            registry,
+            'slot_waiting',
+            'Requests of this instance that wait for a slot, by service.',
+            _SERVICE,
+        )
+        self.slot_wait = metrics.Histogram(
+            registry,
+            'slot_wait_seconds',
+            'Time that requests waited for a slot of a target with none free.',
+            metrics.WAIT_BUCKETS,
+            _SERVICE,
+        )
+        self.slot_grants = metrics.Counter(
+            registry,
+            'slot_grants_total',
+            'Slots granted by this instance.',
+        )
+        self.slot_grants_expired = metrics.Counter(
+            registry,
+            'slot_grants_expired_total',
+            'Granted slots whose request did not start in time.',
+        )
+        self.slot_refusals = metrics.Counter(
+            registry,
+            'slot_refusals_total',
+            'Requests that this instance refused a slot: they could not start '
+            'in time, or too many waited.',
+            _SLOT_REASON,
+        )
+        self.slot_waits_abandoned = metrics.Counter(
+            registry,
+            'slot_waits_abandoned_total',
+            'Requests of this instance that stopped to wait for a slot '
+            'without a decision.',
+            _SLOT_CAUSE,
+        )
+
     def record_request(
         self, progress: typing.Any, outcome: str, seconds: float
     ) -> None:
--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -72,11 +72,13 @@
     """The load of a target.
 
     ``requests`` is the estimated number of running requests,
-    ``latency_ratio`` their duration relative to the typical one.
+    ``latency_ratio`` their duration relative to the typical one. ``waiting``
+    counts the requests that wait for a slot at the coordinator.
     """
 
     requests: float
     latency_ratio: float
+    waiting: int = 0
 
 
 class UsageRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -149,6 +151,56 @@
     latency_ratio: float | None
 
 
+class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag='Q'):
+    """Request a slot of a target.
+
+    ``ticket`` is unique among all waits; the request is repeated with it while
+    it waits. ``slots`` is the number of slots as the requester knows it. Times
+    are in seconds from now: ``slack`` until the slack is used up, ``in_time``
+    until the latest start with which the program can end in time,
+    ``time_left`` until the request has to be complete. ``waited`` is the time
+    since the first request with this ticket.
+    """
+
+    target: str
+    ticket: str
+    request: str
+    organisation: str
+    weight: float
+    priority: int
+    is_first: bool
+    slack: float
+    in_time: float
+    time_left: float
+    slots: int
+    waited: float
+
+
+class SlotGranted(msgspec.Struct, frozen=True, array_like=True, tag='O'):
+    """A slot was granted; it expires if the request does not start soon."""
+
+
+class SlotRefused(msgspec.Struct, frozen=True, array_like=True, tag='F'):
+    """The request can't start in time, or too many others wait.
+
+    ``retry_after`` is the time in seconds after which there is capacity.
+    ``position`` is the request's position among those that wait, and
+    ``predicted`` the predicted wait in seconds.
+    """
+
+    retry_after: float
+    reason: str
+    position: int
+    predicted: float
+
+
+class SlotCancelled(msgspec.Struct, frozen=True, array_like=True, tag='K'):
+    """A request no longer waits for a slot, or does not use its grant."""
+
+    target: str
+    ticket: str
+
+
 class HandedOver(msgspec.Struct, frozen=True, array_like=True, tag='D'):
     """The tokens handed over; they now belong to the requester.
 
@@ -201,7 +253,15 @@
     relay: str
 
 
-Request = Reserve | Settle | Transfer | HandOver | LoadQuery | UsageReport
+Request = (
+    Reserve
+    | Settle
+    | Transfer
+    | HandOver
+    | LoadQuery
+    | UsageReport
+    | SlotRequest
+)
 Response = (
     Granted
     | BudgetExhausted
@@ -210,6 +270,8 @@
     | HandedOver
     | LoadResponse
     | LimitStatus
+    | SlotGranted
+    | SlotRefused
 )
 # Not acknowledged; a lost one only makes the load less exact for a time.
-Notification = RequestStarted | RequestEnded
+Notification = RequestStarted | RequestEnded | SlotCancelled
--- a/libs/scheduling/vanillayoke/scheduling/load_counts.py
+++ b/libs/scheduling/vanillayoke/scheduling/load_counts.py
@@ -24,11 +24,18 @@
     """The load of a target as its coordinator knows it.
 
     ``latency_ratio`` is the duration of its requests relative to the average
-    of such requests; 1 while it is within the normal variation.
+    of such requests; 1 while it is within the normal variation. ``waiting``
+    counts the requests that wait for a slot at the coordinator.
     """
 
     requests: float
     latency_ratio: float = 1.0
+    waiting: int = 0
+
+    @property
+    def total(self) -> float:
+        """The number of running and waiting requests."""
+        return self.requests + self.waiting
 
 
 class _TargetCounts:
@@ -40,6 +47,7 @@
         self.reported_at = float('-inf')
         self.average_ratio = 1.0
         self.ratio_updated_at = 0.0
+        self.waiting = 0
 
 
 class LoadCounts:
@@ -84,6 +92,10 @@
             )
             counts.ratio_updated_at = now
 
+    def set_waiting(self, target: str, count: int) -> None:
+        """Set how many requests wait for a slot of a target."""
+        self._get_counts(target).waiting = count
+
     def get_load(self, target: str, now: float) -> Load:
         """Return the load of a target."""
         counts = self._targets.get(target)
@@ -91,7 +103,7 @@
             return Load(0.0)
         ratio = _get_average_ratio(counts, now)
         latency_ratio = ratio if ratio >= MIN_SLOW_LATENCY_RATIO else 1.0
-        return Load(self.count(target, now), latency_ratio)
+        return Load(self.count(target, now), latency_ratio, counts.waiting)
 
     def count(self, target: str, now: float) -> float:
         """Return the estimated number of requests at a target."""
--- a/libs/scheduling/vanillayoke/scheduling/occupancy.py
+++ b/libs/scheduling/vanillayoke/scheduling/occupancy.py
@@ -338,7 +338,7 @@
     if load is None or load.latency_ratio != 1.0:
         return False
     is_fast = criteria.slope * load.requests < MAX_LOCAL_SLOWDOWN_RATIO
-    return load.requests < occupancy.get_slots(candidate) and is_fast
+    return load.total < occupancy.get_slots(candidate) and is_fast
 
 
 def choose_least_loaded(
@@ -369,9 +369,9 @@
             load = load_counts.Load(
                 occupancy.estimate_requests(candidate.name, now)
             )
-        score = max(LOW_UTILISATION, load.requests / slots)
+        score = max(LOW_UTILISATION, load.total / slots)
         score += criteria.slope * load.requests
-        if load.requests >= slots:
+        if load.total >= slots:
             score += FULL_PENALTY
         score = score * load.latency_ratio + MAX_JITTER * random_float()
         if candidate.name == criteria.affinity_target:
