--- a/libs/scheduling/vanillayoke/scheduling/slot_queue.py
+++ b/libs/scheduling/vanillayoke/scheduling/slot_queue.py
@@ -21,12 +21,14 @@
 # 16 times the time that a slot is held: 4 s at an engine whose turns take
 # 0.25 s, which is longer than the time limits of programs.
 MAX_WAITING_PER_SLOT = 16
-# If a slot is held for less, one request more than there are slots is sent.
-# The slot would otherwise be idle for the 3 ms of the messages between the
-# end of a request and the start of the next one, more than 5% of the time.
-# Engines hold slots for longer, and they preempt running requests for a more
-# urgent one in their own queue.
-MAX_SPARE_HOLD_SECONDS = 0.06
+# Between the end of a request and the start of the next one a slot is idle for
+# the time of three messages. As many requests as slots are idle at a time are
+# sent in addition; the target's own queue holds them. It is none if less than
+# MIN_IDLE_SLOTS are idle. So it is 1 or 2 at a service with 6 slots and calls
+# of 10 to 50 ms, and none at an engine with turns of 0.2 s: engines preempt
+# running requests for a more urgent one in their own queue.
+MESSAGES_SECONDS = 0.003
+MIN_IDLE_SLOTS = 0.3
 # One grant in this many goes to the organisation with the least service.
 FAIR_GRANT_INTERVAL = 4
 # Service attained earlier counts less: bursts last from 6 to 20 s.
@@ -246,11 +248,10 @@
     @property
     def capacity(self) -> int:
         """How many requests may be at the target."""
-        has_spare = (
-            self._average_hold is not None
-            and self._average_hold.value < MAX_SPARE_HOLD_SECONDS
-        )
-        return self.slots + has_spare
+        if self._average_hold is None:
+            return self.slots
+        idle = self.slots * MESSAGES_SECONDS / max(MESSAGES_SECONDS, self.hold)
+        return self.slots + max(0, math.ceil(idle - MIN_IDLE_SLOTS))
 
     def count_occupied(self, now: float) -> float:
         """Return the estimated number of requests at the target."""
