--- /dev/null
+++ b/tests/gateway/test_slot_queues.py
@@ -0,0 +1,505 @@
+"""Tests of requests that wait for a slot at the coordinator of a target."""
+
+import asyncio
+import collections
+import statistics
+
+import msgspec
+
+from tests.gateway import site as site_module
+from tests.gateway import site_fixtures
+from vanillayoke.gateway import messages
+from vanillayoke.gateway import peer_messages
+from vanillayoke.gateway import slot_queues
+from vanillayoke.standins import calls
+from vanillayoke.standins import targets as targets_module
+from vanillayoke.testing import fixtures
+
+ROUTES = [
+    calls.make_route(
+        'find', 'tools', 'safe', max_attempts=2, slo_ms=82, priority=0
+    ),
+    calls.make_route('order', 'tools', 'unsafe', slo_ms=202, priority=2),
+    calls.make_route('brief', 'tools', 'unsafe', timeout_ms=300, priority=2),
+    calls.make_route('plan', 'models', 'stream', resumable=True),
+]
+SERVICE_SECONDS = 0.05
+SLOT_TAGS = frozenset('QOFK')
+# Slots of a fake target.
+SLOTS = 4
+
+
+class Traffic:
+    """Counts datagrams between instances by the tag of their message.
+
+    The next ``lost`` datagrams with a tag are not delivered.
+    """
+
+    def __init__(self, network) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.sizes: collections.Counter[str] = collections.Counter()
+        self.lost: collections.Counter[str] = collections.Counter()
+        self._send = network.send_datagram
+        network.send_datagram = self.send
+
+    def send(self, data, sender, receiver) -> None:
+        tag = _find_tag(data)
+        self.counts[tag] += 1
+        self.sizes[tag] += len(data)
+        if self.lost[tag] > 0:
+            self.lost[tag] -= 1
+            return
+        self._send(data, sender, receiver)
+
+    def count_slot_messages(self) -> int:
+        """Return the number of messages about slots, including the waits."""
+        return sum(self.counts[tag] for tag in (*SLOT_TAGS, 'P'))
+
+    def sum_slot_sizes(self) -> int:
+        """Return the bytes of messages about slots."""
+        return sum(self.sizes[tag] for tag in (*SLOT_TAGS, 'P'))
+
+
+def _find_tag(data: bytes) -> str:
+    if data[:1] not in (b'q', b'a', b'n'):
+        return data[:1].decode()
+    decoded = msgspec.msgpack.decode(data[1:])
+    if data[:1] in (b'q', b'a'):
+        decoded = decoded[1]
+    return decoded[0]
+
+
+@fixtures.fixture
+def traffic(network):
+    return Traffic(network)
+
+
+async def _start(site, instances=3, is_enabled=True) -> None:
+    """Start a site whose tools have a single target, t1."""
+    site.settings['has_overload_control'] = True
+    if not is_enabled:
+        site.settings['disabled_features'] = frozenset(
+            (messages.Feature.SLOT_QUEUE,)
+        )
+    await site.start(instances)
+    site.configure(2, routes=ROUTES)
+    _register(site, 't2', state='draining')
+    site.targets['t1'].service_time = SERVICE_SECONDS
+    await asyncio.sleep(0.3)
+
+
+def _register(site, name, **changes) -> None:
+    number = list(site.targets).index(name) + 1
+    address = f'10.8.0.{number}:{site_module.TARGET_PORT}'
+    site.register(name, address, **changes)
+
+
+def _get_target(site, name='t1'):
+    instance = next(iter(site.instances.values()))
+    return instance._catalog.get_target(name)
+
+
+def _find_coordinator(site, name='t1') -> str:
+    target = _get_target(site, name)
+    return next(
+        instance
+        for instance, running in site.instances.items()
+        if running._load_queries.find_coordinator(target) is None
+    )
+
+
+def _list_others(site, name='t1') -> list[str]:
+    coordinator = _find_coordinator(site, name)
+    return [instance for instance in site.instances if instance != coordinator]
+
+
+def _count_waiting(site, name='t1') -> int:
+    return sum(
+        queue.waiting_count
+        for instance in site.instances.values()
+        for target, queue in instance._slot_queues._queues.items()
+        if target == name
+    )
+
+
+def _send(site, instances, count, route='order', prefix='w'):
+    """Send requests to instances in turn; return their tasks."""
+    return [
+        asyncio.ensure_future(
+            site.call(
+                instances[number % len(instances)],
+                route,
+                request=f'{prefix}{number}',
+            )
+        )
+        for number in range(count)
+    ]
+
+
+async def _fill(site, instances, count=14):
+    """Send requests one after the other, until many wait."""
+    tasks = []
+    for number in range(count):
+        instance = instances[number % len(instances)]
+        tasks += _send(site, [instance], 1, prefix=f'w{number}-')
+        await asyncio.sleep(0.004)
+    return tasks
+
+
+async def _measure(site, task) -> float:
+    """Return the time until a task is done."""
+    started_at = site.timers.now()
+    await task
+    return site.timers.now() - started_at
+
+
+async def test_urgent_calls_overtake_others_that_wait(case, site):
+    """A burst of one kind delayed the urgent kind as much as itself."""
+    await _start(site)
+    names = list(site.instances)
+    tasks = await _fill(site, names, 24)
+    case.assertGreater(_count_waiting(site), 8)
+    urgent = await asyncio.gather(
+        *(
+            _measure(site, task)
+            for task in _send(site, names, 4, 'find', 'urgent')
+        )
+    )
+    order = [run.request for run in site.targets['t1'].executions]
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+    case.assertLess(max(urgent), 3 * SERVICE_SECONDS)
+    last_urgent = max(order.index(f'urgent{n}') for n in range(4))
+    case.assertLess(last_urgent, 16)
+
+
+async def test_target_queues_at_most_two_requests(case, site):
+    """Requests in the target's own queue can't be overtaken."""
+    await _start(site)
+    site.targets['t1'].service_time = 0.02
+    tasks = await _fill(site, list(site.instances), 10)
+    most = 0
+    while not all(task.done() for task in tasks):
+        most = max(most, site.targets['t1'].waiting)
+        await asyncio.sleep(0.002)
+    case.assertLessEqual(most, 2)
+
+
+async def test_uncontended_requests_cause_no_message(case, site, traffic):
+    """Every request would take a further round trip."""
+    await _start(site)
+    for number in range(6):
+        await site.call(f'i{1 + number % 3}', 'order')
+    case.assertEqual(0, traffic.count_slot_messages())
+
+
+async def test_disabled_feature_sends_no_message(case, site, traffic):
+    """Earlier deployments must be served as before."""
+    await _start(site, is_enabled=False)
+    tasks = await _fill(site, list(site.instances), 10)
+    await asyncio.gather(*tasks)
+    case.assertEqual(0, traffic.count_slot_messages())
+    case.assertGreater(traffic.counts['B'], 0)
+
+
+async def test_turns_wait_for_engines(case, site):
+    """A turn in the engine's own queue would preempt running ones."""
+    await _start(site)
+    for name in ('m1', 'm2'):
+        site.targets[name].event_interval = 0.05
+    tasks = []
+    for number in range(14):
+        tasks.append(
+            asyncio.ensure_future(
+                site.turn(
+                    f'i{1 + number % 3}',
+                    f'a{number}',
+                    route='plan',
+                    program=f'p{number}',
+                )
+            )
+        )
+        await asyncio.sleep(0.004)
+    waiting = [site.targets[name].waiting for name in ('m1', 'm2')]
+    case.assertEqual([0, 0], waiting)
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+
+
+# Refusals
+
+
+async def test_request_that_cannot_start_in_time_is_refused_at_once(
+    case, site
+):
+    """It waited for its deadline before it was refused."""
+    await _start(site)
+    tasks = await _fill(site, list(site.instances), 40)
+    started_at = site.timers.now()
+    response = await site.call('i1', 'brief', request='x')
+    case.assertLess(site.timers.now() - started_at, 0.05)
+    case.assertEqual(503, response.status)
+    case.assertGreater(float(response.headers[b'retry-after']), 0.05)
+    await asyncio.gather(*tasks)
+    case.assertEqual([], site.list_runs('x'))
+    coordinator = _find_coordinator(site)
+    [event] = site.list_events(coordinator, 'slot_refused')
+    case.assertEqual('x', event['request'])
+    case.assertGreater(event['predicted_ms'], event['left_ms'])
+
+
+async def test_request_that_may_have_run_is_not_refused(case, site):
+    """A refusal would say that it did not run."""
+    await _start(site)
+    site.targets['t1'].faults.append(targets_module.Fault.LOSE_ANSWER)
+    task = _send(site, ['i1'], 1, 'find')[0]
+    await asyncio.sleep(0.02)
+    others = await _fill(site, list(site.instances), 30)
+    response = await task
+    case.assertEqual(200, response.status)
+    case.assertEqual(2, len(site.list_runs('w0')))
+    await asyncio.gather(*others)
+
+
+# Failures
+
+
+async def test_lost_coordinator_does_not_hold_requests(case, site, network):
+    """The coordinator fails while requests wait for its grants."""
+    await _start(site)
+    coordinator, others = _find_coordinator(site), _list_others(site)
+    tasks = await _fill(site, others)
+    case.assertGreater(_count_waiting(site), 4)
+    site_fixtures.kill(site, network, coordinator)
+    started_at = site.timers.now()
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+    # 14 requests take 0.2 s; a lost coordinator is noticed within 0.13 s.
+    case.assertLess(site.timers.now() - started_at, 0.4)
+    case.assertEqual(
+        [1] * 14, [len(site.list_runs(f'w{n}-0')) for n in range(14)]
+    )
+
+
+async def test_requests_of_a_lost_instance_do_not_hold_slots(
+    case, site, network
+):
+    """Each of its waiting requests would take a slot for a time."""
+    await _start(site)
+    lost, other = _list_others(site)
+    await _fill(site, [lost])
+    tasks = await _fill(site, [other], 6)
+    site_fixtures.kill(site, network, lost)
+    started_at = site.timers.now()
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+    case.assertLess(site.timers.now() - started_at, 0.7)
+
+
+async def test_partition_lets_requests_proceed(case, site, network):
+    """The instance can't reach the coordinator but the target."""
+    await _start(site)
+    coordinator, others = _find_coordinator(site), _list_others(site)
+    tasks = await _fill(site, others)
+    hosts = [site.instances[n].settings.ip for n in (coordinator, others[0])]
+    network.block_path(*hosts)
+    started_at = site.timers.now()
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+    case.assertLess(site.timers.now() - started_at, 0.6)
+
+
+async def test_caller_that_leaves_passes_its_slot_on(case, site):
+    """A slot would idle until the grant expires."""
+    await _start(site)
+    instance = _list_others(site)[0]
+    tasks = await _fill(site, [instance], 8)
+    leaving = _send(site, [instance], 4, 'find', 'gone')
+    await asyncio.sleep(0.005)
+    before = _count_waiting(site)
+    for task in leaving:
+        task.cancel()
+    await asyncio.sleep(0.01)
+    case.assertEqual(before - 4, _count_waiting(site))
+    await asyncio.gather(*tasks)
+    case.assertEqual([], site.list_runs('gone0'))
+    await asyncio.sleep(0.2)
+    metrics = [i.metrics for i in site.instances.values()]
+    expired = [m.slot_grants_expired._collector.get({}) for m in metrics]
+    case.assertEqual([0, 0, 0], expired)
+
+
+async def test_lost_grant_is_requested_again(case, site, traffic):
+    """The request would wait for its deadline."""
+    await _start(site)
+    instance = _list_others(site)[0]
+    tasks = await _fill(site, [instance], 10)
+    traffic.lost['O'] = 2
+    started_at = site.timers.now()
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual(0, traffic.lost['O'])
+    case.assertEqual({200}, {response.status for response in responses})
+    case.assertLess(site.timers.now() - started_at, 0.4)
+
+
+async def test_lost_requests_and_cancellations_hold_no_slot(
+    case, site, traffic
+):
+    """Any datagram may be lost."""
+    await _start(site)
+    instance = _list_others(site)[0]
+    for tag, count in (('Q', 2), ('P', 2), ('K', 1), ('E', 2)):
+        traffic.lost[tag] = count
+        tasks = await _fill(site, [instance], 12)
+        tasks.pop().cancel()
+        responses = await asyncio.gather(*tasks)
+        case.assertEqual({200}, {r.status for r in responses}, tag)
+        case.assertEqual(0, traffic.lost[tag], tag)
+        await asyncio.sleep(0.5)
+        case.assertEqual(0, _count_waiting(site), tag)
+
+
+async def test_coordinator_that_leaves_releases_requests(case, site):
+    """No end of a request reaches it any more, so it would grant no slot."""
+    await _start(site)
+    coordinator, others = _find_coordinator(site), _list_others(site)
+    tasks = await _fill(site, others)
+    stopping = asyncio.ensure_future(site.instances[coordinator].stop())
+    started_at = site.timers.now()
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+    case.assertLess(site.timers.now() - started_at, 0.4)
+    await asyncio.sleep(0.5)
+    case.assertIn(_find_coordinator(site), others)
+    await stopping
+
+
+async def test_target_that_leaves_releases_requests(case, site):
+    """Requests that wait for it choose another one."""
+    await _start(site)
+    tasks = await _fill(site, list(site.instances))
+    _register(site, 't2')
+    _register(site, 't1', state='draining')
+    started_at = site.timers.now()
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+    case.assertGreater(len(site.targets['t2'].executions), 4)
+    case.assertLess(site.timers.now() - started_at, 0.5)
+
+
+async def test_restarted_target_releases_requests(case, site):
+    """The requests that its coordinator counts do not run there any more."""
+    await _start(site)
+    coordinator = site.instances[_find_coordinator(site)]
+    tasks = await _fill(site, list(site.instances))
+    _register(site, 't1', born=2)
+    await asyncio.sleep(0.01)
+    causes = [
+        event['cause']
+        for name in site.instances
+        for event in site.list_events(name, 'slot_wait_abandoned')
+    ]
+    case.assertIn('released', causes)
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+    await asyncio.sleep(0.5)
+    load = coordinator._load_queries.load_counts.get_load('t1', 1e9)
+    case.assertEqual(0, load.waiting)
+
+
+async def test_unhealthy_target_releases_requests(case, site):
+    """Requests would wait for a target that serves none."""
+    await _start(site)
+    tasks = await _fill(site, list(site.instances))
+    _register(site, 't2')
+    await asyncio.sleep(0.01)
+    site.targets['t1'].stop()
+    started_at = site.timers.now()
+    await asyncio.gather(*tasks)
+    case.assertLess(site.timers.now() - started_at, 0.6)
+    runs = [len(site.list_runs(f'w{number}-0')) for number in range(14)]
+    case.assertEqual(1, max(runs))
+
+
+async def test_long_wait_is_logged(case, site):
+    """An operator has to find out why a request took long."""
+    await _start(site)
+    site.targets['t1'].service_time = 0.4
+    tasks = await _fill(site, list(site.instances), 12)
+    await asyncio.gather(*tasks)
+    events = site.list_events(_find_coordinator(site), 'slot_wait_long')
+    case.assertGreater(len(events), 2)
+    case.assertTrue(all(event['request'] for event in events))
+    case.assertGreater(events[-1]['seconds'], 0.5)
+
+
+# Cost
+
+
+async def test_messages_do_not_depend_on_the_number_of_instances(
+    case, site, traffic
+):
+    """The load of the network would grow with the square of the instances."""
+    costs = []
+    await _start(site, 3)
+    for count in (3, 12):
+        for number in range(len(site.instances) + 1, count + 1):
+            await site.add_instance(f'i{number}')
+        await asyncio.sleep(3.0)
+        before = traffic.count_slot_messages(), traffic.sum_slot_sizes()
+        names = _list_others(site)
+        tasks = await _fill(site, names, 40)
+        await asyncio.gather(*tasks)
+        costs.append(
+            (
+                (traffic.count_slot_messages() - before[0]) / 40,
+                (traffic.sum_slot_sizes() - before[1]) / 40,
+            )
+        )
+    # A request, two responses, and a renewal for every 0.1 s.
+    case.assertLess(max(cost[0] for cost in costs), 8)
+    case.assertLess(costs[1][0], 1.15 * costs[0][0])
+    case.assertLess(costs[1][1], 1.15 * costs[0][1])
+
+
+async def test_waits_within_the_coordinator_send_no_message(
+    case, site, traffic
+):
+    await _start(site)
+    before = traffic.count_slot_messages()
+    tasks = await _fill(site, [_find_coordinator(site)])
+    await asyncio.gather(*tasks)
+    case.assertEqual(before, traffic.count_slot_messages())
+
+
+# Weights
+
+
+def test_weight_is_the_rate_limit(case):
+    weights = slot_queues.OrganisationWeights()
+    organisations = {
+        b'1': messages.Organisation('small', 10.0),
+        b'2': messages.Organisation('large', 50.0),
+        b'3': messages.Organisation('large', 50.0),
+        b'4': messages.Organisation('unlimited'),
+    }
+    configuration = messages.Configuration(
+        1, (), {}, messages.CallerLimits(1, 1, 1.0, 1.0), organisations
+    )
+    found = [
+        weights.find(organisation, configuration)
+        for organisation in organisations.values()
+    ]
+    case.assertEqual([10.0, 50.0, 50.0, 30.0], found)
+    case.assertEqual(1.0, weights.find(None, configuration))
+
+
+def test_load_response_of_an_older_instance_has_no_waiting_requests(case):
+    """Instances of two versions run together while one is replaced."""
+    data = msgspec.msgpack.encode(['N', 3.0, 1.0])
+    response = msgspec.msgpack.decode(data, type=peer_messages.LoadResponse)
+    case.assertEqual(0, response.waiting)
+    case.assertEqual(3.0, statistics.fmean([response.requests]))
+
+
+load_tests = fixtures.adapt(__name__, [site_fixtures])
