Let requests choose again when their coordinator dropped them.

A request that was not renewed in time was cancelled, so a coordinator without processor time would have aborted its own callers' requests. The service of organisations also overflowed after some thousand seconds without a grant.

--- a/libs/gateway/vanillayoke/gateway/slot_queues.py
+++ b/libs/gateway/vanillayoke/gateway/slot_queues.py
@@ -429,11 +429,7 @@
         for claim, outcome in queue.advance(now):
             response = self._end_wait(target, claim, outcome, now)
             future = self._responses.pop(claim.ticket, None)
-            if future is None or future.done():
-                continue
-            if response is None:
-                future.cancel()
-            else:
+            if future is not None and not future.done():
                 future.set_result(response)
         if queue.expired_grants > expired:
             self._metrics.slot_grants_expired.add(
@@ -457,7 +453,7 @@
         claim: slot_queue.Claim,
         outcome: slot_queue.Outcome,
         now: float,
-    ) -> peer_messages.Response | None:
+    ) -> peer_messages.Response:
         """Record the outcome of a request and return the response to it."""
         match outcome:
             case slot_queue.Granted():
@@ -471,7 +467,9 @@
                     outcome.position,
                     outcome.predicted,
                 )
-        return None
+            case slot_queue.Dropped():
+                # If the instance was only slow, the request chooses again.
+                return peer_messages.Unavailable(False)
 
     def _record_grant(
         self,
--- a/libs/scheduling/vanillayoke/scheduling/slot_queue.py
+++ b/libs/scheduling/vanillayoke/scheduling/slot_queue.py
@@ -182,8 +182,7 @@
     def get_share(self, organisation: str, weight: float, now: float) -> float:
         """Return the attained service relative to the weight."""
         value, _ = self._records.get(organisation, (0.0, 0.0))
-        unit = 2.0 ** ((now - self._epoch) / SERVICE_HALF_LIFE_SECONDS)
-        return value / unit / weight
+        return value * self._compute_decay(now) / weight
 
     def get_level(
         self, organisation: str, weight: float, allowance: float, now: float
@@ -197,13 +196,16 @@
         record = self._records.get(organisation)
         if record is None:
             return 0
-        unit = 2.0 ** ((now - self._epoch) / SERVICE_HALF_LIFE_SECONDS)
-        share = (record[0] - allowance * unit) / weight
-        mean = self._total / self._total_weight
+        decay = self._compute_decay(now)
+        share = (record[0] * decay - allowance) / weight
+        mean = self._total * decay / self._total_weight
         if share <= mean or mean <= 0:
             return 0
         return 1 + int(math.log2(share / mean))
 
+    def _compute_decay(self, now: float) -> float:
+        return 0.5 ** ((now - self._epoch) / SERVICE_HALF_LIFE_SECONDS)
+
     def _rescale(self, doublings: float) -> None:
         factor = 0.5**doublings
         threshold = MIN_SERVICE_RATIO * self._total * factor
