--- a/libs/scheduling/vanillayoke/scheduling/slot_queue.py
+++ b/libs/scheduling/vanillayoke/scheduling/slot_queue.py
@@ -18,9 +18,9 @@
 # instance that has failed are dropped after this time.
 LOST_SECONDS = 0.25
 # With this many waiting requests for each slot, the last one would wait for
-# 16 times the time that a slot is held: 4 s at an engine whose turns take
-# 0.25 s, which is longer than the time limits of programs.
-MAX_WAITING_PER_SLOT = 16
+# 32 times the time that a slot is held: 0.8 s for tool calls of 25 ms and 8 s
+# for turns of 0.25 s, which is longer than the slack of programs.
+MAX_WAITING_PER_SLOT = 32
 # Between the end of a request and the start of the next one a slot is idle for
 # the time of three messages. As many requests as slots are idle at a time are
 # sent in addition; the target's own queue holds them. It is none if less than
