--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -760,7 +760,7 @@
     1037,
     'slot_wait_abandoned',
     _INFO,
-    'Request {request} of {organisation} stopped to wait for a slot of '
+    'Request {request} of {organisation} stopped waiting for a slot of '
     '{target} after {ms} ms ({cause}).',
     'request',
     'organisation',
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -141,7 +141,7 @@
         self.slot_waits_abandoned = metrics.Counter(
             registry,
             'slot_waits_abandoned_total',
-            'Requests of this instance that stopped to wait for a slot '
+            'Requests of this instance that stopped waiting for a slot '
             'without a decision.',
             _SLOT_CAUSE,
         )
--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -187,6 +187,39 @@
     case.assertLess(last_urgent, 16)
 
 
+async def test_hot_organisation_does_not_delay_another(case, site):
+    """The slots went to whoever sent most."""
+    await _start(site)
+    site.configure(
+        3,
+        [
+            calls.make_organisation('hot', 'key-hot', rate=40, burst=200),
+            calls.make_organisation('calm', 'key-calm', rate=40, burst=200),
+        ],
+        ROUTES,
+    )
+    await asyncio.sleep(0.3)
+
+    def send(number: int, organisation: str):
+        return asyncio.ensure_future(
+            site.call(
+                f'i{1 + number % 3}',
+                'order',
+                request=f'{organisation}{number}',
+                key=f'key-{organisation}',
+            )
+        )
+
+    hot = []
+    for number in range(40):
+        hot.append(send(number, 'hot'))
+        await asyncio.sleep(0.004)
+    calm = [_measure(site, send(number, 'calm')) for number in range(6)]
+    case.assertLess(max(await asyncio.gather(*calm)), 4 * SERVICE_SECONDS)
+    responses = await asyncio.gather(*hot)
+    case.assertEqual({200}, {response.status for response in responses})
+
+
 async def test_target_queues_at_most_two_requests(case, site):
     """Requests in the target's own queue can't be overtaken."""
     await _start(site)
