Exchanged the loads of zones between instances, and chose zones by them.

Cause: Each instance knew only the load of targets that it had asked, so a zone with too many requests kept all of them until its best target was 25% slower. Change: Coordinators sum the loads of zones and send them to all instances; first turns begin in other zones in proportion to their free capacity while the own zone is short. Without the features nothing is sent or chosen.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -800,3 +800,36 @@
     'granted',
     'budget',
 )
+ZONE_SHORT = _define(
+    1045,
+    'zone_short',
+    _WARNING,
+    'Zone {zone} is short of capacity for {service}: {requests} requests at '
+    '{slots} slots. {percent} % of its new programs begin in other zones.',
+    'zone',
+    'service',
+    'requests',
+    'slots',
+    'percent',
+)
+ZONE_RECOVERED = _define(
+    1046,
+    'zone_recovered',
+    _INFO,
+    'Zone {zone} has enough capacity for {service} again: {requests} requests '
+    'at {slots} slots.',
+    'zone',
+    'service',
+    'requests',
+    'slots',
+)
+PROGRAM_IN_OTHER_ZONE = _define(
+    1047,
+    'program_in_other_zone',
+    _DEBUG,
+    'The first turn {request} goes to zone {zone}, as the own zone is short '
+    'of capacity for {service}.',
+    'request',
+    'service',
+    'zone',
+)
--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -14,6 +14,7 @@
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import store as store_module
+from vanillayoke.gateway import zone_loads
 from vanillayoke.scheduling import occupancy
 from vanillayoke.transport import client
 
@@ -43,6 +44,7 @@
     spawn: typing.Callable[[typing.Coroutine], None]
     random_float: typing.Callable[[], float]
     is_isolated: typing.Callable[[], bool]
+    zone_loads: zone_loads.ZoneLoads
 
     @property
     def configuration_version(self) -> int:
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -11,6 +11,7 @@
 from vanillayoke.scheduling import program_slack
 from vanillayoke.scheduling import slowdown as slowdown_module
 from vanillayoke.scheduling import urgency
+from vanillayoke.scheduling import zone_choice
 from vanillayoke.transport import client
 
 # The pause between two searches for a target with a free slot.
@@ -41,6 +42,8 @@
         self.coordinator: str | None = None
         # The target likely to have most of the prompt in its cache.
         self.affinity_target: str | None = None
+        # The zone whose targets are preferred, once it is chosen.
+        self.zone: str | None = None
         self.status = 0
         self.attempts = 0
         # Attempts that a target rejected without running the request.
@@ -130,10 +133,17 @@
     def _make_criteria(
         self, progress: Progress
     ) -> occupancy.PlacementCriteria:
+        slope = self.get_slowdown(progress.service).slope
+        if progress.zone is None:
+            progress.zone = self._context.zone_loads.choose_zone(
+                progress.service,
+                progress.call.request,
+                progress.affinity_target,
+                progress.route.kind is messages.RouteKind.STREAM,
+                slope,
+            )
         criteria = occupancy.PlacementCriteria(
-            progress.affinity_target,
-            self._context.settings.zone,
-            self.get_slowdown(progress.service).slope,
+            progress.affinity_target, progress.zone, slope
         )
         shared_prefix = prefixes.get_shared_prefix(progress.call.prefix)
         if shared_prefix is None:
@@ -259,9 +269,17 @@
         if best is None or not occupancy.is_lightly_loaded(
             best, loads, target_occupancy, criteria
         ):
+            remote, last = self._context.zone_loads.split_remote(
+                progress.service, criteria.zone, local, remote
+            )
             loads |= await self._context.load_queries.query(remote)
-            now = self._context.timers.now()
             considered = [*local, *remote]
+            if last and not zone_choice.has_free_slot(
+                considered, loads, target_occupancy
+            ):
+                loads |= await self._context.load_queries.query(last)
+                considered += last
+            now = self._context.timers.now()
             best = occupancy.choose_least_loaded(
                 considered,
                 loads,
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -34,6 +34,7 @@
 from vanillayoke.gateway import sweeping
 from vanillayoke.gateway import table_sync
 from vanillayoke.gateway import version_gossip
+from vanillayoke.gateway import zone_loads
 from vanillayoke.scheduling import occupancy
 from vanillayoke.scheduling import shared_health
 from vanillayoke.transport import client
@@ -141,6 +142,7 @@
             reservations_module.TICK_INTERVAL_SECONDS, self._update_exclusivity
         )
         self._version_timer = self._version_gossip.start()
+        self._zone_loads_timer = self._zone_loads.start()
 
     async def stop(self) -> None:
         """Drain and shut down within the grace period."""
@@ -251,6 +253,22 @@
             lambda: self._members.list_eligible(),
             self._timers,
         )
+        self._zone_loads = zone_loads.ZoneLoads(
+            lambda: self.settings,
+            incarnation,
+            zone_loads.TargetView(
+                self._catalog,
+                self._occupancy,
+                self._load_queries,
+                _get_speed,
+                _reports_contention,
+            ),
+            lambda: self._members.list_eligible(),
+            self._timers,
+            self._rng.random,
+            self._log,
+            self.metrics,
+        )
         self._version_gossip = version_gossip.VersionGossip(
             self._row,
             self._relay_address,
@@ -294,7 +312,7 @@
             self._handle_peer_request,
             lambda data, sender: self._members.receive(data, sender),
             self._health_gossip.receive,
-            self._load_queries.handle,
+            self._handle_notification,
             self._version_gossip.receive,
             incarnation,
         )
@@ -302,6 +320,7 @@
         self._limits.set_peers(self._peers)
         self._reservations.set_peers(self._peers)
         self._load_queries.set_peers(self._peers)
+        self._zone_loads.set_peers(self._peers)
         self._health_gossip.set_peers(self._peers)
         self._members = members_module.Members(
             self._row,
@@ -331,6 +350,7 @@
             self._spawn,
             self._rng.random,
             lambda: self.is_isolated,
+            self._zone_loads,
         )
         handler = calls.CallHandler(context)
         self._endpoints = endpoints.Endpoints(
@@ -367,6 +387,15 @@
                 return self._limit_accounts.handle_request(request)
         return self._reservations.handle_request(request)
 
+    def _handle_notification(
+        self, notification: peer_messages.Notification
+    ) -> None:
+        match notification:
+            case peer_messages.TargetLoads() | peer_messages.ZoneLoads():
+                self._zone_loads.receive(notification)
+            case _:
+                self._load_queries.handle(notification)
+
     def _list_relays(self) -> list[str]:
         own_name = self.settings.instance
         return [
@@ -455,6 +484,7 @@
         self._maintenance_timer.cancel()
         self._tick_timer.cancel()
         self._version_timer.cancel()
+        self._zone_loads_timer.cancel()
         for task in list(self._tasks):
             task.cancel()
         self._sender.close()
@@ -491,3 +521,19 @@
     """Return the relay address of the instance with this peer address."""
     host, _, port = address.rpartition(':')
     return f'{host}:{int(port) + RELAY_PORT_OFFSET}'
+
+
+def _get_speed(target: messages.Target) -> float:
+    """Return a target's speed relative to the mean of its service.
+
+    All targets count as equal until their speeds are estimated.
+    """
+    return 1.0
+
+
+def _reports_contention(service: str) -> bool:
+    """Return whether the targets of a service report contention.
+
+    Load reports do not have that figure yet.
+    """
+    return False
--- a/libs/gateway/vanillayoke/gateway/load_queries.py
+++ b/libs/gateway/vanillayoke/gateway/load_queries.py
@@ -120,6 +120,10 @@
         load = self._load_counts.get_load(request.target, self._timers.now())
         return peer_messages.LoadResponse(load.requests, load.latency_ratio)
 
+    def count_requests(self, target: str) -> float:
+        """Return the number of requests at a target, as counted here."""
+        return self._load_counts.count(target, self._timers.now())
+
     def retain(self, targets: typing.Container[str]) -> None:
         """Drop what is known of targets other than these."""
         self._load_counts.retain(targets)
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -24,6 +24,8 @@
 _TARGET = metrics.Label('target')
 _ORGANISATION = metrics.Label('organisation')
 _RESULT = metrics.Label('result', ('answered', 'over_limit', 'failed'))
+_SERVICE = metrics.Label('service')
+_ZONE = metrics.Label('zone')
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 
 
@@ -103,6 +105,28 @@
             registry, 'requests_active', 'Requests under way.'
         )
 
+        self.zone_utilisation = metrics.Gauge(
+            registry,
+            'zone_utilisation',
+            'Requests per slot of the healthy targets in a zone; NaN while '
+            'the load of the zone is unknown.',
+            _SERVICE,
+            _ZONE,
+        )
+        self.zone_is_short = metrics.Gauge(
+            registry,
+            'zone_is_short',
+            'Whether the zone of this instance is short of capacity.',
+            _SERVICE,
+        )
+        self.programs_in_other_zones = metrics.Counter(
+            registry,
+            'programs_in_other_zones_total',
+            'Programs that began in another zone, by this zone.',
+            _SERVICE,
+            _ZONE,
+        )
+
     def record_request(
         self, progress: typing.Any, outcome: str, seconds: float
     ) -> None:
--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -7,6 +7,7 @@
 
 from vanillayoke.scheduling import program_slack
 from vanillayoke.scheduling import quotas
+from vanillayoke.scheduling import zone_loads
 
 
 class Reserve(msgspec.Struct, frozen=True, array_like=True, tag='R'):
@@ -189,6 +190,25 @@
     is_store_unavailable: bool
 
 
+class TargetLoads(msgspec.Struct, frozen=True, array_like=True, tag='Y'):
+    """The load of those targets that the sender coordinates.
+
+    They are in the zone of the sender. ``version`` is the start of its process
+    and a counter.
+    """
+
+    zone: str
+    reporter: str
+    version: zone_loads.Version
+    services: tuple[zone_loads.ServiceLoad, ...]
+
+
+class ZoneLoads(msgspec.Struct, frozen=True, array_like=True, tag='Z'):
+    """The loads of some zones."""
+
+    zones: tuple[zone_loads.ZoneReport, ...]
+
+
 class ConfigurationVersion(msgspec.Struct, frozen=True, array_like=True):
     """The newest version of the configuration that the sender knows.
 
@@ -212,4 +232,4 @@
     | LimitStatus
 )
 # Not acknowledged; a lost one only makes the load less exact for a time.
-Notification = RequestStarted | RequestEnded
+Notification = RequestStarted | RequestEnded | TargetLoads | ZoneLoads
--- a/libs/gateway/vanillayoke/gateway/rendezvous.py
+++ b/libs/gateway/vanillayoke/gateway/rendezvous.py
@@ -71,3 +71,33 @@
     return heapq.nlargest(
         count, peers, key=lambda peer: compute_score(key, peer.instance)
     )
+
+
+class Coordinators:
+    """The coordinators of many keys, updated when the instances change.
+
+    A change costs one score per key for each instance that was added, instead
+    of one for each instance.
+    """
+
+    def __init__(self) -> None:
+        self._instances: frozenset[str] = frozenset()
+        self._coordinators: dict[str, str | None] = {}
+
+    def update(
+        self, keys: typing.Iterable[str], instances: frozenset[str]
+    ) -> typing.Mapping[str, str | None]:
+        """Return the coordinator of each key, ``None`` without instances."""
+        added = instances - self._instances
+        coordinators: dict[str, str | None] = {}
+        for key in keys:
+            known = self._coordinators.get(key)
+            if known not in instances:
+                coordinators[key] = find_highest(key, instances)
+            elif added:
+                coordinators[key] = find_highest(key, (known, *added))
+            else:
+                coordinators[key] = known
+        self._instances = instances
+        self._coordinators = coordinators
+        return coordinators
--- a/libs/scheduling/vanillayoke/scheduling/occupancy.py
+++ b/libs/scheduling/vanillayoke/scheduling/occupancy.py
@@ -175,6 +175,12 @@
             return False
         return state.health.should_avoid(now, state.in_flight)
 
+    def is_unhealthy(self, name: str, now: float) -> bool:
+        """Return whether a target is unhealthy, also while it is probed."""
+        return self.shared_health.is_unhealthy(
+            name, self._count_instances()
+        ) or self.should_avoid(name, now)
+
     def has_recently_shed(self, name: str, now: float) -> bool:
         """Return whether a target shed within ``SHED_PAUSE_SECONDS``."""
         state = self._states.get(name)
