--- a/libs/gateway/vanillayoke/gateway/catalog.py
+++ b/libs/gateway/vanillayoke/gateway/catalog.py
@@ -129,6 +129,10 @@
             self._lists[service] = targets
         return targets
 
+    def find_target(self, service: str, name: str) -> messages.Target | None:
+        """Return a target of a service if it may get new work."""
+        return self._ready.get(service, {}).get(name)
+
     @property
     def target_names(self) -> typing.Collection[str]:
         """The names of all known targets, missing and leaving ones too."""
--- a/libs/gateway/vanillayoke/gateway/zone_loads.py
+++ b/libs/gateway/vanillayoke/gateway/zone_loads.py
@@ -145,11 +145,13 @@
         """
         if not is_turn or not self._is_balanced(service):
             return self._zone
-        targets = self._targets.catalog.list_targets(service)
+        catalog = self._targets.catalog
+        targets = catalog.list_targets(service)
         if targets:
             self._slowdowns[service] = slope * targets[0].slots
-        for target in targets:
-            if target.name == affinity_target:
+        if affinity_target is not None:
+            target = catalog.find_target(service, affinity_target)
+            if target is not None:
                 return target.zone
         choice = self._choices.get(service)
         if choice is None:
--- a/libs/scheduling/vanillayoke/scheduling/zone_choice.py
+++ b/libs/scheduling/vanillayoke/scheduling/zone_choice.py
@@ -22,22 +22,22 @@
 BEARABLE_DELAY_SECONDS = 0.3
 # The time at engines of a typical program: five turns of a quarter second.
 PROGRAM_ENGINE_SECONDS = 1.25
-# A zone that was short recovers at this part of the bearable delay.
-RECOVERY_RATIO = 0.6
 # Limits of the thresholds. Below the lower one, most of a few random targets
 # have a free slot, so that another zone would gain little.
 MIN_SHORT_UTILISATION = 0.7
 MAX_SHORT_UTILISATION = 0.95
-MIN_HYSTERESIS = 0.1
+# A zone that was short recovers at a utilisation that is lower by this much.
+# The smoothed utilisation of some 30 slots varies by 0.12 by chance.
+HYSTERESIS = 0.12
 # Another zone has clearly more free capacity if it is this much less utilised.
 # The difference between two zones of some 30 slots varies by 0.16 by chance.
 MIN_DIFFERENCE = 0.2
 # Share of programs begun elsewhere, relative to the zone's excess load. The
 # measured load is already reduced by these programs, so with a gain of 1 half
 # of the excess remains, and with a high one the zones oscillate. In the tests'
-# simulation of four zones of 33 slots with loads up to 1 s old, 8, 10, 16 and
-# 31% of programs were late with a gain of 1, 1.5, 2 and 3 at a calm
-# utilisation of 0.9 (12% without choice), and 20, 17, 18 and 31% at demand
+# simulation of four zones of 33 slots with loads up to 1 s old, 9, 12, 16 and
+# 33% of programs were late with a gain of 1, 1.5, 2 and 3 at a calm
+# utilisation of 0.9 (12% without choice), and 25, 19, 18 and 34% at demand
 # that oscillates by 55% around 0.8 (54% without choice).
 GAIN = 1.5
 # Half-life of the smoothing of utilisations. The number of running requests
@@ -60,13 +60,16 @@
     ``slowdown_percent`` is how much longer work takes at a full target than at
     an idle one.
     """
-    slowdown = slowdown_percent / 100
-    short = _find_utilisation(slots, slowdown, BEARABLE_DELAY_SECONDS)
-    short = min(MAX_SHORT_UTILISATION, max(MIN_SHORT_UTILISATION, short))
-    recovered = _find_utilisation(
-        slots, slowdown, RECOVERY_RATIO * BEARABLE_DELAY_SECONDS
-    )
-    return Thresholds(short, min(recovered, short - MIN_HYSTERESIS))
+    low, high = 0.0, 1.0
+    for _ in range(20):
+        middle = (low + high) / 2
+        delay = estimate_delay(slots, middle, slowdown_percent / 100)
+        if delay < BEARABLE_DELAY_SECONDS:
+            low = middle
+        else:
+            high = middle
+    short = min(MAX_SHORT_UTILISATION, max(MIN_SHORT_UTILISATION, low))
+    return Thresholds(short, short - HYSTERESIS)
 
 
 def estimate_delay(slots: int, utilisation: float, slowdown: float) -> float:
@@ -82,17 +85,6 @@
     return PROGRAM_ENGINE_SECONDS * (wait + slowdown * utilisation)
 
 
-def _find_utilisation(slots: int, slowdown: float, delay: float) -> float:
-    low, high = 0.0, 1.0
-    for _ in range(20):
-        middle = (low + high) / 2
-        if estimate_delay(slots, middle, slowdown) < delay:
-            low = middle
-        else:
-            high = middle
-    return low
-
-
 class Plan(typing.NamedTuple):
     """Where programs of one zone begin until the next loads are known.
 
