Tested that the targets of a killed instance are counted once.

Cause: No test failed when reports of ended instances were kept. Change: The test kills an instance that coordinates an engine, and the loads are checked at many moments of the reporting interval.

--- a/tests/gateway/test_zone_loads.py
+++ b/tests/gateway/test_zone_loads.py
@@ -31,6 +31,8 @@
     for number in range(1, 7):
         zone = ZONES[(number - 1) // 2]
         await site.add_instance(f'i{number}', zone=zone)
+        # The timers of the instances run at different moments.
+        await asyncio.sleep(0.083)
     await asyncio.sleep(4.0)
 
 
@@ -108,7 +110,10 @@
 async def test_loads_are_known_everywhere_within_a_second(case, site):
     """Decisions by older loads would send programs to zones that are full."""
     await _start(site)
-    for count in (3, 6, 1, 8):
+    for step in range(32):
+        # Another load than before, at another moment of the interval.
+        count = 1 + step % 8
+        await asyncio.sleep(0.037)
         _occupy(site, 'z2', count)
         await asyncio.sleep(KNOWN_SECONDS)
         for name in site.instances:
@@ -169,6 +174,28 @@
     case.assertLess(age, KNOWN_SECONDS)
 
 
+async def test_targets_of_a_killed_instance_are_counted_once(
+    case, site, network
+):
+    """Its last report and that of its successor cover the same targets."""
+    await _start(site)
+    for number in range(10, 16):
+        await site.add_instance(f'i{number}', zone='z2')
+    await asyncio.sleep(3.0)
+    coordinator = _find_coordinator(site, 'z2')
+    [killed, *_] = (
+        name
+        for engine in _list_engines(site, 'z2')
+        if (name := rendezvous.find_highest(engine, _list_zone(site, 'z2')))
+        != coordinator
+    )
+    site_fixtures.kill(site, network, killed)
+    for _ in range(30):
+        await asyncio.sleep(0.1)
+        case.assertLessEqual(_get_loads(site, 'i1')['z2'].slots, 8)
+    case.assertEqual(8, _get_loads(site, 'i1')['z2'].slots)
+
+
 async def test_older_coordinator_takes_over_from_a_younger_one(
     case, site, network
 ):
