Tested changes of a zone's coordinator by joins and departures.

Cause: No test failed when a new coordinator sent sums at once. Change: Coordinators join and leave while the loads of their zone are sampled.

--- a/tests/gateway/test_zone_loads.py
+++ b/tests/gateway/test_zone_loads.py
@@ -196,6 +196,28 @@
     case.assertEqual(8, _get_loads(site, 'i1')['z2'].slots)
 
 
+async def test_new_coordinator_sends_no_incomplete_sum(case, site):
+    """It would report a part of the zone's capacity as all of it.
+
+    The other instances find out about it at different times.
+    """
+    await _start(site)
+    for number in range(7, 13):
+        await site.add_target(f'm{number}', zone='z2')
+    for number in range(10, 13):
+        await site.add_instance(f'i{number}', zone='z2')
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(3.0)
+    for _ in range(3):
+        coordinator = _find_coordinator(site, 'z2')
+        stopping = asyncio.ensure_future(site.instances[coordinator].stop())
+        for _ in range(60):
+            await asyncio.sleep(0.05)
+            case.assertEqual(32, _get_loads(site, 'i1')['z2'].slots)
+        await stopping
+        del site.instances[coordinator]
+
+
 async def test_older_coordinator_takes_over_from_a_younger_one(
     case, site, network
 ):
@@ -209,7 +231,10 @@
         if rendezvous.find_highest('z2', [older, name]) == name
     )
     await site.add_instance(younger, zone='z2')
-    await asyncio.sleep(3.0)
+    for _ in range(30):
+        # No sum is sent before all instances have reported to the new one.
+        await asyncio.sleep(0.1)
+        case.assertEqual(8, _get_loads(site, 'i1')['z2'].slots)
     case.assertEqual(younger, _find_coordinator(site, 'z2'))
     epochs = [_get_epoch(site, 'i1', 'z2')]
     site_fixtures.kill(site, network, younger)
@@ -223,6 +248,17 @@
     return site.instances[instance]._zone_loads._table.get_version(zone)[0]
 
 
+async def test_loads_stay_known_while_a_coordinator_leaves(case, site):
+    """Each release would otherwise interrupt the choice in every zone."""
+    await _start(site)
+    coordinator = _find_coordinator(site, 'z2')
+    stopping = asyncio.ensure_future(site.instances[coordinator].stop())
+    for _ in range(40):
+        await asyncio.sleep(0.1)
+        case.assertEqual(8, _get_loads(site, 'i1')['z2'].slots)
+    await stopping
+
+
 async def test_nothing_begins_beyond_a_partition(case, site, network):
     """The engines beyond it cannot be reached, although they look idle."""
     await _start(site)
