Tested sub-agents, calls and crashed engines with several zones.

Cause: These rules of the choice had no test in a whole deployment. Change: A sub-agent's turn stays in its program's zone while that is short but has a free slot, calls stay in their zone, and turns leave crashed engines.

--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -202,7 +202,7 @@
         if previous is not None:
             program_fields['previous_turn'] = previous
         return await self.call(
-            instance, route, body, **program_fields, **header_fields
+            instance, route, body, **(program_fields | header_fields)
         )
 
     def configure(
--- a/tests/gateway/test_zone_loads.py
+++ b/tests/gateway/test_zone_loads.py
@@ -494,6 +494,57 @@
     case.assertLessEqual(asked, set(_list_engines(site, 'z1')))
 
 
+async def test_sub_agents_begin_in_the_zone_of_their_program(case, site):
+    """Their prompts share the program's context, which is cached there."""
+    await _start(site)
+    await site.turn('i3', 'a0', program='p1', route='plan')
+    await asyncio.sleep(0.3)
+    _occupy(site, 'z2', 7)
+    await asyncio.sleep(KNOWN_SECONDS)
+    for number in range(10):
+        request = f's{number}'
+        await site.turn(
+            'i3',
+            request,
+            program='p1',
+            route='plan',
+            session_id=f'sub{number}',
+        )
+        [run] = site.list_runs(request)
+        await asyncio.sleep(0.2)
+        engines = [site.targets[name] for name in _list_engines(site, 'z2')]
+        case.assertTrue(any(run in engine.executions for engine in engines))
+
+
+async def test_turns_leave_a_zone_whose_engines_crashed(case, site):
+    """Before the loads tell so, the own view of their health is enough."""
+    await _start(site)
+    for name in _list_engines(site, 'z1'):
+        site.targets[name].stop()
+    for number in range(20):
+        response = await site.turn(
+            'i1', f'r{number}', program=f'p{number}', route='plan'
+        )
+        case.assertEqual(200, response.status)
+        await asyncio.sleep(0.1)
+
+
+async def test_calls_stay_in_their_zone_while_it_is_short_of_engines(
+    case, site
+):
+    """Only turns of programs are levelled over the zones."""
+    await _start(site)
+    _occupy(site, 'z1', 24)
+    await asyncio.sleep(KNOWN_SECONDS)
+    loads = site.instances['i1']._zone_loads
+    for service in ('models', 'tools'):
+        zones = {
+            loads.choose_zone(service, 'r', None, False, 0.0)
+            for _ in range(100)
+        }
+        case.assertEqual({'z1'}, zones)
+
+
 async def test_calls_use_other_zones_if_their_own_has_no_target(case, site):
     """The tools are all in zone z1."""
     await _start(site)
