--- a/libs/gateway/vanillayoke/gateway/catalog.py
+++ b/libs/gateway/vanillayoke/gateway/catalog.py
@@ -133,6 +133,10 @@
         """Return a target, ``None`` if it is not known."""
         return self._targets.get(name)
 
+    def find_target(self, service: str, name: str) -> messages.Target | None:
+        """Return a target of a service if it may get new work."""
+        return self._ready.get(service, {}).get(name)
+
     @property
     def target_names(self) -> typing.Collection[str]:
         """The names of all known targets, missing and leaving ones too."""
--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -15,6 +15,7 @@
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import slot_queues as slot_queues_module
 from vanillayoke.gateway import store as store_module
+from vanillayoke.gateway import zone_loads
 from vanillayoke.scheduling import occupancy
 from vanillayoke.transport import client
 
@@ -45,6 +46,7 @@
     spawn: typing.Callable[[typing.Coroutine], None]
     random_float: typing.Callable[[], float]
     is_isolated: typing.Callable[[], bool]
+    zone_loads: zone_loads.ZoneLoads
 
     @property
     def configuration_version(self) -> int:
--- a/libs/gateway/vanillayoke/gateway/load_queries.py
+++ b/libs/gateway/vanillayoke/gateway/load_queries.py
@@ -134,6 +134,13 @@
             load.requests, load.latency_ratio, load.waiting
         )
 
+    def count_requests(self, target: str) -> float:
+        """Return the number of requests at a target, as counted here.
+
+        It includes those that wait for its slots.
+        """
+        return self.load_counts.get_load(target, self._timers.now()).total
+
     def retain(self, targets: typing.Container[str]) -> None:
         """Drop what is known of targets other than these."""
         self.load_counts.retain(targets)
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -27,6 +27,7 @@
 _SLOT_REASON = metrics.Label('reason', ('late', 'full'))
 _SLOT_CAUSE = metrics.Label('cause', ('silent', 'released', 'unusable'))
 _RESULT = metrics.Label('result', ('answered', 'over_limit', 'failed'))
+_ZONE = metrics.Label('zone')
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 
 
@@ -95,6 +96,7 @@
             'Connections opened to targets.',
         )
         self._define_slot_queues(registry)
+        self._define_zones(registry)
         self.members = metrics.Gauge(
             registry, 'gateway_members', 'Instances known, by state.', _STATE
         )
@@ -146,6 +148,29 @@
             _SLOT_CAUSE,
         )
 
+    def _define_zones(self, registry: aioprometheus.Registry) -> None:
+        self.zone_utilisation = metrics.Gauge(
+            registry,
+            'zone_utilisation',
+            'Requests per slot of the healthy targets in a zone; NaN while '
+            'the load of the zone is unknown.',
+            _SERVICE,
+            _ZONE,
+        )
+        self.zone_is_short = metrics.Gauge(
+            registry,
+            'zone_is_short',
+            'Whether the zone of this instance is short of capacity.',
+            _SERVICE,
+        )
+        self.programs_in_other_zones = metrics.Counter(
+            registry,
+            'programs_in_other_zones_total',
+            'Programs that began in another zone, by this zone.',
+            _SERVICE,
+            _ZONE,
+        )
+
     def record_request(
         self, progress: typing.Any, outcome: str, seconds: float
     ) -> None:
--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -90,9 +90,9 @@
 
 async def _start(site, instances=3, is_enabled=True) -> None:
     """Start a site whose tools have a single target, t1."""
-    site.settings['has_overload_control'] = True
+    site.settings_changes['has_overload_control'] = True
     if not is_enabled:
-        site.settings['disabled_features'] = frozenset(
+        site.settings_changes['disabled_features'] = frozenset(
             (messages.Feature.SLOT_QUEUE,)
         )
     await site.start(instances)
