Sent safe calls to a second target when the first one is late.

A safe call at a slow or hanging target waited for that target up to its timeout of 0.5 s or more, although its objective is 82 ms. With overload control, a call that is later than the 95th percentile of its route's last 128 calls (half the objective at most) now also goes to another target with capacity, within 5 in 100 of the calls of the last 10 s and the route's max_attempts. The first complete response wins; the other call is cancelled.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -800,3 +800,18 @@
     'granted',
     'budget',
 )
+CALL_HEDGED = _define(
+    1055,
+    'call_hedged',
+    _INFO,
+    'Request {request} was sent to {target} and after {delay_ms} ms also to '
+    '{second}; {winner} answered.',
+    'request',
+    'organisation',
+    'service',
+    'target',
+    'second',
+    'winner',
+    'outcome',
+    'delay_ms',
+)
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -60,6 +60,8 @@
         # From the arrival of the request to the start of its response.
         self.first_event_delay: float | None = None
         self.may_have_run = False
+        # Whether it was sent to a second target while a first one had it.
+        self.is_hedged = False
 
     @property
     def organisation_name(self) -> str | None:
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -24,6 +24,10 @@
 _TARGET = metrics.Label('target')
 _ORGANISATION = metrics.Label('organisation')
 _RESULT = metrics.Label('result', ('answered', 'over_limit', 'failed'))
+_HEDGE_OUTCOME = metrics.Label(
+    'outcome',
+    ('first', 'second', 'failed', 'cancelled', 'no_capacity', 'no_budget'),
+)
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 
 
@@ -91,6 +95,12 @@
             'target_connections_total',
             'Connections opened to targets.',
         )
+        self.hedged_calls = metrics.Counter(
+            registry,
+            'hedged_calls_total',
+            'Slow calls, by the call that won or why no second was sent.',
+            _HEDGE_OUTCOME,
+        )
         self.members = metrics.Gauge(
             registry, 'gateway_members', 'Instances known, by state.', _STATE
         )
--- a/libs/gateway/vanillayoke/gateway/unary.py
+++ b/libs/gateway/vanillayoke/gateway/unary.py
@@ -6,6 +6,7 @@
 from vanillayoke.gateway import context as context_module
 from vanillayoke.gateway import dispatch
 from vanillayoke.gateway import forwarding
+from vanillayoke.gateway import hedged_calls
 from vanillayoke.gateway import messages
 from vanillayoke.scheduling import load_counts
 from vanillayoke.scheduling import program_slack
@@ -38,6 +39,9 @@
         self._dispatcher = dispatch.Dispatcher(context)
         self._typical_latencies: dict[str, program_slack.TypicalTime] = {}
         self._average_latencies: dict[str, program_slack.AverageTime] = {}
+        self._hedged_calls = hedged_calls.HedgedCalls(
+            context, self._dispatcher, self._send_hedged
+        )
 
     async def serve(
         self, progress: dispatch.Progress, responder: server.Responder
@@ -50,6 +54,14 @@
         excluded: set[str] = set()
         while True:
             target = await self._dispatcher.choose(progress, excluded)
+            if self._hedged_calls.may_hedge(progress):
+                response = await self._hedged_calls.run(
+                    progress, target, excluded
+                )
+                if response is None:
+                    continue
+                self._record_latency(progress)
+                return response
             try:
                 response = await self._try(progress, target)
             except (client.TransportError, forwarding.NotExecutedError) as e:
@@ -63,10 +75,34 @@
 
     async def _try(
         self, progress: dispatch.Progress, target: messages.Target
+    ) -> Response:
+        attempt = self._dispatcher.make_attempt(progress, target)
+        options = self._dispatcher.make_forward_options(progress, target)
+        return await self._run_attempt(progress, attempt, options)
+
+    async def _send_hedged(
+        self, progress: dispatch.Progress, call: hedged_calls.Call
+    ) -> Response:
+        """Send one of two calls of a request."""
+        call.attempt = self._dispatcher.make_attempt(call.choice, call.target)
+        options = self._dispatcher.make_forward_options(
+            call.choice, call.target
+        )
+        response = await self._run_attempt(progress, call.attempt, options)
+        seconds = self._context.timers.now() - call.attempt.started_at
+        self._hedged_calls.get_route(progress.route.name).latency.learn(
+            seconds
+        )
+        return response
+
+    async def _run_attempt(
+        self,
+        progress: dispatch.Progress,
+        attempt: forwarding.Attempt,
+        options: messages.ForwardOptions,
     ) -> Response:
         progress.attempts += 1
-        async with self._dispatcher.make_attempt(progress, target) as attempt:
-            options = self._dispatcher.make_forward_options(progress, target)
+        async with attempt:
             progress.may_have_run = True
             if progress.route.kind is not messages.RouteKind.SAFE:
                 return await self._exchange(progress, attempt, options)
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -61,6 +61,8 @@
         self._request_count = 0
         self._is_first_start = False
         self.tolerance = LIMITS
+        # Replaced fields of the settings of instances.
+        self.settings_changes: dict[str, typing.Any] = {}
 
     async def start(self, instances: int = 2) -> None:
         """Start the store, two model servers, two tools, and instances."""
@@ -109,7 +111,9 @@
         host = host or f'10.1.0.{name[1:]}'
         logger = logs.Logger.from_config(name, self.timers, 5000)
         instance = instance_module.Instance(
-            make_settings(name, host, self._is_first_start, self.tolerance),
+            make_settings(
+                name, host, self._is_first_start, self.tolerance
+            )._replace(**self.settings_changes),
             wire.PlatformDialect(),
             self.timers,
             logger,
