Parsed large chunks of a stream in linear time.

For each event the parser copied the rest of the received bytes, which took 72 ms for a chunk of 1 MB with 256 events and blocked all other requests. With a hundred slow readers of such streams, 22 to 55 of 350 calls of others failed in 7.5 s.

--- a/libs/gateway/vanillayoke/gateway/sse.py
+++ b/libs/gateway/vanillayoke/gateway/sse.py
@@ -3,6 +3,8 @@
 import typing
 
 _LF_TERMINATOR = b'\n\n'
+_CRLF_TERMINATOR = b'\r\n\r\n'
+_MAX_TERMINATOR_BYTES = 4
 
 
 class StreamEvent(typing.NamedTuple):
@@ -30,22 +32,32 @@
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete."""
-        self._pending += chunk
+        # Of the earlier bytes only the last ones may begin a terminator.
+        searched = max(0, len(self._pending) - _MAX_TERMINATOR_BYTES + 1)
+        received = self._pending + chunk
         events = []
-        while True:
-            end = self._find_end()
-            if end is None:
-                return events
-            raw, self._pending = self._pending[:end], self._pending[end:]
-            events.append(_parse_event(raw))
-
-    def _find_end(self) -> int | None:
-        ends = []
-        for terminator in (_LF_TERMINATOR, b'\r\n\r\n'):
-            position = self._pending.find(terminator)
-            if position >= 0:
-                ends.append(position + len(terminator))
-        return min(ends) if ends else None
+        start = 0
+        for end in _find_ends(received, searched):
+            events.append(_parse_event(received[start:end]))
+            start = end
+        self._pending = received[start:]
+        return events
+
+
+def _find_ends(received: bytes, start: int) -> typing.Iterator[int]:
+    """Return where the events end, searching from a position."""
+    lf = received.find(_LF_TERMINATOR, start)
+    crlf = received.find(_CRLF_TERMINATOR, start)
+    while lf >= 0 or crlf >= 0:
+        if crlf < 0 or 0 <= lf < crlf:
+            end = lf + len(_LF_TERMINATOR)
+        else:
+            end = crlf + len(_CRLF_TERMINATOR)
+        yield end
+        if 0 <= lf < end:
+            lf = received.find(_LF_TERMINATOR, end)
+        if 0 <= crlf < end:
+            crlf = received.find(_CRLF_TERMINATOR, end)
 
 
 def _parse_event(raw: bytes) -> StreamEvent:
