Kept what an instance holds for others within its memory limit.

Bodies, unread responses, unsent responses and histories were held without a bound: with a hundred slow readers of 1 MB, a process of 28 MB grew to 102 MB (responses), 141 MB (streams) or 254 MB (echoed bodies), where the smallest machines have 128 MB. Where the settings name a limit, one account now counts them. Large bodies wait for memory and are refused after 1 s (503, not run), requests on routes with large responses are refused early, large responses of targets wait, cached histories are dropped, and under pressure callers that take no byte for 5 s are disconnected. Small bodies never wait.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -800,6 +800,50 @@
     'granted',
     'budget',
 )
+MEMORY_PRESSURE_ENTERED = _define(
+    1050,
+    'memory_pressure_entered',
+    _WARNING,
+    'The bytes held for others are {held} of {capacity}.',
+    'held',
+    'capacity',
+    'connections',
+    'requests',
+    'expected',
+    'targets',
+    'responses',
+    'histories',
+)
+MEMORY_PRESSURE_LEFT = _define(
+    1051,
+    'memory_pressure_left',
+    _INFO,
+    'The bytes held for others are {held} again after {seconds} s; {refused} '
+    'requests were refused.',
+    'held',
+    'seconds',
+    'refused',
+)
+CALLER_NOT_READING = _define(
+    1052,
+    'caller_not_reading',
+    _WARNING,
+    'The caller at {address} was disconnected: it has taken none of {bytes} '
+    'bytes for {seconds} s.',
+    'address',
+    'bytes',
+    'seconds',
+    'held',
+)
+BODY_REFUSED = _define(
+    1053,
+    'body_refused',
+    _WARNING,
+    'A request was refused: there was no memory for its body, which needs '
+    '{bytes} bytes.',
+    'bytes',
+    'held',
+)
 CALL_HEDGED = _define(
     1055,
     'call_hedged',
--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -96,6 +96,20 @@
             route, self._context.random_float()
         )
         progress.set_route(route, service)
+        memory_limit = self._context.memory_limit
+        name = progress.organisation_name
+        progress.expected = memory_limit.admit(route.name, name)
+        size = None
+        try:
+            await self._serve_in_time(progress, responder)
+            if progress.status < FIRST_ERROR_STATUS:
+                size = responder.written_bytes
+        finally:
+            memory_limit.finish(route.name, name, progress.expected, size)
+
+    async def _serve_in_time(
+        self, progress: dispatch.Progress, responder: server.Responder
+    ) -> None:
         async with asyncio.timeout_at(
             progress.deadline - RESPONSE_MARGIN_SECONDS
         ):
--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -10,6 +10,7 @@
 from vanillayoke.gateway import histories as histories_module
 from vanillayoke.gateway import limits as limits_module
 from vanillayoke.gateway import load_queries
+from vanillayoke.gateway import memory_limit as memory_limit_module
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import reservations as reservations_module
@@ -43,6 +44,7 @@
     spawn: typing.Callable[[typing.Coroutine], None]
     random_float: typing.Callable[[], float]
     is_isolated: typing.Callable[[], bool]
+    memory_limit: memory_limit_module.MemoryLimit
 
     @property
     def configuration_version(self) -> int:
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -1,6 +1,7 @@
 """Choice of targets for requests, and the results of their attempts."""
 
 from vanillayoke.core import events as log_events
+from vanillayoke.core import memory
 from vanillayoke.gateway import context as context_module
 from vanillayoke.gateway import forwarding
 from vanillayoke.gateway import messages
@@ -62,6 +63,8 @@
         self.may_have_run = False
         # Whether it was sent to a second target while a first one had it.
         self.is_hedged = False
+        # Memory for the response until its size is known.
+        self.expected: memory.Reservation | None = None
 
     @property
     def organisation_name(self) -> str | None:
@@ -170,6 +173,7 @@
             self._context.dialect,
             self._context.occupancy,
             self._context.timers,
+            progress.expected,
         )
 
     def make_forward_options(
--- a/libs/gateway/vanillayoke/gateway/forwarding.py
+++ b/libs/gateway/vanillayoke/gateway/forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from vanillayoke.core import memory
 from vanillayoke.core import timers
 from vanillayoke.gateway import dialect as dialect_module
 from vanillayoke.gateway import load_queries
@@ -47,6 +48,7 @@
         dialect: dialect_module.Dialect,
         occupancy: occupancy.Occupancy,
         timer_service: timers.TimerService,
+        expected: memory.Reservation | None = None,
     ) -> None:
         self.target = target
         self._request = request
@@ -59,6 +61,8 @@
         self._dialect = dialect
         self._occupancy = occupancy
         self._timers = timer_service
+        # Memory for the response until its size is known.
+        self._expected = expected
         self._connection: client.Connection | None = None
         self.is_sent = False
         self.has_head = False
@@ -116,6 +120,7 @@
             MAX_IDLE_BEFORE_UNSAFE_SECONDS if must_run_once else None,
         )
         self._connection = connection
+        connection.expected = self._expected
         connection.send(
             call.method,
             call.target,
--- a/libs/gateway/vanillayoke/gateway/histories.py
+++ b/libs/gateway/vanillayoke/gateway/histories.py
@@ -3,6 +3,7 @@
 import collections
 import typing
 
+from vanillayoke.core import memory
 from vanillayoke.core import timers
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import partitions
@@ -33,7 +34,9 @@
         self,
         store: store_module.StoreClient,
         timer_service: timers.TimerService,
+        memory_account: memory.Account | None = None,
     ) -> None:
+        self._memory = memory_account
         self._store = store
         self._timers = timer_service
         self._cache: collections.OrderedDict[str, bytes] = (
@@ -209,7 +212,15 @@
             return None
         return _decode(turn, outcome.rows)
 
+    def clear_cache(self) -> None:
+        """Drop all histories from the cache; they are in the store."""
+        size, self._cached_bytes = self._cached_bytes, 0
+        self._cache.clear()
+        if self._memory is not None:
+            self._memory.add(memory.Kind.HISTORIES, -size)
+
     def _add_to_cache(self, turn: str, text: bytes) -> None:
+        previous_bytes = self._cached_bytes
         old = self._cache.pop(turn, None)
         if old is not None:
             self._cached_bytes -= len(old)
@@ -218,6 +229,10 @@
         while self._cached_bytes > MAX_CACHE_BYTES:
             _, evicted = self._cache.popitem(last=False)
             self._cached_bytes -= len(evicted)
+        if self._memory is not None:
+            self._memory.add(
+                memory.Kind.HISTORIES, self._cached_bytes - previous_bytes
+            )
 
 
 def _decode(
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -24,6 +24,7 @@
 from vanillayoke.gateway import limits as limits_module
 from vanillayoke.gateway import load_queries
 from vanillayoke.gateway import members as members_module
+from vanillayoke.gateway import memory_limit
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import peer_messages
@@ -195,7 +196,13 @@
             self._make_write_id,
             self._instrumentation.record_budget_decision,
         )
-        self._histories = histories.Histories(self._store, self._timers)
+        self._memory_limit = memory_limit.MemoryLimit(
+            settings, self._timers, self._log, self.metrics
+        )
+        self._histories = histories.Histories(
+            self._store, self._timers, self._memory_limit.account
+        )
+        self._memory_limit.set_cache(self._histories.clear_cache)
         health = shared_health.SharedHealth(settings.instance, random_float)
         self._health_gossip = health_gossip.HealthGossip(
             settings.instance,
@@ -211,7 +218,9 @@
             self._health_gossip.publish,
         )
         self._pool = client.Pool(
-            CONNECT_TIMEOUT_SECONDS, self._instrumentation.record_connection
+            CONNECT_TIMEOUT_SECONDS,
+            self._instrumentation.record_connection,
+            self._memory_limit.account,
         )
 
     def _make_cluster_components(self) -> None:
@@ -331,6 +340,7 @@
             self._spawn,
             self._rng.random,
             lambda: self.is_isolated,
+            self._memory_limit,
         )
         handler = calls.CallHandler(context)
         self._endpoints = endpoints.Endpoints(
@@ -347,7 +357,12 @@
             on_failure=self._instrumentation.record_failure,
             on_refused=self._instrumentation.record_refused_connection,
         )
-        self._caller_server = make(handler.handle)
+        self._caller_server = make(
+            handler.handle,
+            memory=self._memory_limit.account,
+            on_body_refused=self._memory_limit.record_refused_body,
+            on_stalled=self._memory_limit.record_stalled_caller,
+        )
         self._listeners = [
             (self._caller_server, self.settings.front),
             (make(self._endpoints.handle_readiness), self.settings.ready),
@@ -414,6 +429,7 @@
         for name in self._catalog.expire(now):
             self._log.write(log_events.SERVER_EXPIRED, target=name)
         self._apply_caller_limits()
+        self._memory_limit.update_metrics()
         self._pool.prune()
         self._store.prune()
         self._reservations.prune()
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -4,6 +4,7 @@
 
 import aioprometheus
 
+from vanillayoke.core import memory
 from vanillayoke.core import metrics
 
 _KIND = metrics.Label('kind', ('safe', 'unsafe', 'stream', 'none'))
@@ -28,6 +29,8 @@
     'outcome',
     ('first', 'second', 'failed', 'cancelled', 'no_capacity', 'no_budget'),
 )
+_MEMORY_KIND = metrics.Label('kind', tuple(kind.value for kind in memory.Kind))
+_MEMORY_REFUSAL = metrics.Label('kind', ('request', 'body', 'caller'))
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 
 
@@ -101,6 +104,18 @@
             'Slow calls, by the call that won or why no second was sent.',
             _HEDGE_OUTCOME,
         )
+        self.held_bytes = metrics.Gauge(
+            registry,
+            'memory_held_bytes',
+            'Bytes held for others, by kind; only with a memory limit.',
+            _MEMORY_KIND,
+        )
+        self.memory_refusals = metrics.Counter(
+            registry,
+            'memory_refusals_total',
+            'Requests, bodies and callers without memory.',
+            _MEMORY_REFUSAL,
+        )
         self.members = metrics.Gauge(
             registry, 'gateway_members', 'Instances known, by state.', _STATE
         )
--- a/libs/gateway/vanillayoke/gateway/refusals.py
+++ b/libs/gateway/vanillayoke/gateway/refusals.py
@@ -31,6 +31,7 @@
     UNKNOWN_TURN = 'unknown_turn'
     STORE_UNAVAILABLE = 'store_away'
     ISOLATED = 'isolated'
+    MEMORY = 'memory'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     NOT_SAVED = 'not_kept'
 
@@ -50,6 +51,7 @@
     Reason.UNKNOWN_TURN: 404,
     Reason.STORE_UNAVAILABLE: 503,
     Reason.ISOLATED: 503,
+    Reason.MEMORY: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.NOT_SAVED: 502,
 }
@@ -61,6 +63,7 @@
     Reason.BUSY: _SHORT_RETRY_SECONDS,
     Reason.LATE: _SHORT_RETRY_SECONDS,
     Reason.STORE_UNAVAILABLE: _STORE_RETRY_SECONDS,
+    Reason.MEMORY: _SHORT_RETRY_SECONDS,
     Reason.ISOLATED: _OTHER_INSTANCE_RETRY_SECONDS,
 }
 
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from vanillayoke.core import memory
 from vanillayoke.gateway import context as context_module
 from vanillayoke.gateway import dispatch
 from vanillayoke.gateway import forwarding
@@ -42,6 +43,8 @@
         self.is_complete = False
         # Where the stream resumes if it is interrupted.
         self.last_event = progress.call.last_event
+        # Memory for the history, the prompt with it, and the new text.
+        self.held: memory.Reservation | None = None
 
     @property
     def used_tokens(self) -> int:
@@ -74,6 +77,20 @@
     ) -> None:
         """Serve a turn."""
         turn = _Turn(progress, self._get_event_tokens(progress.service))
+        account = self._context.memory_limit.account
+        if account is None:
+            await self._serve_turn(turn, responder)
+            return
+        turn.held = account.reserve(memory.Kind.HISTORIES, 0)
+        try:
+            await self._serve_turn(turn, responder)
+        finally:
+            turn.held.release()
+
+    async def _serve_turn(
+        self, turn: _Turn, responder: server.Responder
+    ) -> None:
+        progress = turn.progress
         program = progress.call.program
         if program is None or program.budget is None:
             await self._serve_granted(turn, responder)
@@ -257,6 +274,8 @@
             turn.call = progress.call._replace(
                 body=turn.history + progress.call.body
             )
+            if turn.held is not None:
+                turn.held.add(len(turn.history) + len(turn.call.body))
             return
 
     async def _try(
@@ -318,7 +337,10 @@
                     turn.last_event = event.event_id
                 if event.data is not None:
                     turn.event_count += 1
-                    turn.data.append(event.data)
+                    if turn.progress.route.keeps_history:
+                        turn.data.append(event.data)
+                        if turn.held is not None:
+                            turn.held.add(len(event.data))
             await responder.drain()
         if parser.pending:
             raise client.BadAnswer('the stream ended within an event')
--- a/libs/testing/vanillayoke/testing/networks.py
+++ b/libs/testing/vanillayoke/testing/networks.py
@@ -11,6 +11,7 @@
 import typing
 
 DELAY_SECONDS = 0.001
+_WRITE_BUFFER_BYTES = 64 * 1024
 # The host whose code is running; tasks inherit it from their creator.
 CURRENT_HOST: contextvars.ContextVar[str] = contextvars.ContextVar('host')
 # IP address and port.
@@ -42,11 +43,20 @@
         # Timers that are due at the same time fire in any order; the queue
         # keeps deliveries in the order in which they were sent.
         self._pending_deliveries: collections.deque = collections.deque()
+        # Data that arrived while reading is paused, b'' for the end. It is in
+        # the write buffer of the peer.
+        self._unread: collections.deque[bytes] = collections.deque()
+        self._is_reading_paused = False
+        # Bytes that have not yet arrived at the peer.
+        self._in_flight = 0
+        self._high_water_mark = _WRITE_BUFFER_BYTES
+        self._is_writing_paused = False
 
     # Methods called by protocols
 
     def write(self, data: bytes) -> None:
         if data and not self._is_closing and not self._has_sent_eof:
+            self._in_flight += len(data)
             self._send(lambda peer, d=bytes(data): peer.receive_data(d))
 
     def write_eof(self) -> None:
@@ -71,7 +81,49 @@
             self._close(None)
 
     def set_write_buffer_limits(self, high=None, low=None) -> None:
-        """Ignore the limits: writes are never paused."""
+        """Set from which size of the write buffer on writing is paused."""
+        self._high_water_mark = high or _WRITE_BUFFER_BYTES
+
+    def get_write_buffer_size(self) -> int:
+        if not self.peer._is_reading_paused:
+            return 0
+        return self._in_flight + sum(len(data) for data in self.peer._unread)
+
+    def pause_reading(self) -> None:
+        self._is_reading_paused = True
+
+    def resume_reading(self) -> None:
+        self._is_reading_paused = False
+        while self._unread and not self._is_reading_paused:
+            self.read_some(len(self._unread[0]))
+
+    def read_some(self, size: int) -> None:
+        """Receive up to ``size`` bytes although reading is paused."""
+        while self._unread and not self._is_closing:
+            data = self._unread.popleft()
+            if not data:
+                self._end()
+                return
+            self.protocol.data_received(data[:size])
+            if len(data) > size:
+                self._unread.appendleft(data[size:])
+                break
+            size -= len(data)
+            if not size:
+                break
+        self.peer.update_writing()
+
+    def update_writing(self) -> None:
+        """Pause or resume writing if the size of the buffer calls for it."""
+        if self._is_closing:
+            return
+        size = self.get_write_buffer_size()
+        if size > self._high_water_mark and not self._is_writing_paused:
+            self._is_writing_paused = True
+            self.protocol.pause_writing()
+        elif size <= self._high_water_mark // 4 and self._is_writing_paused:
+            self._is_writing_paused = False
+            self.protocol.resume_writing()
 
     def get_extra_info(self, name: str, default=None):
         return default
@@ -88,10 +140,22 @@
         )
 
     def receive_data(self, data: bytes) -> None:
-        if not self._is_closing:
+        self.peer._in_flight -= len(data)
+        if self._is_closing:
+            return
+        if self._is_reading_paused or self._unread:
+            self._unread.append(data)
+            self.peer.update_writing()
+        else:
             self.protocol.data_received(data)
 
     def receive_eof(self) -> None:
+        if self._is_reading_paused or self._unread:
+            self._unread.append(b'')
+        else:
+            self._end()
+
+    def _end(self) -> None:
         if not self._is_closing and not self.protocol.eof_received():
             self.close()
 
@@ -107,6 +171,7 @@
 
     def _close(self, error: Exception | None) -> None:
         self._is_closing = True
+        self._unread.clear()
         self.network.transports.discard(self)
         loop = asyncio.get_event_loop()
         context = make_context(self.host)
--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from vanillayoke.core import memory as memory_module
 from vanillayoke.transport import headers as headers_module
 
 # Used for servers that send no Keep-Alive timeout. A request sent while the
@@ -67,9 +68,19 @@
     Responses that ``accept`` rejects are skipped: a faulty server may send a
     second response to an earlier request. The connection is not reused
     afterwards.
+
+    Responses are held in the account ``memory``, if there is one, until the
+    connection is idle or closed. ``expected`` is what was reserved for the
+    response before its size was known.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: memory_module.Account | None = None) -> None:
+        self._memory = memory
+        self.expected: memory_module.Reservation | None = None
+        self._held_bytes = 0
+        # Whether the memory for the whole response is held.
+        self._is_reserved = False
+        self._waiter: memory_module.Waiter | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._wakeup = asyncio.Event()
@@ -141,14 +152,19 @@
         self.head = head
         coding = head.find(b'transfer-encoding')
         self._is_chunked = coding is not None
-        self._has_length = head.find(b'content-length') is not None
+        length = head.find(b'content-length')
+        self._has_length = length is not None
         if not self._parser.should_keep_alive():
             self.is_clean = False
         self._read_keep_alive(head)
+        if self._memory is not None:
+            self._hold_response(self._memory, length)
 
     def on_body(self, body: bytes) -> None:
         if not self._is_skipping and not self._is_complete:
             self._chunks.append(body)
+            if self._memory is not None and not self._is_reserved:
+                self._hold_chunk(self._memory, len(body))
 
     def on_message_complete(self) -> None:
         if self._is_skipping:
@@ -190,6 +206,14 @@
 
     async def read_chunk(self) -> bytes:
         """Return the body bytes received so far, b'' at the end."""
+        data = await self._take_chunk()
+        if self._memory is not None and not self._is_reserved:
+            self._add_memory(self._memory, -len(data))
+            if self._held_bytes <= memory_module.LARGE_BYTES:
+                self._stop_waiting(self._memory)
+        return data
+
+    async def _take_chunk(self) -> bytes:
         while not self._chunks:
             if self._is_complete:
                 return b''
@@ -202,7 +226,7 @@
     async def read_body(self) -> bytes:
         """Return the whole body."""
         chunks = []
-        while data := await self.read_chunk():
+        while data := await self._take_chunk():
             chunks.append(data)
         return b''.join(chunks)
 
@@ -214,17 +238,84 @@
     def mark_idle(self) -> None:
         """Mark the connection idle; data received while idle closes it."""
         self._is_busy = False
+        self._release_memory()
 
     def abort(self) -> None:
         """Close the connection at once, without finishing its request."""
         self.is_closed = True
         self.is_clean = False
+        self._release_memory()
         if self._transport is not None:
             self._transport.abort()
 
+    # Memory
+
+    def _hold_response(
+        self, memory: memory_module.Account, length: bytes | None
+    ) -> None:
+        """Hold memory for a response; pause reading if there is none.
+
+        Small responses are read at once.
+        """
+        if self.expected is not None:
+            self.expected.release()
+        if length is None or not length.isdigit():
+            return
+        self._is_reserved = True
+        size = int(length)
+        if size <= memory_module.LARGE_BYTES or memory.has_room(
+            memory_module.Kind.TARGETS, size
+        ):
+            self._add_memory(memory, size)
+        else:
+            self._wait_for_memory(memory, size)
+
+    def _hold_chunk(self, memory: memory_module.Account, size: int) -> None:
+        """Hold memory for a part of a response of unknown length.
+
+        Only responses whose caller is slow are not read at once.
+        """
+        self._add_memory(memory, size)
+        if (
+            self._held_bytes > memory_module.LARGE_BYTES
+            and self._waiter is None
+            and not memory.has_room(memory_module.Kind.TARGETS, 1)
+        ):
+            self._wait_for_memory(memory, 0)
+
+    def _wait_for_memory(
+        self, memory: memory_module.Account, size: int
+    ) -> None:
+        def read_on() -> None:
+            self._waiter = None
+            self._add_memory(memory, size)
+            self._transport.resume_reading()
+
+        self._waiter = memory.wait(
+            memory_module.Kind.TARGETS, max(1, size), read_on
+        )
+        self._transport.pause_reading()
+
+    def _stop_waiting(self, memory: memory_module.Account) -> None:
+        if self._waiter is not None:
+            memory.cancel(self._waiter)
+            self._waiter = None
+            self._transport.resume_reading()
+
+    def _add_memory(self, memory: memory_module.Account, size: int) -> None:
+        self._held_bytes += size
+        memory.add(memory_module.Kind.TARGETS, size)
+
+    def _release_memory(self) -> None:
+        if self._memory is not None:
+            self.expected = None
+            self._stop_waiting(self._memory)
+            self._add_memory(self._memory, -self._held_bytes)
+
     # Internals
 
     def _reset(self) -> None:
+        self._is_reserved = False
         self._parser = httptools.HttpResponseParser(self)
         self.head = None
         self._fields = []
@@ -260,16 +351,19 @@
 class Pool:
     """Connection pool, by address.
 
-    ``on_opened`` is called with the address of each new connection.
+    ``on_opened`` is called with the address of each new connection. Responses
+    are held in the account ``memory``, if there is one.
     """
 
     def __init__(
         self,
         connect_timeout: float,
         on_opened: typing.Callable[[str], None] = lambda address: None,
+        memory: memory_module.Account | None = None,
     ) -> None:
         self._connect_timeout = connect_timeout
         self._on_opened = on_opened
+        self._memory = memory
         self._idle: dict[str, list[Connection]] = {}
 
     async def acquire(self, address: str, max_idle: float | None = None):
@@ -292,7 +386,7 @@
         try:
             async with asyncio.timeout(self._connect_timeout):
                 _, connection = await loop.create_connection(
-                    Connection, host, int(port)
+                    lambda: Connection(self._memory), host, int(port)
                 )
         except TimeoutError:
             raise NotSent(f'connecting to {address} timed out') from None
--- a/libs/transport/vanillayoke/transport/server.py
+++ b/libs/transport/vanillayoke/transport/server.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from vanillayoke.core import memory as memory_module
 from vanillayoke.transport import headers as headers_module
 
 WRITE_BUFFER_BYTES = 256 * 1024
@@ -19,6 +20,22 @@
 # Closing a socket with unread data resets it, and the client could lose the
 # response. So the connection stays open for this time after the last one.
 LINGER_SECONDS = 0.5
+# The body as read and the copy that is written to the target.
+BODY_COPIES = 2
+# How long a large body waits for memory. The caller gives up after 2 s
+# without a response, and may have to repeat the request elsewhere.
+MAX_BODY_WAIT_SECONDS = 1.0
+# Under memory pressure a caller that took no byte for this time is
+# disconnected. Callers give up after 2 s without an event, so it no longer
+# reads; those that read slowly take some bytes at least every few seconds,
+# since the receiver's window opens in steps of up to 64 KB.
+MAX_STALL_SECONDS = 5.0
+# If the account is full, the caller with the most unsent bytes that took none
+# for this time is disconnected.
+FULL_STALL_SECONDS = 1.0
+CHECK_INTERVAL_SECONDS = 0.1
+# Protocol, parser, transport and buffers of a connection that is in use.
+CONNECTION_BYTES = 16 * 1024
 
 
 class Request(typing.NamedTuple):
@@ -57,6 +74,7 @@
         self._is_chunked = False
         self._closes_connection = closes_connection
         self._unsent: int | None = None
+        self.written_bytes = 0
         self.is_started = False
         self.is_finished = False
 
@@ -103,6 +121,7 @@
         """Send some bytes of the body."""
         if not data:
             return
+        self.written_bytes += len(data)
         if self._is_chunked:
             self._connection.write(b'%x\r\n%b\r\n' % (len(data), data))
             return
@@ -151,6 +170,19 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._is_closing = False
+        self._memory = server.memory
+        # Memory for the body that is being read, for those of the requests in
+        # the queue, and for that of the running request.
+        self._body_size = 0
+        self._queued_sizes: collections.deque[int] = collections.deque()
+        self._running_size = 0
+        self._waiter: memory_module.Waiter | None = None
+        self._wait_timer: asyncio.TimerHandle | None = None
+        self._holds_back = False
+        self.unsent_bytes = 0
+        self._written_bytes = 0
+        self._taken_bytes = 0
+        self.last_progress_at = 0.0
         self._reset_message()
 
     # Called by the event loop
@@ -159,6 +191,8 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
+        if self._memory is not None:
+            self._memory.add(memory_module.Kind.CONNECTIONS, CONNECTION_BYTES)
         self._set_timer(self._server.limits.idle_timeout)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -166,6 +200,8 @@
         self._cancel_timer()
         self._can_write.set()
         self._queue.clear()
+        if self._memory is not None:
+            self._release_memory(self._memory)
         if self._task is not None:
             self._task.cancel()
 
@@ -187,6 +223,14 @@
             self._refuse(http.HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self._refuse(http.HTTPStatus.BAD_REQUEST)
+        if (
+            self._memory is not None
+            and self._queue
+            and self._memory.is_under_pressure
+        ):
+            self._holds_back = True
+            self._update_reading()
+            self._server.check_later(self)
 
     # Called by the parser
 
@@ -219,9 +263,14 @@
             self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         if self._task is None:
             self._set_timer(self._server.limits.idle_timeout)
+        if self._memory is not None and length and not self._is_closing:
+            self._has_length = True
+            self._hold_body(self._memory, BODY_COPIES * int(length))
 
     def on_body(self, body: bytes) -> None:
         self._body += body
+        if self._memory is not None and not self._has_length:
+            self._hold_chunk(self._memory, len(body))
         if len(self._body) > self._server.limits.body_bytes:
             self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
@@ -236,10 +285,13 @@
             bytes(self._body),
             not self._parser.should_keep_alive(),
         )
+        self._body = bytearray()
         if len(self._queue) >= MAX_PIPELINED_REQUESTS:
             self._refuse(http.HTTPStatus.BAD_REQUEST)
             return
         self._queue.append(request)
+        if self._memory is not None:
+            self._queued_sizes.append(self._finish_body(self._memory))
         if self._task is None:
             self._begin_next()
 
@@ -251,11 +303,14 @@
 
     @property
     def is_idle(self) -> bool:
-        return self._task is None and not self._is_reading
+        return self._task is None and not self._is_reading and not self._queue
 
     def write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            if self._memory is not None:
+                self._written_bytes += len(data)
+                self._update_unsent(self._memory)
 
     async def drain(self) -> None:
         await self._can_write.wait()
@@ -263,6 +318,8 @@
     def end_response(self, closes_connection: bool) -> None:
         if closes_connection:
             self._queue.clear()
+            if self._memory is not None:
+                self._release_queued(self._memory)
             self._is_closing = True
             self._linger()
 
@@ -274,12 +331,137 @@
         if self._transport is not None:
             self._transport.close()
 
+    # Called by the server where memory is limited
+
+    @property
+    def address(self) -> str:
+        """The caller's address, '' if it is unknown."""
+        name = self._transport.get_extra_info('peername')
+        return f'{name[0]}:{name[1]}' if name else ''
+
+    def check(self, memory: memory_module.Account, now: float) -> bool:
+        """Update what is unsent; return whether to check again later."""
+        self._update_unsent(memory)
+        taken = self._written_bytes - self.unsent_bytes
+        if taken > self._taken_bytes:
+            self._taken_bytes = taken
+            self.last_progress_at = now
+        if self._task is None and self._queue:
+            self._begin_next()
+        if self._holds_back and not (self._queue and memory.is_under_pressure):
+            self._holds_back = False
+            self._update_reading()
+        return bool(
+            self.unsent_bytes
+            or self._holds_back
+            or (self._task is None and self._queue)
+        )
+
     # Internals
 
+    def _hold_body(self, memory: memory_module.Account, size: int) -> None:
+        """Hold memory for a body; pause reading if there is none."""
+        if size > memory_module.LARGE_BYTES and not memory.has_room(
+            memory_module.Kind.REQUESTS, size
+        ):
+            self._wait_for_memory(memory, size)
+            return
+        self._body_size += size
+        memory.add(memory_module.Kind.REQUESTS, size)
+
+    def _hold_chunk(self, memory: memory_module.Account, length: int) -> None:
+        """Hold memory for a part of a body of unknown length."""
+        size = BODY_COPIES * length
+        self._body_size += size
+        memory.add(memory_module.Kind.REQUESTS, size)
+        next_size = memory_module.LARGE_BYTES + 1
+        if (
+            self._body_size > memory_module.LARGE_BYTES
+            and self._waiter is None
+            and not memory.has_room(memory_module.Kind.REQUESTS, next_size)
+        ):
+            self._wait_for_memory(memory, 0)
+
+    def _wait_for_memory(
+        self, memory: memory_module.Account, size: int
+    ) -> None:
+        def read_on() -> None:
+            self._waiter = None
+            self._wait_timer.cancel()
+            self._body_size += size
+            memory.add(memory_module.Kind.REQUESTS, size)
+            self._update_reading()
+
+        def refuse() -> None:
+            self._server.on_body_refused(size)
+            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
+            self._stop_waiting(memory)
+
+        self._waiter = memory.wait(
+            memory_module.Kind.REQUESTS,
+            max(size, memory_module.LARGE_BYTES + 1),
+            read_on,
+        )
+        self._wait_timer = self._loop.call_later(MAX_BODY_WAIT_SECONDS, refuse)
+        self._update_reading()
+
+    def _finish_body(self, memory: memory_module.Account) -> int:
+        """Return the memory that is held for a complete body."""
+        if self._waiter is not None:
+            # All of it was already received when reading was paused.
+            self._stop_waiting(memory)
+            size = BODY_COPIES * len(self._queue[-1].body) - self._body_size
+            self._body_size += size
+            memory.add(memory_module.Kind.REQUESTS, size)
+        size, self._body_size = self._body_size, 0
+        return size
+
+    def _stop_waiting(self, memory: memory_module.Account) -> None:
+        if self._waiter is not None:
+            memory.cancel(self._waiter)
+            self._waiter = None
+            self._wait_timer.cancel()
+            self._update_reading()
+
+    def _update_reading(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._waiter is not None or self._holds_back:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _update_unsent(self, memory: memory_module.Account) -> None:
+        unsent = self._transport.get_write_buffer_size()
+        if unsent and not self.unsent_bytes:
+            self.last_progress_at = self._loop.time()
+            self._server.check_later(self)
+        if unsent != self.unsent_bytes:
+            memory.add(
+                memory_module.Kind.RESPONSES, unsent - self.unsent_bytes
+            )
+            self.unsent_bytes = unsent
+
+    def _release_queued(self, memory: memory_module.Account) -> None:
+        memory.add(memory_module.Kind.REQUESTS, -sum(self._queued_sizes))
+        self._queued_sizes.clear()
+
+    def _release_memory(self, memory: memory_module.Account) -> None:
+        """Release all but the memory of the running request."""
+        self._server.forget(self)
+        self._stop_waiting(memory)
+        self._release_queued(memory)
+        memory.add(memory_module.Kind.REQUESTS, -self._body_size)
+        memory.add(memory_module.Kind.RESPONSES, -self.unsent_bytes)
+        memory.add(memory_module.Kind.CONNECTIONS, -CONNECTION_BYTES)
+        self._body_size = self.unsent_bytes = 0
+        self._memory = None
+
     def _reset_message(self) -> None:
         self._target = bytearray()
         self._headers: headers_module.Headers = []
         self._has_head = False
+        self._has_length = False
         self._header_size = 0
         self._body = bytearray()
         self._is_reading = False
@@ -301,9 +483,12 @@
             self._task.add_done_callback(lambda task: self._send_error(status))
 
     def _send_error(self, status: http.HTTPStatus) -> None:
+        retry_after = b''
+        if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
+            retry_after = b'Retry-After: %.2f\r\n' % MAX_BODY_WAIT_SECONDS
         self.write(
-            b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
-            % (status, _get_phrase(status))
+            b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%bConnection: close\r\n'
+            b'\r\n' % (status, _get_phrase(status), retry_after)
         )
         self._linger()
 
@@ -318,6 +503,15 @@
 
     def _begin_next(self) -> None:
         self._cancel_timer()
+        if self._memory is not None:
+            # Responses to pipelined requests must not add up.
+            if (
+                self._memory.is_under_pressure
+                and self.unsent_bytes > memory_module.LARGE_BYTES
+            ):
+                self._server.check_later(self)
+                return
+            self._running_size = self._queued_sizes.popleft()
         request = self._queue.popleft()
         responder = Responder(self, request.closes_connection)
         self._task = self._loop.create_task(
@@ -327,6 +521,11 @@
 
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._task = None
+        if self._running_size:
+            self._server.memory.add(
+                memory_module.Kind.REQUESTS, -self._running_size
+            )
+            self._running_size = 0
         if not task.cancelled() and task.exception() is not None:
             self._server.on_failure(task.exception())
             self.abort()
@@ -358,7 +557,10 @@
     """Listens on addresses and passes requests to a handler.
 
     ``on_failure`` is called with exceptions that a handler raises,
-    ``on_refused`` with the status of each invalid or timed-out request.
+    ``on_refused`` with the status of each invalid or timed-out request. Where
+    ``memory`` is limited, ``on_body_refused`` is called with the size of each
+    body without room, and ``on_stalled`` with the address and the unsent
+    bytes of each disconnected caller and the seconds since it took any.
     """
 
     def __init__(
@@ -366,6 +568,11 @@
         handler: Handler,
         on_failure: typing.Callable[[BaseException], None],
         on_refused: typing.Callable[[http.HTTPStatus], None],
+        memory: memory_module.Account | None = None,
+        on_body_refused: typing.Callable[[int], None] = lambda size: None,
+        on_stalled: typing.Callable[[str, int, float], None] = (
+            lambda address, unsent, seconds: None
+        ),
     ) -> None:
         self.limits = Limits()
         self.connections: set[_Connection] = set()
@@ -373,6 +580,12 @@
         self.on_failure = on_failure
         self.on_refused = on_refused
         self.handle = handler
+        self.memory = memory
+        self.on_body_refused = on_body_refused
+        self._on_stalled = on_stalled
+        # Connections with unsent bytes or with requests that wait.
+        self._checked: set[_Connection] = set()
+        self._check_timer: asyncio.TimerHandle | None = None
         self._servers: list[asyncio.Server] = []
 
     async def listen(self, host: str, port: int) -> None:
@@ -400,6 +613,51 @@
             if connection.is_idle:
                 connection.close()
 
+    # Where memory is limited
+
+    def check_later(self, connection: _Connection) -> None:
+        """Check a connection regularly until it needs no check."""
+        self._checked.add(connection)
+        if self._check_timer is None:
+            self._check_timer = asyncio.get_running_loop().call_later(
+                CHECK_INTERVAL_SECONDS, self._check
+            )
+
+    def forget(self, connection: _Connection) -> None:
+        """Do not check a connection any more."""
+        self._checked.discard(connection)
+
+    def _check(self) -> None:
+        self._check_timer = None
+        now = asyncio.get_running_loop().time()
+        for connection in list(self._checked):
+            if not connection.check(self.memory, now):
+                self.forget(connection)
+        if self.memory.is_under_pressure:
+            self._disconnect_stalled(now)
+        for connection in list(self._checked):
+            self.check_later(connection)
+
+    def _disconnect_stalled(self, now: float) -> None:
+        """Disconnect callers that do not read, the largest first."""
+        by_size = sorted(
+            self._checked,
+            key=lambda connection: connection.unsent_bytes,
+            reverse=True,
+        )
+        excess = self.memory.excess
+        is_full = self.memory.total > self.memory.capacity
+        bound = FULL_STALL_SECONDS if is_full else MAX_STALL_SECONDS
+        for connection in by_size:
+            if excess <= 0:
+                return
+            unsent = connection.unsent_bytes
+            seconds = now - connection.last_progress_at
+            if unsent and seconds >= bound:
+                excess -= unsent
+                self._on_stalled(connection.address, unsent, seconds)
+                connection.abort()
+
 
 def _get_phrase(status: int) -> bytes:
     try:
