--- a/libs/core/vanillayoke/core/memory.py
+++ b/libs/core/vanillayoke/core/memory.py
@@ -32,15 +32,20 @@
 MAX_BODY_RATIO = 0.7
 
 
-class Kind(enum.Enum):
+class Kind(enum.IntEnum):
     """What bytes are held for."""
 
-    CONNECTIONS = 'connections'
-    REQUESTS = 'requests'
-    EXPECTED = 'expected'
-    TARGETS = 'targets'
-    RESPONSES = 'responses'
-    HISTORIES = 'histories'
+    CONNECTIONS = 0
+    REQUESTS = 1
+    EXPECTED = 2
+    TARGETS = 3
+    RESPONSES = 4
+    HISTORIES = 5
+
+    @property
+    def label(self) -> str:
+        """The name in log lines and metrics."""
+        return self.name.lower()
 
 
 # Large bodies may fill the account only up to these parts. New requests stop
@@ -70,6 +75,7 @@
         on_pressure: typing.Callable[[bool], None] = lambda is_pressed: None,
     ) -> None:
         self.capacity = capacity
+        self._pressure_bytes = PRESSURE_RATIO * capacity
         self.total = 0
         self.held = dict.fromkeys(Kind, 0)
         self.is_under_pressure = False
@@ -83,12 +89,9 @@
         """Add bytes that are held; negative if they are no longer held."""
         self.held[kind] += size
         self.total += size
-        if size < 0:
-            self._notify_waiters()
         if self.is_under_pressure:
-            if self.excess <= 0:
-                self._set_pressure(False)
-        elif self.total > PRESSURE_RATIO * self.capacity:
+            self._update_pressure()
+        elif self.total > self._pressure_bytes:
             self._set_pressure(True)
 
     @property
@@ -138,10 +141,12 @@
                 waiters.remove(waiter)
                 self.add(kind, 0)
 
-    def _notify_waiters(self) -> None:
+    def _update_pressure(self) -> None:
         for kind, waiters in self._waiters.items():
             while waiters and self.has_room(kind, waiters[0].size):
                 waiters.pop(0).on_room()
+        if self.is_under_pressure and self.excess <= 0:
+            self._set_pressure(False)
 
     def _set_pressure(self, is_pressed: bool) -> None:
         self.is_under_pressure = is_pressed
--- a/libs/gateway/vanillayoke/gateway/memory_limit.py
+++ b/libs/gateway/vanillayoke/gateway/memory_limit.py
@@ -120,7 +120,7 @@
         """Set the metrics of held bytes."""
         if self.account is not None:
             for kind, size in self.account.held.items():
-                self._metrics.held_bytes.set(size, kind=kind.value)
+                self._metrics.held_bytes.set(size, kind=kind.label)
 
     def _record_refusal(self, kind: str) -> None:
         self._refused_count += 1
@@ -132,7 +132,7 @@
             self._pressure_started_at = now
             self._refused_count = 0
             held = {
-                kind.value: size for kind, size in self.account.held.items()
+                kind.label: size for kind, size in self.account.held.items()
             }
             self._log.write(
                 log_events.MEMORY_PRESSURE_ENTERED,
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -29,7 +29,7 @@
     'outcome',
     ('first', 'second', 'failed', 'cancelled', 'no_capacity', 'no_budget'),
 )
-_MEMORY_KIND = metrics.Label('kind', tuple(kind.value for kind in memory.Kind))
+_MEMORY_KIND = metrics.Label('kind', tuple(kind.label for kind in memory.Kind))
 _MEMORY_REFUSAL = metrics.Label('kind', ('request', 'body', 'caller'))
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 
