Named the request in reports on callers that do not read.

The line of a disconnected caller had only its address, which leads to no request. It now has the request whose response was ready. Before a second call the budget is looked at first, so that no target is chosen in vain.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -829,7 +829,8 @@
     'caller_not_reading',
     _WARNING,
     'The caller at {address} was disconnected: it has taken none of {bytes} '
-    'bytes for {seconds} s.',
+    'bytes for {seconds} s, the last ones of request {request}.',
+    'request',
     'address',
     'bytes',
     'seconds',
--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -46,6 +46,7 @@
             refusal = refusals.RefusalError(refusals.Reason.BAD_REQUEST)
             self._send_refusal(responder, refusal)
             return
+        responder.set_request_name(call.request)
         self._context.metrics.active_requests.add(1)
         try:
             await self._handle_call(call, started_at, responder)
--- a/libs/gateway/vanillayoke/gateway/hedged_calls.py
+++ b/libs/gateway/vanillayoke/gateway/hedged_calls.py
@@ -179,6 +179,10 @@
 
         The choice ends at the latest with the first call.
         """
+        timers = self._context.timers
+        if not self._state.budget.allows_call(timers.now()):
+            self._count('no_budget')
+            return None
         if not self._has_capacity(first.target):
             self._count('no_capacity')
             return None
@@ -210,9 +214,7 @@
         ):
             self._count('no_capacity')
             return None
-        if not self._state.budget.take(self._context.timers.now()):
-            self._count('no_budget')
-            return None
+        self._state.budget.record_second_call(timers.now())
         return Call(choice, target)
 
     def _has_capacity(self, first: messages.Target) -> bool:
--- a/libs/gateway/vanillayoke/gateway/memory_limit.py
+++ b/libs/gateway/vanillayoke/gateway/memory_limit.py
@@ -10,6 +10,7 @@
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import refusals
 from vanillayoke.scheduling import response_sizes
+from vanillayoke.transport import server
 
 
 class MemoryLimit:
@@ -103,16 +104,15 @@
             log_events.BODY_REFUSED, bytes=size, held=self.account.total
         )
 
-    def record_stalled_caller(
-        self, address: str, unsent: int, seconds: float
-    ) -> None:
+    def record_stalled_caller(self, caller: server.StalledCaller) -> None:
         """Record a caller that was disconnected because it does not read."""
         self._metrics.memory_refusals.add(1, kind='caller')
         self._log.write(
             log_events.CALLER_NOT_READING,
-            address=address,
-            bytes=unsent,
-            seconds=round(seconds, 1),
+            request=caller.request,
+            address=caller.address,
+            bytes=caller.unsent_bytes,
+            seconds=round(caller.seconds, 1),
             held=self.account.total,
         )
 
--- a/libs/scheduling/vanillayoke/scheduling/hedging.py
+++ b/libs/scheduling/vanillayoke/scheduling/hedging.py
@@ -72,14 +72,15 @@
         self._get_second(now)[1] += 1
         self._call_count += 1
 
-    def take(self, now: float) -> bool:
-        """Take a second call from the budget; return whether there is one."""
-        second = self._get_second(now)
-        if self._hedge_count + 1 > BUDGET_RATIO * self._call_count:
-            return False
-        second[2] += 1
+    def allows_call(self, now: float) -> bool:
+        """Return whether a second call may be sent."""
+        self._get_second(now)
+        return self._hedge_count + 1 <= BUDGET_RATIO * self._call_count
+
+    def record_second_call(self, now: float) -> None:
+        """Record a second call."""
+        self._get_second(now)[2] += 1
         self._hedge_count += 1
-        return True
 
     def _get_second(self, now: float) -> list[int]:
         number = int(now)
--- a/libs/transport/vanillayoke/transport/server.py
+++ b/libs/transport/vanillayoke/transport/server.py
@@ -64,6 +64,19 @@
     idle_timeout: float = 15.0
 
 
+class StalledCaller(typing.NamedTuple):
+    """A caller that was disconnected because it took none of its response.
+
+    ``request`` is the latest request that a response was sent to, and
+    ``seconds`` is the time for which it took nothing.
+    """
+
+    address: str
+    request: str
+    unsent_bytes: int
+    seconds: float
+
+
 class Responder:
     """Sends the response to one request."""
 
@@ -78,6 +91,10 @@
         self.is_started = False
         self.is_finished = False
 
+    def set_request_name(self, name: str) -> None:
+        """Set the name of the request for reports on the connection."""
+        self._connection.request_name = name
+
     def close_connection_after(self) -> None:
         """Close the connection after this response."""
         self._closes_connection = True
@@ -179,6 +196,8 @@
         self._waiter: memory_module.Waiter | None = None
         self._wait_timer: asyncio.TimerHandle | None = None
         self._holds_back = False
+        # The latest request with a response.
+        self.request_name = ''
         self.unsent_bytes = 0
         self._written_bytes = 0
         self._taken_bytes = 0
@@ -559,8 +578,7 @@
     ``on_failure`` is called with exceptions that a handler raises,
     ``on_refused`` with the status of each invalid or timed-out request. Where
     ``memory`` is limited, ``on_body_refused`` is called with the size of each
-    body without room, and ``on_stalled`` with the address and the unsent
-    bytes of each disconnected caller and the seconds since it took any.
+    body without room, and ``on_stalled`` with each disconnected caller.
     """
 
     def __init__(
@@ -570,8 +588,8 @@
         on_refused: typing.Callable[[http.HTTPStatus], None],
         memory: memory_module.Account | None = None,
         on_body_refused: typing.Callable[[int], None] = lambda size: None,
-        on_stalled: typing.Callable[[str, int, float], None] = (
-            lambda address, unsent, seconds: None
+        on_stalled: typing.Callable[[StalledCaller], None] = (
+            lambda caller: None
         ),
     ) -> None:
         self.limits = Limits()
@@ -655,7 +673,14 @@
             seconds = now - connection.last_progress_at
             if unsent and seconds >= bound:
                 excess -= unsent
-                self._on_stalled(connection.address, unsent, seconds)
+                self._on_stalled(
+                    StalledCaller(
+                        connection.address,
+                        connection.request_name,
+                        unsent,
+                        seconds,
+                    )
+                )
                 connection.abort()
 
 
--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -148,6 +148,10 @@
     [event, *_] = site.list_events('i1', 'caller_not_reading')
     case.assertGreaterEqual(event['bytes'], LARGE)
     case.assertGreaterEqual(event['seconds'], 2.0)
+    case.assertIn(
+        event['request'],
+        [end['request'] for end in site.list_events('i1', 'request_ended')],
+    )
     case.assertEqual(
         len(site.list_events('i1', 'caller_not_reading')),
         sum(caller.transport.is_closing() for caller in never),
--- a/tests/scheduling/test_hedging.py
+++ b/tests/scheduling/test_hedging.py
@@ -16,6 +16,13 @@
     return latency.compute_delay(OBJECTIVE)
 
 
+def _take(budget, now):
+    is_allowed = budget.allows_call(now)
+    if is_allowed:
+        budget.record_second_call(now)
+    return is_allowed
+
+
 def test_delay_is_later_than_nearly_all_calls(case):
     """Calls on idle targets: hedging them would only add load."""
     rng = random.Random(1)
@@ -63,7 +70,7 @@
         now += rng.expovariate(40.0)
         calls += 1
         budget.record_call(now)
-        hedges += budget.take(now)
+        hedges += _take(budget, now)
     case.assertLessEqual(hedges, hedging.BUDGET_RATIO * calls)
     case.assertGreaterEqual(hedges, 0.8 * hedging.BUDGET_RATIO * calls)
 
@@ -73,7 +80,7 @@
     budget = hedging.HedgingBudget()
     for number in range(200):
         budget.record_call(number / 20)
-    taken = sum(budget.take(10.0) for _ in range(200))
+    taken = sum(_take(budget, 10.0) for _ in range(200))
     case.assertLessEqual(taken, 200 * hedging.BUDGET_RATIO)
     case.assertGreaterEqual(taken, 8)
 
@@ -83,7 +90,8 @@
     budget = hedging.HedgingBudget()
     for number in range(1000):
         budget.record_call(number / 100)
-    case.assertFalse(budget.take(40.0))
+    case.assertTrue(budget.allows_call(9.99))
+    case.assertFalse(budget.allows_call(40.0))
 
 
 load_tests = fixtures.adapt(__name__)
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -78,7 +78,7 @@
             self.refused.append,
             self.account,
             self.refused_bodies.append,
-            lambda *details: self.stalled.append(details),
+            self.stalled.append,
         )
 
 
@@ -166,8 +166,8 @@
     await asyncio.sleep(CALLER_PATIENCE_SECONDS + 0.5)
     case.assertEqual([], started.stalled)
     await asyncio.sleep(IDLE_SECONDS / 2 - CALLER_PATIENCE_SECONDS)
-    [(_, unsent, _)] = started.stalled
-    case.assertGreaterEqual(unsent, BODY)
+    [caller] = started.stalled
+    case.assertGreaterEqual(caller.unsent_bytes, BODY)
     case.assertFalse(started.account.is_under_pressure)
     # No more callers than necessary are disconnected.
     await asyncio.sleep(IDLE_SECONDS)
@@ -346,4 +346,41 @@
     case.assertEqual(0, account.total)
 
 
+@fixtures.on_real_loop
+async def test_slow_readers_on_real_sockets(case, service):
+    """The bytes in the buffers of real connections are counted as well."""
+    account = memory.Account(16 * CAPACITY)
+    http_server = server.HttpServer(
+        service.handle, lambda error: None, lambda status: None, account
+    )
+    await http_server.listen('127.0.0.1', 0)
+    address = http_server._servers[0].sockets[0].getsockname()
+    loop = asyncio.get_running_loop()
+    slow = []
+    for _ in range(10):
+        transport, caller = await loop.create_connection(_Caller, *address)
+        transport.pause_reading()
+        # More than the kernel takes from a process.
+        transport.write(_get(6 * BODY))
+        slow.append(caller)
+    _, other = await loop.create_connection(_Caller, *address)
+    async with asyncio.timeout(20.0):
+        for count in range(1, 50):
+            other.transport.write(_get(100))
+            while other.received.count(b'x') < 100 * count:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+    unsent = sum(
+        connection._transport.get_write_buffer_size()
+        for connection in http_server.connections
+    )
+    case.assertGreater(unsent, 0)
+    case.assertEqual(unsent, account.held[memory.Kind.RESPONSES])
+    for caller in (*slow, other):
+        caller.transport.abort()
+    async with asyncio.timeout(10.0):
+        while account.total:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    http_server.close()
+
+
 load_tests = fixtures.adapt(__name__)
