--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -10,6 +10,7 @@
 from vanillayoke.gateway import histories as histories_module
 from vanillayoke.gateway import limits as limits_module
 from vanillayoke.gateway import load_queries
+from vanillayoke.gateway import memory_limit as memory_limit_module
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import reservations as reservations_module
@@ -47,6 +48,7 @@
     random_float: typing.Callable[[], float]
     is_isolated: typing.Callable[[], bool]
     zone_loads: zone_loads.ZoneLoads
+    memory_limit: memory_limit_module.MemoryLimit
 
     @property
     def configuration_version(self) -> int:
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -1,6 +1,7 @@
 """Choice of targets for requests, and the results of their attempts."""
 
 from vanillayoke.core import events as log_events
+from vanillayoke.core import memory
 from vanillayoke.gateway import context as context_module
 from vanillayoke.gateway import forwarding
 from vanillayoke.gateway import messages
@@ -67,6 +68,10 @@
         # From the arrival of the request to the start of its response.
         self.first_event_delay: float | None = None
         self.may_have_run = False
+        # Whether it was sent to a second target while a first one had it.
+        self.is_hedged = False
+        # Memory for the response until its size is known.
+        self.expected: memory.Reservation | None = None
 
     @property
     def organisation_name(self) -> str | None:
@@ -182,6 +187,7 @@
             self._context.dialect,
             self._context.occupancy,
             self._context.timers,
+            progress.expected,
         )
 
     def make_forward_options(
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -4,6 +4,7 @@
 
 import aioprometheus
 
+from vanillayoke.core import memory
 from vanillayoke.core import metrics
 
 _KIND = metrics.Label('kind', ('safe', 'unsafe', 'stream', 'none'))
@@ -28,6 +29,12 @@
 _SLOT_CAUSE = metrics.Label('cause', ('silent', 'released', 'unusable'))
 _RESULT = metrics.Label('result', ('answered', 'over_limit', 'failed'))
 _ZONE = metrics.Label('zone')
+_HEDGE_OUTCOME = metrics.Label(
+    'outcome',
+    ('first', 'second', 'failed', 'cancelled', 'no_capacity', 'no_budget'),
+)
+_MEMORY_KIND = metrics.Label('kind', tuple(kind.label for kind in memory.Kind))
+_MEMORY_REFUSAL = metrics.Label('kind', ('request', 'body', 'caller'))
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 
 
@@ -97,6 +104,24 @@
         )
         self._define_slot_queues(registry)
         self._define_zones(registry)
+        self.hedged_calls = metrics.Counter(
+            registry,
+            'hedged_calls_total',
+            'Slow calls, by the call that won or why no second was sent.',
+            _HEDGE_OUTCOME,
+        )
+        self.held_bytes = metrics.Gauge(
+            registry,
+            'memory_held_bytes',
+            'Bytes held for others, by kind; only with a memory limit.',
+            _MEMORY_KIND,
+        )
+        self.memory_refusals = metrics.Counter(
+            registry,
+            'memory_refusals_total',
+            'Requests, bodies and callers without memory.',
+            _MEMORY_REFUSAL,
+        )
         self.members = metrics.Gauge(
             registry, 'gateway_members', 'Instances known, by state.', _STATE
         )
--- a/libs/gateway/vanillayoke/gateway/unary.py
+++ b/libs/gateway/vanillayoke/gateway/unary.py
@@ -6,7 +6,9 @@
 from vanillayoke.gateway import context as context_module
 from vanillayoke.gateway import dispatch
 from vanillayoke.gateway import forwarding
+from vanillayoke.gateway import hedged_calls
 from vanillayoke.gateway import messages
+from vanillayoke.gateway import refusals
 from vanillayoke.scheduling import load_counts
 from vanillayoke.scheduling import program_slack
 from vanillayoke.transport import client
@@ -38,6 +40,9 @@
         self._dispatcher = dispatch.Dispatcher(context)
         self._typical_latencies: dict[str, program_slack.TypicalTime] = {}
         self._average_latencies: dict[str, program_slack.AverageTime] = {}
+        self._hedged_calls = hedged_calls.HedgedCalls(
+            context, self._dispatcher, self._send_hedged
+        )
 
     async def serve(
         self, progress: dispatch.Progress, responder: server.Responder
@@ -50,6 +55,14 @@
         excluded: set[str] = set()
         while True:
             target = await self._dispatcher.choose(progress, excluded)
+            if self._hedged_calls.may_hedge(progress):
+                response = await self._hedged_calls.run(
+                    progress, target, excluded
+                )
+                if response is None:
+                    continue
+                self._record_latency(progress)
+                return response
             try:
                 response = await self._try(progress, target)
             except (client.TransportError, forwarding.NotExecutedError) as e:
@@ -63,10 +76,34 @@
 
     async def _try(
         self, progress: dispatch.Progress, target: messages.Target
+    ) -> Response:
+        attempt = self._dispatcher.make_attempt(progress, target)
+        options = self._dispatcher.make_forward_options(progress, target)
+        return await self._run_attempt(progress, attempt, options)
+
+    async def _send_hedged(
+        self, progress: dispatch.Progress, call: hedged_calls.Call
+    ) -> Response:
+        """Send one of two calls of a request."""
+        call.attempt = self._dispatcher.make_attempt(call.choice, call.target)
+        options = self._dispatcher.make_forward_options(
+            call.choice, call.target
+        )
+        response = await self._run_attempt(progress, call.attempt, options)
+        seconds = self._context.timers.now() - call.attempt.started_at
+        self._hedged_calls.get_route(progress.route.name).latency.learn(
+            seconds
+        )
+        return response
+
+    async def _run_attempt(
+        self,
+        progress: dispatch.Progress,
+        attempt: forwarding.Attempt,
+        options: messages.ForwardOptions,
     ) -> Response:
         progress.attempts += 1
-        async with self._dispatcher.make_attempt(progress, target) as attempt:
-            options = self._dispatcher.make_forward_options(progress, target)
+        async with attempt:
             progress.may_have_run = True
             if progress.route.kind is not messages.RouteKind.SAFE:
                 return await self._exchange(progress, attempt, options)
@@ -74,6 +111,12 @@
                 async with asyncio.timeout(self._compute_timeout(progress)):
                     return await self._exchange(progress, attempt, options)
             except TimeoutError as error:
+                if attempt.waits_for_memory:
+                    # The target has responded, so it did not fail.
+                    raise refusals.RefusalError(
+                        refusals.Reason.OUTCOME_UNKNOWN,
+                        'no memory for the response',
+                    ) from error
                 attempt.latency_ratio = load_counts.MAX_LATENCY_RATIO
                 raise client.TimedOut('target response timed out') from error
 
