Kept limits of organisations for more urgent kinds of programs.

Whoever asked first got what was left of a limit, so the urgent kind of program was refused as often as the rest, or more often. Where route priority is enabled, a new program is now admitted only if the limit also covers the more urgent programs expected until the usage counted now has left the window: their start rate over the last 5 s times the requests per program, plus one standard deviation. Requests that can't start a program are not affected, nor is a program within .5 s after the account came near its limit, as its earlier requests may not be reported yet. Without urgent programs for 5 s the whole limit is open; otherwise a less urgent kind is admitted at least a tenth as often as the more urgent ones. The bound of the limit is unchanged.

A usage record, a report and a status grow by one byte each.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -744,6 +744,20 @@
     'The changed settings file could not be used: {error}.',
     'error',
 )
+LIMIT_KEPT_FOR_URGENT = _define(
+    1044,
+    'limit_kept_for_urgent',
+    _INFO,
+    'Request {request} of {organisation} with priority {priority} was refused '
+    'as the limit is kept for more urgent programs: {detail}.',
+    'request',
+    'organisation',
+    'program',
+    'route',
+    'priority',
+    'retry_after',
+    'detail',
+)
 TARGET_SICK = _define(
     1024,
     'target_sick',
--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -110,6 +110,7 @@
         request = quotas.AdmissionRequest(
             program.name if program else '',
             progress.route.name if is_turn else '',
+            self._find_route_priority(progress),
         )
         limits = self._context.limits
         now = self._context.timers.now()
@@ -126,6 +127,42 @@
             if admission is not None and progress.max_runs != 1:
                 limits.adjust(admission, progress.max_runs - 1)
 
+    def _find_route_priority(self, progress: dispatch.Progress) -> int | None:
+        """Return the route's priority if the request may start a program.
+
+        It is ``None`` where limits do not distinguish priorities.
+        """
+        if (
+            progress.route.kind is not messages.RouteKind.STREAM
+            or progress.call.previous_turn
+            or not self._context.settings.has_feature(
+                messages.Feature.ROUTE_PRIORITY
+            )
+        ):
+            return None
+        return progress.route.priority
+
+    def _report_refused_program(
+        self, refusal: refusals.RefusalError, progress: dispatch.Progress
+    ) -> None:
+        """Report a program refused in favour of more urgent ones."""
+        call = progress.call
+        self._context.metrics.limit_reservations.add(
+            1,
+            organisation=progress.organisation_name,
+            priority=str(progress.route.priority),
+        )
+        self._context.log.write(
+            log_events.LIMIT_KEPT_FOR_URGENT,
+            request=call.request,
+            organisation=progress.organisation_name,
+            program=call.program.name if call.program else None,
+            route=progress.route.name,
+            priority=progress.route.priority,
+            retry_after=round(refusal.retry_after, 3),
+            detail=refusal.detail,
+        )
+
     def _refuse(
         self,
         refusal: refusals.RefusalError,
@@ -138,6 +175,8 @@
             refusal = refusals.RefusalError(
                 refusals.Reason.OUTCOME_UNKNOWN, refusal.detail
             )
+        if refusal.reason is refusals.Reason.OVER_LIMIT_URGENT:
+            self._report_refused_program(refusal, progress)
         if refusal.reason is refusals.Reason.ISOLATED:
             responder.close_connection_after()
         if responder.is_started:
--- a/libs/gateway/vanillayoke/gateway/limit_accounts.py
+++ b/libs/gateway/vanillayoke/gateway/limit_accounts.py
@@ -134,7 +134,9 @@
         for record in report.records:
             admitted_at = now - record.age_ms / 1000
             account.window.add(report.reporter, admitted_at, record.count)
-            request = quotas.AdmissionRequest(record.program, record.route)
+            request = quotas.AdmissionRequest(
+                record.program, record.route, record.priority
+            )
             account.record(request, record.count, now)
             entry.unsaved_count += record.count
         account.last_used_at = now
@@ -163,7 +165,7 @@
         account.reserve = reserve
         status = peer_messages.LimitStatus(False)
         if report.pending is not None:
-            request = quotas.AdmissionRequest(*report.pending)
+            request = quotas.AdmissionRequest(*report.pending, report.priority)
             match account.request_admission(report.reporter, request, now):
                 case quotas.Refused() as refusal:
                     status = peer_messages.LimitStatus(
@@ -171,6 +173,7 @@
                         _describe(refusal, account),
                         refusal.retry_after,
                         refusal.is_new,
+                        refusal.urgent,
                     )
                 case quotas.Admitted():
                     entry.unsaved_count += 1
@@ -254,10 +257,13 @@
 
 def _describe(refusal: quotas.Refused, account: quotas.Account) -> str:
     kind = 'a new program' if refusal.is_new else 'a request'
+    urgent = ''
+    if refusal.urgent:
+        urgent = f', {refusal.urgent} for more urgent programs'
     return (
         f'{kind}: {refusal.used} of {refusal.limit:.0f} used,'
-        f' {refusal.expected} expected, {account.reserve:.0f} kept back;'
-        f' limit of version {account.version}'
+        f' {refusal.expected} expected, {account.reserve:.0f} kept back'
+        f'{urgent}; limit of version {account.version}'
     )
 
 
--- a/libs/gateway/vanillayoke/gateway/limits.py
+++ b/libs/gateway/vanillayoke/gateway/limits.py
@@ -243,8 +243,11 @@
                 response.is_new_program
                 or now + response.retry_after > deadline
             ):
+                reason = refusals.Reason.OVER_LIMIT
+                if response.urgent:
+                    reason = refusals.Reason.OVER_LIMIT_URGENT
                 raise refusals.RefusalError(
-                    refusals.Reason.OVER_LIMIT,
+                    reason,
                     f'{response.refusal_reason};'
                     f' counted by {usage.coordinator}',
                     response.retry_after,
@@ -350,12 +353,14 @@
                     entry.request.program,
                     entry.request.route,
                     entry.count,
+                    entry.request.priority,
                 )
                 for entry in usage.take_unreported(is_full)
             ),
             is_full,
             is_reassigned,
             None if request is None else (request.program, request.route),
+            None if request is None else request.priority,
         )
 
     async def _deliver(
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -24,6 +24,13 @@
 _TARGET = metrics.Label('target')
 _ORGANISATION = metrics.Label('organisation')
 _RESULT = metrics.Label('result', ('answered', 'over_limit', 'failed'))
+# Other outcomes of requests count as failed.
+_RESULTS = {
+    'answered': 'answered',
+    'over_limit': 'over_limit',
+    'over_limit_urgent': 'over_limit',
+}
+_PRIORITY = metrics.Label('priority')
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 
 
@@ -66,6 +73,13 @@
             _ORGANISATION,
             _RESULT,
         )
+        self.limit_reservations = metrics.Counter(
+            registry,
+            'limit_kept_for_urgent_total',
+            'Programs refused as the limit was kept for more urgent ones.',
+            _ORGANISATION,
+            _PRIORITY,
+        )
         self.sheds = metrics.Counter(
             registry,
             'sheds_total',
@@ -111,11 +125,10 @@
         kind = 'none' if route is None else route.kind.value
         self.requests.add(1, kind=kind, outcome=outcome)
         if progress.organisation is not None:
-            is_result = outcome in ('answered', 'over_limit')
             self.organisation_requests.add(
                 1,
                 organisation=progress.organisation.name,
-                result=outcome if is_result else 'failed',
+                result=_RESULTS.get(outcome, 'failed'),
             )
         self.request_latency.observe(seconds, kind=kind)
         self.queue_wait.observe(progress.queue_seconds, kind=kind)
--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -83,12 +83,15 @@
     """Requests of one program that were admitted ``age_ms`` ago.
 
     ``count`` is negative if it takes back requests that did not run.
+    ``priority`` is that of the route if the requests may have started the
+    program and priorities are used.
     """
 
     age_ms: int
     program: str
     route: str
     count: int
+    priority: int | None = None
 
 
 class UsageReport(msgspec.Struct, frozen=True, array_like=True, tag='L'):
@@ -99,7 +102,7 @@
     ``is_full`` says that ``records`` cover the whole window instead of what is
     unreported, and ``is_reassigned`` that earlier reports went to another
     instance. ``pending`` is the program and route of a request that waits for
-    admission.
+    admission, ``priority`` as in ``UsageRecord``.
     """
 
     organisation: str
@@ -110,6 +113,7 @@
     is_full: bool = False
     is_reassigned: bool = False
     pending: tuple[str, str] | None = None
+    priority: int | None = None
 
 
 class LimitStatus(msgspec.Struct, frozen=True, array_like=True, tag='A'):
@@ -118,13 +122,15 @@
     Near the limit each request needs to be admitted by the coordinator.
     ``refusal_reason`` says why the pending request was not admitted;
     ``retry_after`` is in seconds, and ``is_new_program`` says that its program
-    has no earlier request.
+    has no earlier request. ``urgent`` requests are kept for more urgent
+    programs; otherwise the request would have been admitted.
     """
 
     is_near_limit: bool
     refusal_reason: str | None = None
     retry_after: float = 0.0
     is_new_program: bool = False
+    urgent: int = 0
 
 
 class RequestStarted(msgspec.Struct, frozen=True, array_like=True, tag='B'):
--- a/libs/gateway/vanillayoke/gateway/refusals.py
+++ b/libs/gateway/vanillayoke/gateway/refusals.py
@@ -23,6 +23,7 @@
     UNKNOWN_KEY = 'unknown_key'
     UNCONFIRMED = 'unconfirmed'
     OVER_LIMIT = 'over_limit'
+    OVER_LIMIT_URGENT = 'over_limit_urgent'
     NO_TARGET = 'no_target'
     BUSY = 'busy'
     LATE = 'late'
@@ -42,6 +43,7 @@
     Reason.UNKNOWN_KEY: 401,
     Reason.UNCONFIRMED: 503,
     Reason.OVER_LIMIT: 429,
+    Reason.OVER_LIMIT_URGENT: 429,
     Reason.NO_TARGET: 503,
     Reason.BUSY: 503,
     Reason.LATE: 503,
--- a/libs/scheduling/vanillayoke/scheduling/quotas.py
+++ b/libs/scheduling/vanillayoke/scheduling/quotas.py
@@ -5,9 +5,14 @@
 program is therefore admitted while the limit is not reached, a new program
 only if the limit also covers the expected requests of all running programs
 and its own.
+
+Where requests carry the priority of their route, a new program is admitted
+only if the limit also covers the more urgent programs that are expected to
+start before the usage that is counted now has left the window.
 """
 
 import collections
+import math
 import typing
 
 # A slice counts until it has left the window completely, so that the count is
@@ -39,6 +44,24 @@
 # Share of the tolerance beyond a limit that running programs may use. The
 # rest covers requests that are not counted.
 OVERRUN_RATIO = 0.4
+# Period over which the start rates of programs are measured. A kind of program
+# that has not been seen for this time has no claim on the limit.
+START_RATE_SECONDS = 5.0
+# The shortest time for which the limit has to cover more urgent programs. It
+# allows for starts that are not evenly spaced.
+MIN_LOOKAHEAD_SECONDS = 0.5
+# Points in time of the lookahead, from the next moment to a whole window.
+LOOKAHEAD_STEPS = 5
+# A less urgent kind of program is admitted at least this often relative to
+# the more urgent ones.
+MIN_ADMISSION_RATIO = 0.1
+MAX_ADMISSION_CREDIT = 1.0
+# How long after an account has come near its limit all instances have reported
+# what they admitted without asking. Before, a running program may be unknown
+# and must not be taken for a new one that is to wait for more urgent ones.
+REPORT_SECONDS = 0.5
+# How long an account with programs of several priorities stays near its limit.
+NEAR_LIMIT_SECONDS = 1.0
 # A coordinator saves an account whenever it has admitted this share of that
 # rest. The remainder covers requests admitted while the save is in progress.
 SAVE_RATIO = 0.6
@@ -109,7 +132,8 @@
 
     ``used`` requests are counted against ``limit``, and ``expected`` ones are
     reserved for running programs. ``is_new`` means that the request would
-    start a program.
+    start a program. ``urgent`` requests are kept for more urgent programs; if
+    it is not 0, the program would have been admitted without them.
     """
 
     retry_after: float
@@ -117,16 +141,22 @@
     expected: int
     limit: float
     is_new: bool
+    urgent: int = 0
 
 
 Decision = Admitted | Refused
 
 
 class AdmissionRequest(typing.NamedTuple):
-    """The program and route of a request; '' without a program."""
+    """The program and route of a request; '' without a program.
+
+    ``priority`` is that of the route, 0 the most urgent. It is ``None`` if the
+    request can't start a program, or if priorities are not used.
+    """
 
     program: str
     route: str
+    priority: int | None = None
 
 
 class _Program:
@@ -237,6 +267,113 @@
         )
 
 
+class _Start(typing.NamedTuple):
+    at: float
+    priority: int
+    route: str
+
+
+class ProgramStarts:
+    """Programs that recently asked to start, whether admitted or not.
+
+    A program that asks again is counted once.
+    """
+
+    def __init__(self) -> None:
+        self._starts: collections.OrderedDict[str, _Start] = (
+            collections.OrderedDict()
+        )
+        # Numbers of programs by priority and route.
+        self._counts: dict[int, collections.Counter[str]] = {}
+        self._admitted: collections.Counter[int] = collections.Counter()
+        self._admitted_names: set[str] = set()
+        # Admissions that a less urgent kind is owed.
+        self._credits: dict[int, float] = {}
+        self._unnamed_count = 0
+
+    @property
+    def has_several_kinds(self) -> bool:
+        """Whether programs of several priorities have asked."""
+        return len(self._counts) > 1
+
+    @property
+    def lowest_priority(self) -> int:
+        """The priority of the least urgent programs."""
+        return max(self._counts, default=0)
+
+    def add(self, request: AdmissionRequest, now: float) -> str:
+        """Count a program; return the name to report its admission with."""
+        name = request.program
+        if not name:
+            self._unnamed_count += 1
+            name = f'/{self._unnamed_count}'
+        if name in self._starts or request.priority is None:
+            return name
+        priority = request.priority
+        self._starts[name] = _Start(now, priority, request.route)
+        counts = self._counts.setdefault(priority, collections.Counter())
+        counts[request.route] += 1
+        if len(self._starts) > MAX_PROGRAMS:
+            self._remove_oldest()
+        credit = self._credits.get(priority, 0.0)
+        credit += MIN_ADMISSION_RATIO * self._get_served_ratio(priority)
+        self._credits[priority] = min(MAX_ADMISSION_CREDIT, credit)
+        return name
+
+    def record_admission(self, name: str) -> None:
+        """Record that a program was admitted."""
+        start = self._starts.get(name)
+        if start is None or name in self._admitted_names:
+            return
+        self._admitted_names.add(name)
+        self._admitted[start.priority] += 1
+        credit = self._credits.get(start.priority, 0.0)
+        self._credits[start.priority] = max(0.0, credit - 1.0)
+
+    def has_credit(self, priority: int) -> bool:
+        """Return whether a kind was admitted less often than it has to be."""
+        return self._credits.get(priority, 0.0) >= MAX_ADMISSION_CREDIT
+
+    def list_more_urgent(
+        self, priority: int
+    ) -> typing.Iterator[tuple[str, int]]:
+        """Return the routes and numbers of the more urgent programs."""
+        for other, counts in self._counts.items():
+            if other < priority:
+                yield from counts.items()
+
+    def prune(self, now: float) -> None:
+        """Forget programs that asked too long ago."""
+        while self._starts:
+            start = next(iter(self._starts.values()))
+            if now - start.at < START_RATE_SECONDS:
+                return
+            self._remove_oldest()
+
+    def _get_served_ratio(self, priority: int) -> float:
+        """Return the lowest share admitted of any more urgent kind."""
+        return min(
+            (
+                self._admitted[other] / counts.total()
+                for other, counts in self._counts.items()
+                if other < priority
+            ),
+            default=1.0,
+        )
+
+    def _remove_oldest(self) -> None:
+        name, start = self._starts.popitem(last=False)
+        counts = self._counts[start.priority]
+        counts[start.route] -= 1
+        if not counts[start.route]:
+            del counts[start.route]
+        if not counts:
+            del self._counts[start.priority]
+        if name in self._admitted_names:
+            self._admitted_names.discard(name)
+            self._admitted[start.priority] -= 1
+
+
 class Account:
     """One organisation's usage of its limit, as counted by its coordinator.
 
@@ -250,6 +387,9 @@
         self._programs: collections.OrderedDict[str, _Program] = (
             collections.OrderedDict()
         )
+        self._starts = ProgramStarts()
+        self._near_limit_since: float | None = None
+        self._near_limit_at = float('-inf')
         self.limit = Limit(0.0, 0.0, 0.0, window)
         self.version = 0
         self.reserve = 0.0
@@ -270,6 +410,8 @@
             return
         program = self._programs.get(request.program)
         if program is None:
+            if request.priority is not None:
+                self._starts.record_admission(self._starts.add(request, now))
             program = _Program(request.route, now)
             self._programs[request.program] = program
             if len(self._programs) > MAX_PROGRAMS:
@@ -284,6 +426,7 @@
     ) -> Decision:
         """Admit or refuse a request."""
         self._end_programs(now)
+        self._starts.prune(now)
         used = self.window.count(now)
         limit = self.limit
         available = limit.requests - self.reserve
@@ -308,10 +451,27 @@
         If so, each request has to be admitted by the coordinator. Otherwise
         instances admit requests and report them afterwards.
         """
+        self._starts.prune(now)
         recent = LOOKAHEAD_FACTOR * self.window.count(now, RECENT_SECONDS)
-        expected = max(recent, self._estimate_expected(now))
-        used = self.window.count(now) + expected
-        return used > NEAR_LIMIT_RATIO * (self.limit.requests - self.reserve)
+        expected = self._estimate_expected(now)
+        used = self.window.count(now) + max(recent, expected)
+        available = NEAR_LIMIT_RATIO * (self.limit.requests - self.reserve)
+        is_near = used > available
+        if not self._starts.has_several_kinds:
+            self._near_limit_since = None
+            return is_near
+        if not is_near:
+            lowest = self._starts.lowest_priority
+            peak, _ = self._estimate_peak(lowest, 0.0, now)
+            is_near = peak + expected > available
+        if is_near:
+            self._near_limit_at = now
+        elif now - self._near_limit_at >= NEAR_LIMIT_SECONDS:
+            self._near_limit_since = None
+            return False
+        if self._near_limit_since is None:
+            self._near_limit_since = now
+        return True
 
     def _request_start(
         self,
@@ -322,6 +482,7 @@
         now: float,
     ) -> Decision:
         """Admit or refuse the first request of a program."""
+        name = self._starts.add(request, now)
         expected = self._estimate_expected(now)
         requests, seconds = self._statistics.get(request.route)
         # Usage that is still in the window after half of the program's time.
@@ -330,13 +491,79 @@
         # Otherwise no program could start if the limit is lower than the
         # average number of requests.
         is_only = not expected and used + 1 <= available
+        urgent = 0
         if (excess <= 0 and used + 1 <= available) or is_only:
-            return self._admit(reporter, request, now)
+            needed = expected + requests - available
+            total, urgent = self._find_shortage(request, needed, seconds, now)
+            if total <= 0:
+                self._starts.record_admission(name)
+                return self._admit(reporter, request, now)
+            excess = total
         retry_after = self.window.estimate_wait(now, excess)
         return Refused(
-            retry_after, used, round(expected), self.limit.requests, True
+            retry_after,
+            used,
+            round(expected),
+            self.limit.requests,
+            True,
+            urgent,
         )
 
+    def _find_shortage(
+        self,
+        request: AdmissionRequest,
+        needed: float,
+        seconds: float,
+        now: float,
+    ) -> tuple[float, int]:
+        """Return what a new program's limit lacks for more urgent programs.
+
+        ``needed`` is what it lacks without them and without the usage in the
+        window, ``seconds`` the duration of the program. Also return the
+        requests kept for more urgent programs; 0 if nothing is lacking.
+        """
+        priority = request.priority
+        if priority is None or self._near_limit_since is None:
+            return 0.0, 0
+        if now - self._near_limit_since < REPORT_SECONDS:
+            return 0.0, 0
+        if self._starts.has_credit(priority):
+            return 0.0, 0
+        peak, urgent = self._estimate_peak(priority, seconds / 2, now)
+        shortage = peak + needed
+        if urgent <= 0 or shortage <= 0:
+            return 0.0, 0
+        return shortage, max(1, round(urgent))
+
+    def _estimate_peak(
+        self, priority: int, start: float, now: float
+    ) -> tuple[float, float]:
+        """Return the highest usage within the next window, and its share.
+
+        It is the usage that is still in the window then and that of the more
+        urgent programs expected until then; the latter is also returned by
+        itself. The peak is searched from ``start`` seconds on.
+        """
+        count, requests = 0, 0.0
+        for route, number in self._starts.list_more_urgent(priority):
+            count += number
+            requests += number * self._statistics.get(route)[0]
+        if not count:
+            return 0.0, 0.0
+        average = requests / count
+        length = self.window.length
+        peak, urgent = 0.0, 0.0
+        for step in range(LOOKAHEAD_STEPS + 1):
+            ahead = start + (length - start) * step / LOOKAHEAD_STEPS
+            period = max(MIN_LOOKAHEAD_SECONDS, ahead)
+            number = count * period / START_RATE_SECONDS
+            # Starts are random: one standard deviation more than the mean.
+            arriving = average * (number + math.sqrt(number))
+            usage = self.window.count(now, length - ahead) + arriving
+            if usage > peak:
+                peak, urgent = usage, arriving
+        return peak, urgent
+
     def _admit(
         self, reporter: str, request: AdmissionRequest, now: float
     ) -> Decision:
