--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -31,6 +31,8 @@
     'over_limit_urgent': 'over_limit',
 }
 _PRIORITY = metrics.Label('priority')
+_SERVICE = metrics.Label('service')
+_ZONE = metrics.Label('zone')
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 
 
@@ -117,6 +119,28 @@
             registry, 'requests_active', 'Requests under way.'
         )
 
+        self.zone_utilisation = metrics.Gauge(
+            registry,
+            'zone_utilisation',
+            'Requests per slot of the healthy targets in a zone; NaN while '
+            'the load of the zone is unknown.',
+            _SERVICE,
+            _ZONE,
+        )
+        self.zone_is_short = metrics.Gauge(
+            registry,
+            'zone_is_short',
+            'Whether the zone of this instance is short of capacity.',
+            _SERVICE,
+        )
+        self.programs_in_other_zones = metrics.Counter(
+            registry,
+            'programs_in_other_zones_total',
+            'Programs that began in another zone, by this zone.',
+            _SERVICE,
+            _ZONE,
+        )
+
     def record_request(
         self, progress: typing.Any, outcome: str, seconds: float
     ) -> None:
