Refused new programs at their first turn when there is no capacity.

Programs that could not end in time were begun all the same and took capacity from the others. Where program admission is enabled, calls.py now asks gateway/program_admission.py before anything is reserved or counted. A refusal is 503 with the new reason no_capacity, is logged with all its inputs as event 1043, and counted by organisation, service and priority. The demand of programs is learned at their coordinators when they end.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -744,6 +744,29 @@
     'The changed settings file could not be used: {error}.',
     'error',
 )
+PROGRAM_REFUSED = _define(
+    1043,
+    'program_refused',
+    _INFO,
+    'Program {program} of {organisation} was refused at its first turn '
+    '{request}: {utilisation} requests per slot of {service}.',
+    'request',
+    'organisation',
+    'program',
+    'route',
+    'service',
+    'zone',
+    'priority',
+    'hot',
+    'share',
+    'utilisation',
+    'expected',
+    'limit',
+    'waited',
+    'age',
+    'retry_after',
+    'reserved',
+)
 LIMIT_KEPT_FOR_URGENT = _define(
     1044,
     'limit_kept_for_urgent',
--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -9,6 +9,7 @@
 from vanillayoke.gateway import dialect as dialect_module
 from vanillayoke.gateway import dispatch
 from vanillayoke.gateway import messages
+from vanillayoke.gateway import program_admission
 from vanillayoke.gateway import refusals
 from vanillayoke.gateway import turns
 from vanillayoke.gateway import unary
@@ -104,7 +105,10 @@
     async def _serve_admitted(
         self, progress: dispatch.Progress, responder: server.Responder
     ) -> None:
-        """Serve a request once its organisation's limit admits it."""
+        """Serve a request once capacity and its limit admit it."""
+        arrival = _make_arrival(progress)
+        if arrival is not None:
+            await self._context.program_admission.admit(arrival)
         is_turn = progress.route.kind is messages.RouteKind.STREAM
         program = progress.call.program
         request = quotas.AdmissionRequest(
@@ -118,6 +122,8 @@
         admission = await limits.admit(
             progress.organisation, request, now + max_wait
         )
+        if arrival is not None:
+            self._context.program_admission.record_begun(arrival)
         try:
             if is_turn:
                 await self._turns.serve(progress, responder)
@@ -135,7 +141,7 @@
         if (
             progress.route.kind is not messages.RouteKind.STREAM
             or progress.call.previous_turn
-            or not self._context.settings.has_feature(
+            or not self._context.get_settings().has_feature(
                 messages.Feature.ROUTE_PRIORITY
             )
         ):
@@ -197,10 +203,10 @@
     ) -> None:
         headers = []
         if refusal.retry_after is not None:
-            # Jitter, so that callers do not retry at the same time.
-            retry_after = refusal.retry_after * (
-                0.75 + 0.25 * self._context.random_float()
-            )
+            retry_after = refusal.retry_after
+            if not refusal.is_exact:
+                # Jitter, so that callers do not retry at the same time.
+                retry_after *= 0.75 + 0.25 * self._context.random_float()
             if progress is not None:
                 remaining = progress.deadline - self._context.timers.now()
                 retry_after = min(
@@ -247,6 +253,24 @@
         )
 
 
+def _make_arrival(
+    progress: dispatch.Progress,
+) -> program_admission.Arrival | None:
+    """Return the arrival of a program's request, ``None`` for others."""
+    program = progress.call.program
+    if program is None:
+        return None
+    return program_admission.Arrival(
+        progress.call,
+        progress.qualify(program.name),
+        progress.route,
+        progress.service,
+        progress.priority,
+        progress.organisation_name,
+        progress.deadline,
+    )
+
+
 def _get_time_left_ms(call: messages.Call) -> float | None:
     """Return the program's remaining time on arrival, in milliseconds."""
     return None if call.program is None else _to_ms(call.program.time_left)
--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -12,6 +12,7 @@
 from vanillayoke.gateway import load_queries
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import metrics as metrics_module
+from vanillayoke.gateway import program_admission
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import store as store_module
 from vanillayoke.gateway import zone_loads
@@ -25,6 +26,8 @@
     ``spawn`` runs a coroutine in the background; ``random_float`` returns a
     random number between 0 and 1; ``is_isolated`` returns whether this
     instance can reach neither the store nor most other instances.
+    ``get_settings`` returns the present settings, ``settings`` holds those at
+    the start.
     """
 
     settings: messages.Settings
@@ -45,6 +48,8 @@
     random_float: typing.Callable[[], float]
     is_isolated: typing.Callable[[], bool]
     zone_loads: zone_loads.ZoneLoads
+    program_admission: program_admission.ProgramAdmission
+    get_settings: typing.Callable[[], messages.Settings]
 
     @property
     def configuration_version(self) -> int:
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -28,6 +28,7 @@
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import peer_messages
 from vanillayoke.gateway import peers as peers_module
+from vanillayoke.gateway import program_admission
 from vanillayoke.gateway import rendezvous
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import store as store_module
@@ -307,6 +308,17 @@
             ),
             self._rng.random,
         )
+        self._program_admission = program_admission.ProgramAdmission(
+            lambda: self.settings,
+            self._zone_loads,
+            self._reservations,
+            self._limits,
+            lambda: self._members.list_eligible(),
+            self._timers,
+            self._rng.random,
+            self._log,
+            self.metrics,
+        )
         self._peers = peers_module.Peers(
             self._timers,
             self._handle_peer_request,
@@ -321,6 +333,7 @@
         self._reservations.set_peers(self._peers)
         self._load_queries.set_peers(self._peers)
         self._zone_loads.set_peers(self._peers)
+        self._program_admission.set_peers(self._peers)
         self._health_gossip.set_peers(self._peers)
         self._members = members_module.Members(
             self._row,
@@ -351,6 +364,8 @@
             self._rng.random,
             lambda: self.is_isolated,
             self._zone_loads,
+            self._program_admission,
+            lambda: self.settings,
         )
         handler = calls.CallHandler(context)
         self._endpoints = endpoints.Endpoints(
@@ -385,6 +400,8 @@
                 return self._load_queries.handle_request(request)
             case peer_messages.UsageReport():
                 return self._limit_accounts.handle_request(request)
+            case peer_messages.ProgramQuery():
+                return self._program_admission.handle_query(request)
         return self._reservations.handle_request(request)
 
     def _handle_notification(
@@ -393,6 +410,8 @@
         match notification:
             case peer_messages.TargetLoads() | peer_messages.ZoneLoads():
                 self._zone_loads.receive(notification)
+            case peer_messages.ProgramRefused():
+                self._program_admission.receive(notification)
             case _:
                 self._load_queries.handle(notification)
 
@@ -448,6 +467,7 @@
         self._reservations.prune()
         self._limits.prune()
         self._limit_accounts.prune()
+        self._program_admission.maintain()
         self._occupancy.retain(self._catalog.target_names)
         self._load_queries.retain(self._catalog.target_names)
 
--- a/libs/gateway/vanillayoke/gateway/limits.py
+++ b/libs/gateway/vanillayoke/gateway/limits.py
@@ -182,6 +182,11 @@
             self._report_usage(organisation.name, usage)
         return Admission(organisation.name, request, self._timers.now())
 
+    def is_near_limit(self, organisation: str) -> bool:
+        """Return whether an organisation has nearly used up its limit."""
+        usage = self._usages.get(organisation)
+        return usage is not None and usage.is_near_limit
+
     def adjust(self, admission: Admission, count: int) -> None:
         """Count further runs of a request; -1 if it did not run."""
         usage = self._usages.get(admission.organisation)
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -82,6 +82,32 @@
             _ORGANISATION,
             _PRIORITY,
         )
+        self.refused_programs = metrics.Counter(
+            registry,
+            'programs_refused_total',
+            'First turns refused for lack of capacity.',
+            _ORGANISATION,
+            _SERVICE,
+            _PRIORITY,
+        )
+        self.returned_programs = metrics.Counter(
+            registry,
+            'programs_returned_total',
+            'Programs admitted when they returned at the time they were told.',
+            _SERVICE,
+        )
+        self.program_share = metrics.Gauge(
+            registry,
+            'program_share',
+            'Share of new programs that a service has capacity for.',
+            _SERVICE,
+        )
+        self.program_utilisation = metrics.Gauge(
+            registry,
+            'program_utilisation',
+            'Estimated requests per slot at present.',
+            _SERVICE,
+        )
         self.sheds = metrics.Counter(
             registry,
             'sheds_total',
--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -215,6 +215,32 @@
     zones: tuple[zone_loads.ZoneReport, ...]
 
 
+class ProgramQuery(msgspec.Struct, frozen=True, array_like=True, tag='V'):
+    """Ask a program's coordinator whether it has begun."""
+
+    program: str
+
+
+class ProgramStatus(msgspec.Struct, frozen=True, array_like=True, tag='W'):
+    """What is known of a program.
+
+    ``is_begun`` is also set if the program may have begun. ``waited_ms`` is
+    the time since it was first refused, ``wait_ms`` the time until it will be
+    admitted, if that was promised.
+    """
+
+    is_begun: bool
+    waited_ms: int | None = None
+    wait_ms: int | None = None
+
+
+class ProgramRefused(msgspec.Struct, frozen=True, array_like=True, tag='J'):
+    """A program was refused; it will be admitted in ``wait_ms`` if given."""
+
+    program: str
+    wait_ms: int | None = None
+
+
 class ConfigurationVersion(msgspec.Struct, frozen=True, array_like=True):
     """The newest version of the configuration that the sender knows.
 
@@ -227,7 +253,15 @@
     relay: str
 
 
-Request = Reserve | Settle | Transfer | HandOver | LoadQuery | UsageReport
+Request = (
+    Reserve
+    | Settle
+    | Transfer
+    | HandOver
+    | LoadQuery
+    | UsageReport
+    | ProgramQuery
+)
 Response = (
     Granted
     | BudgetExhausted
@@ -236,6 +270,9 @@
     | HandedOver
     | LoadResponse
     | LimitStatus
+    | ProgramStatus
 )
 # Not acknowledged; a lost one only makes the load less exact for a time.
-Notification = RequestStarted | RequestEnded | TargetLoads | ZoneLoads
+Notification = (
+    RequestStarted | RequestEnded | TargetLoads | ZoneLoads | ProgramRefused
+)
--- a/libs/gateway/vanillayoke/gateway/program_tracking.py
+++ b/libs/gateway/vanillayoke/gateway/program_tracking.py
@@ -1,6 +1,7 @@
 """State of each program at its coordinator: delays and recent targets."""
 
 import collections
+import typing
 
 from vanillayoke.scheduling import program_slack
 
@@ -10,10 +11,25 @@
 RETENTION_SECONDS = 120.0
 
 
+class EndedProgram(typing.NamedTuple):
+    """A program that has ended; ``delay`` of its ``seconds`` was waiting."""
+
+    route: str
+    turns: int
+    seconds: float
+    delay: float
+    time_limit: float
+
+
 class ProgramTracker:
-    """Tracks the programs that this instance coordinates."""
+    """Tracks the programs that this instance coordinates.
+
+    ``on_ended`` is called for each program that has ended.
+    """
 
     def __init__(self) -> None:
+        self.on_ended: typing.Callable[[EndedProgram], None] | None = None
+        self._turn_counts: collections.Counter[str] = collections.Counter()
         self._trackers: collections.OrderedDict[
             str, program_slack.DelayTracker
         ] = collections.OrderedDict()
@@ -23,6 +39,9 @@
         self._targets: dict[str, dict[str, str]] = {}
         self._idle_ratios: dict[str, program_slack.IdleTimeRatio] = {}
 
+    def __contains__(self, program: str) -> bool:
+        return program in self._trackers
+
     def start_turn(
         self,
         program: str,
@@ -38,6 +57,7 @@
             self._trackers[program] = tracker
             self._routes[program] = route
         tracker.start_turn(session, now, time_left)
+        self._turn_counts[program] += 1
         self._trackers.move_to_end(program)
         return tracker.estimate_slack(
             session, now, self._get_idle_ratio(route).value
@@ -74,10 +94,27 @@
             route = self._routes.pop(program, None)
             if route is not None:
                 self._get_idle_ratio(route).learn(tracker)
+                self._report(program, route, tracker)
             if idle >= RETENTION_SECONDS:
                 del self._trackers[program]
+                self._turn_counts.pop(program, None)
                 self._targets.pop(program, None)
 
+    def _report(
+        self, program: str, route: str, tracker: program_slack.DelayTracker
+    ) -> None:
+        turns = self._turn_counts.pop(program, 0)
+        if self.on_ended is not None:
+            self.on_ended(
+                EndedProgram(
+                    route,
+                    turns,
+                    tracker.last_active_at - tracker.started_at,
+                    tracker.delay,
+                    tracker.time_limit,
+                )
+            )
+
     def _get_idle_ratio(self, route: str) -> program_slack.IdleTimeRatio:
         ratio = self._idle_ratios.get(route)
         if ratio is None:
--- a/libs/gateway/vanillayoke/gateway/refusals.py
+++ b/libs/gateway/vanillayoke/gateway/refusals.py
@@ -26,6 +26,7 @@
     OVER_LIMIT_URGENT = 'over_limit_urgent'
     NO_TARGET = 'no_target'
     BUSY = 'busy'
+    NO_CAPACITY = 'no_capacity'
     LATE = 'late'
     LATE_RUNNING = 'late_running'
     BUDGET_SPENT = 'budget_spent'
@@ -46,6 +47,7 @@
     Reason.OVER_LIMIT_URGENT: 429,
     Reason.NO_TARGET: 503,
     Reason.BUSY: 503,
+    Reason.NO_CAPACITY: 503,
     Reason.LATE: 503,
     Reason.LATE_RUNNING: 504,
     Reason.BUDGET_SPENT: 402,
@@ -61,6 +63,7 @@
     Reason.UNCONFIRMED: _OTHER_INSTANCE_RETRY_SECONDS,
     Reason.NO_TARGET: _SHORT_RETRY_SECONDS,
     Reason.BUSY: _SHORT_RETRY_SECONDS,
+    Reason.NO_CAPACITY: _SHORT_RETRY_SECONDS,
     Reason.LATE: _SHORT_RETRY_SECONDS,
     Reason.STORE_UNAVAILABLE: _STORE_RETRY_SECONDS,
     Reason.ISOLATED: _OTHER_INSTANCE_RETRY_SECONDS,
@@ -76,7 +79,8 @@
 class RefusalError(Exception):
     """The gateway answers a request itself, with an error status.
 
-    ``retry_after`` is in seconds and replaces the default of the reason.
+    ``retry_after`` is in seconds and replaces the default of the reason. If
+    ``is_exact``, the caller is expected at that time, so no jitter is added.
     """
 
     def __init__(
@@ -84,9 +88,11 @@
         reason: Reason,
         detail: str = '',
         retry_after: float | None = None,
+        is_exact: bool = False,
     ) -> None:
         super().__init__(detail or reason.value)
         self._retry_after = retry_after
+        self.is_exact = is_exact
         self.reason = reason
         self.detail = detail
 
--- a/libs/gateway/vanillayoke/gateway/reservations.py
+++ b/libs/gateway/vanillayoke/gateway/reservations.py
@@ -40,6 +40,9 @@
 TICK_INTERVAL_SECONDS = 0.25
 
 
+EndedProgram = program_tracking.EndedProgram
+
+
 class Reservation(typing.NamedTuple):
     """The outcome of a reservation.
 
@@ -118,6 +121,18 @@
         self._client.set_peers(peers)
         self._transfers.set_peers(peers)
 
+    def set_program_observer(
+        self, on_ended: typing.Callable[[EndedProgram], None]
+    ) -> None:
+        """Set what is called for each program that has ended."""
+        self._program_tracker.on_ended = on_ended
+
+    def is_begun(self, program: str) -> bool:
+        """Return whether a turn of a program has reserved here."""
+        return program in self._program_tracker or self._ledger.has_account(
+            program
+        )
+
     async def hand_over(self) -> int:
         """Transfer all free tokens to the programs' next coordinators.
 
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -111,6 +111,9 @@
         if turn.event_count > 1:
             interval.learn(rest / (turn.event_count - 1))
         typical = first.value + interval.value * max(0, turn.event_count - 1)
+        self._context.program_admission.learn_turn(
+            progress.route.name, typical
+        )
         return max(0.0, duration - typical)
 
     def _find_latency_ratio(
--- a/libs/scheduling/vanillayoke/scheduling/program_admission.py
+++ b/libs/scheduling/vanillayoke/scheduling/program_admission.py
@@ -30,6 +30,8 @@
 CONTROL_SECONDS = 2.0
 # Averaging period of the rate of arrival.
 RATE_SECONDS = 2.0
+# Avoids a division by zero while no programs arrive.
+MIN_RATE = 0.001
 # Loads that are measured within this time are not compared with each other:
 # they differ mostly by chance.
 MIN_SAMPLE_SECONDS = 0.4
@@ -71,9 +73,9 @@
 RETURN_TOLERANCE_SECONDS = 0.05
 MAX_REFUSED_PROGRAMS = 2000
 REFUSAL_RETENTION_SECONDS = 10.0
-# Bounds of the history of shares and arrivals.
+# Bounds of the history of shares.
 HISTORY_SECONDS = 3.0
-MAX_HISTORY = 400
+HISTORY_STEP_SECONDS = 0.05
 INTEGRATION_STEP_SECONDS = 0.1
 MAX_UTILISATION = 4.0
 
@@ -100,13 +102,15 @@
     """A program whose first turn waits for admission.
 
     ``time_left`` is the time within which it has to end, if that is known, and
-    ``waited`` the time since it was first refused. ``is_hot`` says that its
-    organisation has used up its share.
+    ``patience`` the one within which the request has to be answered.
+    ``waited`` is the time since the program was first refused. ``is_hot`` says
+    that its organisation has used up its share.
     """
 
     route: str
     priority: int
     time_left: float | None
+    patience: float
     is_hot: bool = False
     waited: float = 0.0
 
@@ -129,7 +133,6 @@
     share: float
     utilisation: float
     expected_seconds: float
-    time_limit: float
     load_age: float
 
 
@@ -311,9 +314,9 @@
         if not self.is_refusing:
             return 1.0
         allowed = self._allowed + (target - self.utilisation) / CONTROL_SECONDS
-        if allowed >= self._arriving:
-            return 1.0
-        return max(MIN_SHARE, allowed / self._arriving)
+        if allowed <= MIN_SHARE * self._arriving:
+            return MIN_SHARE
+        return min(1.0, allowed / max(self._arriving, MIN_RATE))
 
     def _forget(self, now: float) -> None:
         self._sample = self._compared = None
@@ -377,11 +380,14 @@
     def record_share(self, share: float, now: float) -> None:
         """Record the share of all programs that is admitted from now on."""
         self.share = share
-        if not self._shares or self._shares[-1][1] != share:
+        if not self._shares:
+            self._shares.append((now, share))
+        elif now - self._shares[-1][0] < HISTORY_STEP_SECONDS:
+            self._shares[-1] = (self._shares[-1][0], share)
+        elif self._shares[-1][1] != share:
             self._shares.append((now, share))
         while len(self._shares) > 1 and (
             self._shares[1][0] < now - HISTORY_SECONDS
-            or len(self._shares) > MAX_HISTORY
         ):
             self._shares.popleft()
 
@@ -473,9 +479,16 @@
         )
 
     def decide(
-        self, service: str, program: NewProgram, now: float
+        self,
+        service: str,
+        program: NewProgram,
+        now: float,
+        wait: float | None = None,
     ) -> Decision:
-        """Admit or refuse a new program, after its arrival was recorded."""
+        """Admit or refuse a new program, after its arrival was recorded.
+
+        ``wait`` is the time until it will be admitted if that was promised.
+        """
         state = self._get_service(service)
         demand = self._demands.get(program.route)
         capacity = state.capacity
@@ -493,20 +506,20 @@
             and state.take(program, share)
         ):
             return Admitted()
-        time_left = program.time_left
-        if time_left is None:
-            time_left = MAX_RETRY_SECONDS / MAX_RETRY_RATIO
-        longest = min(MAX_RETRY_SECONDS, MAX_RETRY_RATIO * time_left)
-        spare = time_left - END_MARGIN_SECONDS
-        spare -= _estimate_seconds(demand, program, 0.0)
-        due = state.reserve_return(now, now + min(longest, spare))
+        longest = _get_longest_wait(program)
+        if wait is None:
+            latest = longest
+            if program.time_left is not None:
+                idle = _estimate_seconds(demand, program, 0.0)
+                spare = program.time_left - idle - END_MARGIN_SECONDS
+                latest = min(longest, spare)
+            wait = state.reserve_return(now, latest)
         return Refused(
-            longest if due is None else due - now,
-            due is not None,
+            longest if wait is None else min(longest, wait),
+            wait is not None,
             share,
             capacity.utilisation,
             expected,
-            time_left,
             capacity.load_age,
         )
 
@@ -638,15 +651,18 @@
             return False
         return True
 
-    def reserve_return(self, now: float, latest: float) -> float | None:
-        """Reserve the next time for a returning program, until the latest."""
+    def reserve_return(self, now: float, longest: float) -> float | None:
+        """Reserve the next time for a program to return.
+
+        Return in how many seconds, ``None`` if it would be too long.
+        """
         rate = RETURN_RATIO * self.capacity.share * self._rate
         interval = 1 / max(MIN_RETURN_RATE, rate)
         due = max(now + MIN_RETRY_SECONDS, self._last_return_at + interval)
-        if due > latest:
+        if due - now > longest:
             return None
         self._last_return_at = due
-        return due
+        return due - now
 
     def record_return(self, program: NewProgram) -> None:
         """Record that a returning program was admitted."""
@@ -657,6 +673,14 @@
         kind.owed = min(kind.owed + 1, MAX_OWED_ADMISSIONS)
 
 
+def _get_longest_wait(program: NewProgram) -> float:
+    """Return the longest pause that the caller will wait for."""
+    patience = program.patience
+    if program.time_left is not None:
+        patience = min(patience, program.time_left)
+    return min(MAX_RETRY_SECONDS, max(0.0, MAX_RETRY_RATIO * patience))
+
+
 def _get_level(program: NewProgram) -> int:
     """Return the order of a program among others, 0 first.
 
--- a/tests/scheduling/test_program_admission.py
+++ b/tests/scheduling/test_program_admission.py
@@ -132,6 +132,7 @@
             program.kind.route,
             program.kind.priority,
             program.deadline - now,
+            program.deadline - now,
             program.kind.is_hot,
             0.0 if known is None else known.waited,
         )
@@ -341,7 +342,7 @@
     return now - 0.2
 
 
-NEW = program_admission.NewProgram("urgent", 0, 3.0)
+NEW = program_admission.NewProgram('urgent', 0, 3.0, 3.0)
 
 
 def _decide(admission, now, program=NEW):
@@ -369,6 +370,16 @@
         case.assertEqual(program_admission.Admitted(), decision)
 
 
+def test_overload_without_arrivals_is_no_error(case):
+    """Requests of the engines' other users may fill them."""
+    admission = _make_admission()
+    for step in range(20):
+        now = 10.0 + step / 2
+        requests = max(4 * SLOTS - 40 * step, 1.2 * SLOTS)
+        admission.update(SERVICE, _make_load(requests, now), now + 0.3)
+    case.assertGreater(admission.get_capacity(SERVICE).share, 0.0)
+
+
 def test_first_load_after_a_start_admits_in_proportion(case):
     """A new instance knows no rate of arrival yet."""
     admission = _make_admission()
