--- a/tests/gateway/test_program_admission.py
+++ b/tests/gateway/test_program_admission.py
@@ -242,6 +242,49 @@
         case.assertEqual(200, response.status)
 
 
+async def _run_program(site, number, turns=3):
+    """Run a program; return the turns that ended, and the seconds taken."""
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    for turn in range(turns):
+        response = await site.turn(
+            INSTANCES[(number + turn) % len(INSTANCES)],
+            f'p{number}-{turn}',
+            program=f'p{number}',
+            route='plan',
+        )
+        if response.status != 200:
+            return turn, 0.0
+        await asyncio.sleep(0.1)
+    return turns, loop.time() - started_at
+
+
+async def _run_programs(site):
+    """Run 26 programs of .9 s a second, twice what the targets can do."""
+    for target in site.targets.values():
+        target.service_time = 0.2
+    tasks = []
+    for number in range(150):
+        tasks.append(asyncio.ensure_future(_run_program(site, number)))
+        await asyncio.sleep(1 / 26)
+    return await asyncio.gather(*tasks)
+
+
+async def test_overload_refuses_programs_instead_of_their_later_turns(
+    case, controlled_site
+):
+    """The loads are those that the instances report to each other.
+
+    Without admission, programs end at any turn.
+    """
+    site = await controlled_site()
+    results = await _run_programs(site)
+    case.assertEqual({0, 3}, {turns for turns, _ in results})
+    seconds = sorted(seconds for turns, seconds in results if turns == 3)
+    case.assertGreater(len(seconds), 50)
+    case.assertLess(seconds[len(seconds) // 2], 2.2)
+
+
 async def test_without_the_feature_nothing_changes(case, site):
     """Deployments without overload control must be served as before."""
     await site.start(len(INSTANCES))
--- a/tests/scheduling/test_program_admission.py
+++ b/tests/scheduling/test_program_admission.py
@@ -236,7 +236,7 @@
 
 
 def test_nothing_is_refused_while_there_is_capacity(case):
-    """45 programs a second, half of the capacity, and 1.7 times for 6 s."""
+    """A load of .4, and 1.7 times for 6 s."""
     rates = dict.fromkeys((URGENT, OTHER), _burst(22.5, 1.7, 12, 18))
     loop = _Loop(_make_arrivals(rates)).run()
     case.assertEqual([], loop.refusals)
@@ -244,7 +244,7 @@
 
 
 def test_burst_of_the_less_urgent_kind_does_not_affect_the_urgent(case):
-    """The less urgent kind at 2.5 times for 6 s, on a load of .6."""
+    """The less urgent kind at 2.5 times for 6 s: a load of 1.12."""
     rates = {URGENT: _always(30), OTHER: _burst(30, 2.5, 10, 16)}
     loop = _Loop(_make_arrivals(rates)).run()
     case.assertGreater(loop.share(URGENT), 0.99)
@@ -253,7 +253,7 @@
 
 
 def test_longer_burst_of_the_less_urgent_kind_is_refused_in_part(case):
-    """At 4 times for 6 s: without admission, 4 in 10 would end late."""
+    """At 4 times for 6 s, a load of 1.25: otherwise 4 in 10 would be late."""
     rates = {URGENT: _always(22.5), OTHER: _burst(22.5, 4, 10, 16)}
     arrivals = _make_arrivals(rates)
     loop = _Loop(arrivals).run()
@@ -265,7 +265,7 @@
 
 
 def test_burst_of_all_programs(case):
-    """All programs at 2.5 times for 6 s, on a load of .6."""
+    """All programs at 2.5 times for 6 s: a load of 1.44."""
     rates = dict.fromkeys((URGENT, OTHER), _burst(30, 2.5, 10, 16))
     arrivals = _make_arrivals(rates)
     loop = _Loop(arrivals).run()
@@ -277,7 +277,7 @@
 
 
 def test_third_of_the_engines_fails_at_the_peak_and_returns(case):
-    """The load is .77 with all engines and 1.15 without a third."""
+    """The load is .7 with all engines and 1.05 without a third."""
 
     def get_slots(now):
         return SLOTS * 2 // 3 if 12 <= now < 18 else SLOTS
@@ -296,7 +296,7 @@
 
 
 def test_hot_organisation_is_refused_before_others_of_its_priority(case):
-    """One organisation sends 7 times its usual load for 8 s."""
+    """One organisation sends 7 times its usual load for 8 s: 1.07 in all."""
     rates = {URGENT: _always(50), HOT: _burst(15, 7, 10, 18)}
     loop = _Loop(_make_arrivals(rates)).run()
     case.assertGreater(loop.share(URGENT), 0.97)
@@ -305,7 +305,7 @@
 
 
 def test_constant_overload_does_not_oscillate(case):
-    """1.5 times the capacity for 30 s."""
+    """A load of 1.44 for 30 s."""
     rates = dict.fromkeys((URGENT, OTHER), _always(75))
     loop = _Loop(_make_arrivals(rates)).run()
     shares = [share for now, share in loop.shares if now > 8]
