Admitted returning programs once all new ones of their kind are.

A program that was refused without a time to return stayed refused until the load fell below .7, even if all new ones were admitted. Queries to coordinators now wait for 20 ms with two copies instead of 8 ms with one, as a turn without a response is admitted and instances are busy then.

--- a/libs/gateway/vanillayoke/gateway/program_admission.py
+++ b/libs/gateway/vanillayoke/gateway/program_admission.py
@@ -25,7 +25,9 @@
 from vanillayoke.gateway import zone_loads as zone_loads_module
 from vanillayoke.scheduling import program_admission
 
-QUERY_TIMEOUT_SECONDS = 0.008
+# How long each of two copies of a query waits. Instances are busy while
+# programs are refused, and a turn is admitted without a response.
+QUERY_TIMEOUTS_SECONDS = (0.008, 0.012)
 MAX_BEGUN_PROGRAMS = 2000
 # How long programs that began at a former coordinator may be under way.
 FORMER_COORDINATOR_SECONDS = 10.0
@@ -277,8 +279,8 @@
         response = await self._peers.send_request(
             coordinator.address,
             query,
-            self._timers.now() + QUERY_TIMEOUT_SECONDS,
-            (QUERY_TIMEOUT_SECONDS,),
+            self._timers.now() + sum(QUERY_TIMEOUTS_SECONDS),
+            QUERY_TIMEOUTS_SECONDS,
         )
         if isinstance(response, peer_messages.ProgramStatus):
             return response
--- a/libs/scheduling/vanillayoke/scheduling/program_admission.py
+++ b/libs/scheduling/vanillayoke/scheduling/program_admission.py
@@ -497,11 +497,12 @@
         queue = state.estimate_queue(program, now)
         expected = _estimate_seconds(demand, program, queue)
         share = state.get_share(program)
-        # A program that was refused for good has made room for later ones.
-        # Otherwise the number of programs that ask would grow with that of
-        # refusals, and the share would follow it too late.
+        # A program that was refused for good has made room for later ones, so
+        # it is admitted only when all new ones are. Otherwise the number of
+        # programs that ask would grow with that of refusals, and the share
+        # would follow it too late.
         if (
-            not program.waited
+            (not program.waited or share >= 1.0)
             and _can_end(demand, program, expected)
             and state.take(program, share)
         ):
