--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -789,6 +789,43 @@
     'The changed settings file could not be used: {error}.',
     'error',
 )
+PROGRAM_REFUSED = _define(
+    1043,
+    'program_refused',
+    _INFO,
+    'Program {program} of {organisation} was refused at its first turn '
+    '{request}: {utilisation} requests per slot of {service}.',
+    'request',
+    'organisation',
+    'program',
+    'route',
+    'service',
+    'zone',
+    'priority',
+    'hot',
+    'share',
+    'utilisation',
+    'expected',
+    'limit',
+    'waited',
+    'age',
+    'retry_after',
+    'reserved',
+)
+LIMIT_KEPT_FOR_URGENT = _define(
+    1044,
+    'limit_kept_for_urgent',
+    _INFO,
+    'Request {request} of {organisation} with priority {priority} was refused '
+    'as the limit is kept for more urgent programs: {detail}.',
+    'request',
+    'organisation',
+    'program',
+    'route',
+    'priority',
+    'retry_after',
+    'detail',
+)
 TARGET_SICK = _define(
     1024,
     'target_sick',
--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -9,6 +9,7 @@
 from vanillayoke.gateway import dialect as dialect_module
 from vanillayoke.gateway import dispatch
 from vanillayoke.gateway import messages
+from vanillayoke.gateway import program_admission
 from vanillayoke.gateway import refusals
 from vanillayoke.gateway import turns
 from vanillayoke.gateway import unary
@@ -119,12 +120,16 @@
     async def _serve_admitted(
         self, progress: dispatch.Progress, responder: server.Responder
     ) -> None:
-        """Serve a request once its organisation's limit admits it."""
+        """Serve a request once capacity and its limit admit it."""
+        arrival = _make_arrival(progress)
+        if arrival is not None:
+            await self._context.program_admission.admit(arrival)
         is_turn = progress.route.kind is messages.RouteKind.STREAM
         program = progress.call.program
         request = quotas.AdmissionRequest(
             program.name if program else '',
             progress.route.name if is_turn else '',
+            self._find_route_priority(progress),
         )
         limits = self._context.limits
         now = self._context.timers.now()
@@ -132,6 +137,8 @@
         admission = await limits.admit(
             progress.organisation, request, now + max_wait
         )
+        if arrival is not None:
+            self._context.program_admission.record_begun(arrival)
         try:
             if is_turn:
                 await self._turns.serve(progress, responder)
@@ -141,6 +148,42 @@
             if admission is not None and progress.max_runs != 1:
                 limits.adjust(admission, progress.max_runs - 1)
 
+    def _find_route_priority(self, progress: dispatch.Progress) -> int | None:
+        """Return the route's priority if the request may start a program.
+
+        It is ``None`` where limits do not distinguish priorities.
+        """
+        if (
+            progress.route.kind is not messages.RouteKind.STREAM
+            or progress.call.previous_turn
+            or not self._context.get_settings().has_feature(
+                messages.Feature.ROUTE_PRIORITY
+            )
+        ):
+            return None
+        return progress.route.priority
+
+    def _report_refused_program(
+        self, refusal: refusals.RefusalError, progress: dispatch.Progress
+    ) -> None:
+        """Report a program refused in favour of more urgent ones."""
+        call = progress.call
+        self._context.metrics.limit_reservations.add(
+            1,
+            organisation=progress.organisation_name,
+            priority=str(progress.route.priority),
+        )
+        self._context.log.write(
+            log_events.LIMIT_KEPT_FOR_URGENT,
+            request=call.request,
+            organisation=progress.organisation_name,
+            program=call.program.name if call.program else None,
+            route=progress.route.name,
+            priority=progress.route.priority,
+            retry_after=round(refusal.retry_after, 3),
+            detail=refusal.detail,
+        )
+
     def _refuse(
         self,
         refusal: refusals.RefusalError,
@@ -153,6 +196,8 @@
             refusal = refusals.RefusalError(
                 refusals.Reason.OUTCOME_UNKNOWN, refusal.detail
             )
+        if refusal.reason is refusals.Reason.OVER_LIMIT_URGENT:
+            self._report_refused_program(refusal, progress)
         if refusal.reason is refusals.Reason.ISOLATED:
             responder.close_connection_after()
         if responder.is_started:
@@ -173,10 +218,10 @@
     ) -> None:
         headers = []
         if refusal.retry_after is not None:
-            # Jitter, so that callers do not retry at the same time.
-            retry_after = refusal.retry_after * (
-                0.75 + 0.25 * self._context.random_float()
-            )
+            retry_after = refusal.retry_after
+            if not refusal.is_exact:
+                # Jitter, so that callers do not retry at the same time.
+                retry_after *= 0.75 + 0.25 * self._context.random_float()
             if progress is not None:
                 remaining = progress.deadline - self._context.timers.now()
                 retry_after = min(
@@ -223,6 +268,24 @@
         )
 
 
+def _make_arrival(
+    progress: dispatch.Progress,
+) -> program_admission.Arrival | None:
+    """Return the arrival of a program's request, ``None`` for others."""
+    program = progress.call.program
+    if program is None:
+        return None
+    return program_admission.Arrival(
+        progress.call,
+        progress.qualify(program.name),
+        progress.route,
+        progress.service,
+        progress.priority,
+        progress.organisation_name,
+        progress.deadline,
+    )
+
+
 def _get_time_left_ms(call: messages.Call) -> float | None:
     """Return the program's remaining time on arrival, in milliseconds."""
     return None if call.program is None else _to_ms(call.program.time_left)
--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -13,6 +13,7 @@
 from vanillayoke.gateway import memory_limit as memory_limit_module
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import metrics as metrics_module
+from vanillayoke.gateway import program_admission
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import slot_queues as slot_queues_module
 from vanillayoke.gateway import store as store_module
@@ -27,6 +28,8 @@
     ``spawn`` runs a coroutine in the background; ``random_float`` returns a
     random number between 0 and 1; ``is_isolated`` returns whether this
     instance can reach neither the store nor most other instances.
+    ``get_settings`` returns the present settings, ``settings`` holds those at
+    the start.
     """
 
     settings: messages.Settings
@@ -49,6 +52,8 @@
     is_isolated: typing.Callable[[], bool]
     zone_loads: zone_loads.ZoneLoads
     memory_limit: memory_limit_module.MemoryLimit
+    program_admission: program_admission.ProgramAdmission
+    get_settings: typing.Callable[[], messages.Settings]
 
     @property
     def configuration_version(self) -> int:
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -29,6 +29,7 @@
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import peer_messages
 from vanillayoke.gateway import peers as peers_module
+from vanillayoke.gateway import program_admission
 from vanillayoke.gateway import rendezvous
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import slot_queues
@@ -329,6 +330,17 @@
             ),
             self._rng.random,
         )
+        self._program_admission = program_admission.ProgramAdmission(
+            lambda: self.settings,
+            self._zone_loads,
+            self._reservations,
+            self._limits,
+            lambda: self._members.list_eligible(),
+            self._timers,
+            self._rng.random,
+            self._log,
+            self.metrics,
+        )
         self._peers = peers_module.Peers(
             self._timers,
             self._handle_peer_request,
@@ -344,6 +356,7 @@
         self._load_queries.set_peers(self._peers)
         self._slot_queues.set_peers(self._peers)
         self._zone_loads.set_peers(self._peers)
+        self._program_admission.set_peers(self._peers)
         self._health_gossip.set_peers(self._peers)
         self._members = members_module.Members(
             self._row,
@@ -376,6 +389,8 @@
             lambda: self.is_isolated,
             self._zone_loads,
             self._memory_limit,
+            self._program_admission,
+            lambda: self.settings,
         )
         handler = calls.CallHandler(context)
         self._endpoints = endpoints.Endpoints(
@@ -417,6 +432,8 @@
                 return self._limit_accounts.handle_request(request)
             case peer_messages.SlotRequest():
                 return self._slot_queues.handle_request(request)
+            case peer_messages.ProgramQuery():
+                return self._program_admission.handle_query(request)
         return self._reservations.handle_request(request)
 
     def _handle_notification(
@@ -427,6 +444,8 @@
                 self._slot_queues.handle_cancelled(notification)
             case peer_messages.TargetLoads() | peer_messages.ZoneLoads():
                 self._zone_loads.receive(notification)
+            case peer_messages.ProgramRefused():
+                self._program_admission.receive(notification)
             case _:
                 self._load_queries.handle(notification)
 
@@ -483,6 +502,7 @@
         self._reservations.prune()
         self._limits.prune()
         self._limit_accounts.prune()
+        self._program_admission.maintain()
         self._occupancy.retain(self._catalog.target_names)
         self._slot_queues.retain(self._catalog.target_names)
         self._load_queries.retain(self._catalog.target_names)
--- a/libs/gateway/vanillayoke/gateway/limits.py
+++ b/libs/gateway/vanillayoke/gateway/limits.py
@@ -182,6 +182,11 @@
             self._report_usage(organisation.name, usage)
         return Admission(organisation.name, request, self._timers.now())
 
+    def is_near_limit(self, organisation: str) -> bool:
+        """Return whether an organisation has nearly used up its limit."""
+        usage = self._usages.get(organisation)
+        return usage is not None and usage.is_near_limit
+
     def adjust(self, admission: Admission, count: int) -> None:
         """Count further runs of a request; -1 if it did not run."""
         usage = self._usages.get(admission.organisation)
@@ -243,8 +248,11 @@
                 response.is_new_program
                 or now + response.retry_after > deadline
             ):
+                reason = refusals.Reason.OVER_LIMIT
+                if response.urgent:
+                    reason = refusals.Reason.OVER_LIMIT_URGENT
                 raise refusals.RefusalError(
-                    refusals.Reason.OVER_LIMIT,
+                    reason,
                     f'{response.refusal_reason};'
                     f' counted by {usage.coordinator}',
                     response.retry_after,
@@ -350,12 +358,14 @@
                     entry.request.program,
                     entry.request.route,
                     entry.count,
+                    entry.request.priority,
                 )
                 for entry in usage.take_unreported(is_full)
             ),
             is_full,
             is_reassigned,
             None if request is None else (request.program, request.route),
+            None if request is None else request.priority,
         )
 
     async def _deliver(
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -24,6 +24,13 @@
 )
 _TARGET = metrics.Label('target')
 _ORGANISATION = metrics.Label('organisation')
+# Other outcomes of requests count as failed.
+_RESULTS = {
+    'answered': 'answered',
+    'over_limit': 'over_limit',
+    'over_limit_urgent': 'over_limit',
+}
+_PRIORITY = metrics.Label('priority')
 _SERVICE = metrics.Label('service')
 _SLOT_REASON = metrics.Label('reason', ('late', 'full'))
 _SLOT_CAUSE = metrics.Label('cause', ('silent', 'released', 'unusable'))
@@ -77,6 +84,39 @@
             _ORGANISATION,
             _RESULT,
         )
+        self.limit_reservations = metrics.Counter(
+            registry,
+            'limit_kept_for_urgent_total',
+            'Programs refused as the limit was kept for more urgent ones.',
+            _ORGANISATION,
+            _PRIORITY,
+        )
+        self.refused_programs = metrics.Counter(
+            registry,
+            'programs_refused_total',
+            'First turns refused for lack of capacity.',
+            _ORGANISATION,
+            _SERVICE,
+            _PRIORITY,
+        )
+        self.returned_programs = metrics.Counter(
+            registry,
+            'programs_returned_total',
+            'Programs admitted when they returned at the time they were told.',
+            _SERVICE,
+        )
+        self.program_share = metrics.Gauge(
+            registry,
+            'program_share',
+            'Share of new programs that a service has capacity for.',
+            _SERVICE,
+        )
+        self.program_utilisation = metrics.Gauge(
+            registry,
+            'program_utilisation',
+            'Estimated requests per slot at present.',
+            _SERVICE,
+        )
         self.sheds = metrics.Counter(
             registry,
             'sheds_total',
@@ -204,11 +244,10 @@
         kind = 'none' if route is None else route.kind.value
         self.requests.add(1, kind=kind, outcome=outcome)
         if progress.organisation is not None:
-            is_result = outcome in ('answered', 'over_limit')
             self.organisation_requests.add(
                 1,
                 organisation=progress.organisation.name,
-                result=outcome if is_result else 'failed',
+                result=_RESULTS.get(outcome, 'failed'),
             )
         self.request_latency.observe(seconds, kind=kind)
         self.queue_wait.observe(progress.queue_seconds, kind=kind)
--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -86,12 +86,15 @@
     """Requests of one program that were admitted ``age_ms`` ago.
 
     ``count`` is negative if it takes back requests that did not run.
+    ``priority`` is that of the route if the requests may have started the
+    program and priorities are used.
     """
 
     age_ms: int
     program: str
     route: str
     count: int
+    priority: int | None = None
 
 
 class UsageReport(msgspec.Struct, frozen=True, array_like=True, tag='L'):
@@ -102,7 +105,7 @@
     ``is_full`` says that ``records`` cover the whole window instead of what is
     unreported, and ``is_reassigned`` that earlier reports went to another
     instance. ``pending`` is the program and route of a request that waits for
-    admission.
+    admission, ``priority`` as in ``UsageRecord``.
     """
 
     organisation: str
@@ -113,6 +116,7 @@
     is_full: bool = False
     is_reassigned: bool = False
     pending: tuple[str, str] | None = None
+    priority: int | None = None
 
 
 class LimitStatus(msgspec.Struct, frozen=True, array_like=True, tag='A'):
@@ -121,13 +125,15 @@
     Near the limit each request needs to be admitted by the coordinator.
     ``refusal_reason`` says why the pending request was not admitted;
     ``retry_after`` is in seconds, and ``is_new_program`` says that its program
-    has no earlier request.
+    has no earlier request. ``urgent`` requests are kept for more urgent
+    programs; otherwise the request would have been admitted.
     """
 
     is_near_limit: bool
     refusal_reason: str | None = None
     retry_after: float = 0.0
     is_new_program: bool = False
+    urgent: int = 0
 
 
 class RequestStarted(msgspec.Struct, frozen=True, array_like=True, tag='B'):
@@ -261,6 +267,32 @@
     zones: tuple[zone_loads.ZoneReport, ...]
 
 
+class ProgramQuery(msgspec.Struct, frozen=True, array_like=True, tag='V'):
+    """Ask a program's coordinator whether it has begun."""
+
+    program: str
+
+
+class ProgramStatus(msgspec.Struct, frozen=True, array_like=True, tag='W'):
+    """What is known of a program.
+
+    ``is_begun`` is also set if the program may have begun. ``waited_ms`` is
+    the time since it was first refused, ``wait_ms`` the time until it will be
+    admitted, if that was promised.
+    """
+
+    is_begun: bool
+    waited_ms: int | None = None
+    wait_ms: int | None = None
+
+
+class ProgramRefused(msgspec.Struct, frozen=True, array_like=True, tag='J'):
+    """A program was refused; it will be admitted in ``wait_ms`` if given."""
+
+    program: str
+    wait_ms: int | None = None
+
+
 class ConfigurationVersion(msgspec.Struct, frozen=True, array_like=True):
     """The newest version of the configuration that the sender knows.
 
@@ -281,6 +313,7 @@
     | LoadQuery
     | UsageReport
     | SlotRequest
+    | ProgramQuery
 )
 Response = (
     Granted
@@ -292,8 +325,14 @@
     | LimitStatus
     | SlotGranted
     | SlotRefused
+    | ProgramStatus
 )
 # Not acknowledged; a lost one only makes the load less exact for a time.
 Notification = (
-    RequestStarted | RequestEnded | SlotCancelled | TargetLoads | ZoneLoads
+    RequestStarted
+    | RequestEnded
+    | SlotCancelled
+    | TargetLoads
+    | ZoneLoads
+    | ProgramRefused
 )
