--- a/libs/scheduling/vanillayoke/scheduling/load_counts.py
+++ b/libs/scheduling/vanillayoke/scheduling/load_counts.py
@@ -7,6 +7,8 @@
 
 import typing
 
+from vanillayoke.scheduling import target_load
+
 # Load reports cover requests whose start was sent to a previous coordinator.
 REPORT_HALF_LIFE_SECONDS = 0.2
 # Weight of the newest request in the moving average of latency ratios.
@@ -25,10 +27,15 @@
 
     ``latency_ratio`` is the duration of its requests relative to the average
     of such requests; 1 while it is within the normal variation.
+    ``performance`` is ``None`` if the target does not report its contention.
+    ``silence`` is the time since the last request there began or ended, in
+    seconds.
     """
 
     requests: float
     latency_ratio: float = 1.0
+    performance: target_load.Sample | None = None
+    silence: float = 0.0
 
 
 class _TargetCounts:
@@ -40,6 +47,8 @@
         self.reported_at = float('-inf')
         self.average_ratio = 1.0
         self.ratio_updated_at = 0.0
+        self.performance = target_load.TargetPerformance()
+        self.notified_at = float('-inf')
 
 
 class LoadCounts:
@@ -52,7 +61,9 @@
         self, target: str, request: str, deadline: float, now: float
     ) -> None:
         """Count a request until its end is recorded or its deadline passes."""
-        running = self._get_counts(target).running
+        counts = self._get_counts(target)
+        counts.notified_at = now
+        running = counts.running
         running[request] = deadline
         for expired in [name for name, end in running.items() if end <= now]:
             del running[expired]
@@ -64,14 +75,17 @@
         reported: int | None,
         latency_ratio: float | None,
         now: float,
+        performance: target_load.Sample | None = None,
     ) -> None:
         """Record the end of a request and the load that its target reported.
 
         ``reported`` counts the requests at the target, including this one.
         ``latency_ratio`` is the request's duration relative to the average of
-        such requests. Both are ``None`` if unknown.
+        such requests. Both are ``None`` if unknown. ``performance`` is what
+        the response told about the target's pace and contention.
         """
         counts = self._get_counts(target)
+        counts.notified_at = now
         counts.running.pop(request, None)
         if reported is not None:
             counts.reported = max(0, reported - 1)
@@ -83,6 +97,8 @@
                 latency_ratio - average
             )
             counts.ratio_updated_at = now
+        if performance is not None:
+            counts.performance.learn(performance, now)
 
     def get_load(self, target: str, now: float) -> Load:
         """Return the load of a target."""
@@ -91,7 +107,12 @@
             return Load(0.0)
         ratio = _get_average_ratio(counts, now)
         latency_ratio = ratio if ratio >= MIN_SLOW_LATENCY_RATIO else 1.0
-        return Load(self.count(target, now), latency_ratio)
+        return Load(
+            self.count(target, now),
+            latency_ratio,
+            performance=counts.performance.get(now),
+            silence=max(0.0, now - counts.notified_at),
+        )
 
     def count(self, target: str, now: float) -> float:
         """Return the estimated number of requests at a target."""
