Passed on the contention that targets report to their coordinators.

A load report with a fourth figure was dropped as a whole. It is now decoded; reports that are malformed are counted (load_reports_malformed_total), logged once in 10 s per target (event 1031) and not used.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -723,6 +723,28 @@
     'state',
     'incarnation',
 )
+LOAD_REPORT_MALFORMED = _define(
+    1031,
+    'load_report_malformed',
+    _WARNING,
+    'Target {target} of {service} in {zone} sends load reports that cannot be '
+    'used.',
+    'target',
+    'service',
+    'zone',
+)
+CACHE_LEFT = _define(
+    1032,
+    'cache_left',
+    _DEBUG,
+    'Request {request} of {service} goes to {target}, expected to complete in '
+    '{ms} ms, instead of {cached} with its cache.',
+    'request',
+    'service',
+    'target',
+    'cached',
+    'ms',
+)
 GATEWAY_READY = _define(
     1040,
     'gateway_ready',
--- a/libs/gateway/vanillayoke/gateway/forwarding.py
+++ b/libs/gateway/vanillayoke/gateway/forwarding.py
@@ -8,6 +8,7 @@
 from vanillayoke.gateway import load_queries
 from vanillayoke.gateway import messages
 from vanillayoke.scheduling import occupancy
+from vanillayoke.scheduling import target_load
 from vanillayoke.transport import client
 
 # The server at this address is not the expected target.
@@ -55,6 +56,12 @@
         self._reported_count: int | None = None
         # Latency relative to the average; None if it was not measured.
         self.latency_ratio: float | None = None
+        # The time for one unit of work, see ``scheduling.target_load``; None
+        # if it was not measured.
+        self.pace: float | None = None
+        # As the target reported it with the head of the response.
+        self.contention: float | None = None
+        self._is_contention_unexpected = False
         self._pool = pool
         self._dialect = dialect
         self._occupancy = occupancy
@@ -64,6 +71,9 @@
         self.has_head = False
         self.started_at = 0.0
         self.head_received_at = 0.0
+        # When the first and the last bytes of a body read in chunks arrived.
+        self.first_chunk_at = 0.0
+        self.last_chunk_at = 0.0
 
     async def __aenter__(self) -> typing.Self:
         self.started_at = self._timers.now()
@@ -86,12 +96,26 @@
             self._request,
             self._reported_count,
             self.latency_ratio,
+            self._make_sample(),
         )
         if isinstance(error, asyncio.CancelledError):
             self._record_no_response()
         if self._connection is not None:
             self._pool.release(self.target.address, self._connection)
 
+    def _notify_contention(self) -> None:
+        if self._is_contention_unexpected:
+            age = self._timers.now() - self.head_received_at
+            self._load_queries.notify_contention(
+                self.target, self.contention, age
+            )
+
+    def _make_sample(self) -> target_load.Sample | None:
+        if self.contention is None and self.pace is None:
+            return None
+        age = self._timers.now() - self.head_received_at
+        return target_load.Sample(self.contention, age, self.pace)
+
     def _record_no_response(self) -> None:
         """Count a cancelled attempt as a failure if there was no response."""
         now = self._timers.now()
@@ -138,7 +162,13 @@
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, b'' at the end."""
-        return await self._connection.read_chunk()
+        chunk = await self._connection.read_chunk()
+        if chunk:
+            self.last_chunk_at = self._timers.now()
+            if not self.first_chunk_at:
+                self.first_chunk_at = self.last_chunk_at
+                self._notify_contention()
+        return chunk
 
     async def read_body(self) -> bytes:
         """Return the whole body."""
@@ -151,8 +181,14 @@
 
     def _read_metadata(self, head: client.Head) -> messages.ResponseMetadata:
         metadata = self._dialect.decode_answer(head)
+        if metadata.is_load_malformed:
+            self._load_queries.record_malformed_report(self.target)
         if metadata.load is not None:
-            report = occupancy.LoadReport(*metadata.load)
+            self.contention = metadata.load.contention
+            self._is_contention_unexpected = self._load_queries.record_report(
+                self.target, self.contention
+            )
+            report = occupancy.LoadReport(*metadata.load[:3])
             # For successful streams, the count would be outdated by their end.
             if head.status >= _FIRST_NON_SUCCESS_STATUS:
                 self._reported_count = (
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -72,7 +72,7 @@
         self.is_draining = False
         self.metrics = metrics_module.Metrics()
         self._instrumentation = instrumentation.Instrumentation(
-            log, self.metrics
+            log, self.metrics, timer_service
         )
         self._make_components()
         self._make_cluster_components()
@@ -250,6 +250,10 @@
             settings.instance,
             lambda: self._members.list_eligible(),
             self._timers,
+            settings.has_feature(
+                messages.Feature.COMPLETION_TIME, reports_contention=True
+            ),
+            self._instrumentation.record_malformed_report,
         )
         self._version_gossip = version_gossip.VersionGossip(
             self._row,
--- a/libs/gateway/vanillayoke/gateway/instrumentation.py
+++ b/libs/gateway/vanillayoke/gateway/instrumentation.py
@@ -3,10 +3,14 @@
 from vanillayoke.cluster import messages as cluster_messages
 from vanillayoke.core import events as log_events
 from vanillayoke.core import logs
+from vanillayoke.core import timers
 from vanillayoke.gateway import budget_accounts
+from vanillayoke.gateway import messages
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.scheduling import shared_health
 
+# At most one malformed load report of a target is logged in this time.
+REPORT_LOG_INTERVAL_SECONDS = 10.0
 _INITIAL_STATES = frozenset(
     (cluster_messages.State.ALIVE, cluster_messages.State.SUSPECTED)
 )
@@ -16,10 +20,16 @@
     """Writes the log lines and metrics of an instance's components."""
 
     def __init__(
-        self, log: logs.Logger, metrics: metrics_module.Metrics
+        self,
+        log: logs.Logger,
+        metrics: metrics_module.Metrics,
+        timer_service: timers.TimerService,
     ) -> None:
         self._log = log
         self._metrics = metrics
+        self._timers = timer_service
+        # When the last malformed report of a target was logged.
+        self._malformed_at: dict[str, float] = {}
 
     def record_store_call(
         self, call: str, outcome: str, seconds: float
@@ -81,6 +91,29 @@
                     row_age=round(decision.age, 2),
                 )
 
+    def record_malformed_report(self, target: messages.Target) -> None:
+        """Record that a target's load report can't be used.
+
+        A target sends a report with each response, so only the first of each
+        target in ``REPORT_LOG_INTERVAL_SECONDS`` is logged.
+        """
+        self._metrics.malformed_reports.add(1, target=target.name)
+        now = self._timers.now()
+        last = self._malformed_at.get(target.name, float('-inf'))
+        if now - last >= REPORT_LOG_INTERVAL_SECONDS:
+            self._malformed_at = {
+                name: at
+                for name, at in self._malformed_at.items()
+                if now - at < REPORT_LOG_INTERVAL_SECONDS
+            }
+            self._malformed_at[target.name] = now
+            self._log.write(
+                log_events.LOAD_REPORT_MALFORMED,
+                target=target.name,
+                service=target.service,
+                zone=target.zone,
+            )
+
     def record_connection(self, address: str) -> None:
         """Record a new connection to a target."""
         self._metrics.connections.add()
--- a/libs/gateway/vanillayoke/gateway/load_queries.py
+++ b/libs/gateway/vanillayoke/gateway/load_queries.py
@@ -15,24 +15,40 @@
 from vanillayoke.gateway import rendezvous
 from vanillayoke.scheduling import load_counts
 from vanillayoke.scheduling import occupancy
+from vanillayoke.scheduling import target_load
 
 # A round trip between zones takes two milliseconds. Without a response the
 # local view of the load is used, which costs less than waiting longer.
 QUERY_TIMEOUT_SECONDS = 0.008
+# Times are sent up to this value: older reports have decayed to nothing.
+MAX_AGE_MS = 60_000
 
 
 class LoadQueries:
-    """Reports requests to the coordinators of targets, and queries loads."""
+    """Reports requests to the coordinators of targets, and queries loads.
+
+    Reports of contention are ignored if ``uses_contention`` is not set.
+    ``record_malformed_report`` is called with a target whose load report can't
+    be used.
+    """
 
     def __init__(
         self,
         instance: str,
         list_eligible: rendezvous.ListPeers,
         timer_service: timers.TimerService,
+        uses_contention: bool = True,
+        record_malformed_report: typing.Callable[
+            [messages.Target], None
+        ] = lambda target: None,
     ) -> None:
         self._instance = instance
         self._list_eligible = list_eligible
         self._timers = timer_service
+        self._uses_contention = uses_contention
+        self.record_malformed_report = record_malformed_report
+        # This instance's own view of the targets' speed and contention.
+        self.performance = target_load.PerformanceView()
         self._load_counts = load_counts.LoadCounts()
         self._peers: peers_module.Peers | None = None
         self._eligible: typing.Sequence[rendezvous.Peer] = ()
@@ -73,7 +89,10 @@
         )
         if isinstance(response, peer_messages.LoadResponse):
             loads[target] = load_counts.Load(
-                response.requests, response.latency_ratio
+                response.requests,
+                response.latency_ratio,
+                performance=_decode_performance(response.performance),
+                silence=_decode_silence(response.performance),
             )
 
     def record_start(
@@ -85,16 +104,48 @@
             peer_messages.RequestStarted(target.name, request, max_duration),
         )
 
+    def record_report(
+        self, target: messages.Target, contention: float | None
+    ) -> bool:
+        """Record a target's load report, ``None`` if without contention.
+
+        Return whether the contention was unexpected.
+        """
+        if not self._uses_contention:
+            return False
+        return self.performance.record_report(
+            target.service, target.name, contention, self._timers.now()
+        )
+
+    def notify_contention(
+        self, target: messages.Target, contention: float, age: float
+    ) -> None:
+        """Notify the coordinator of an unexpected contention at once.
+
+        By the end of a response that has just begun, most of the time that
+        the contention lasts may be over.
+        """
+        self.record_end(
+            target, '', None, None, target_load.Sample(contention, age)
+        )
+
     def record_end(
         self,
         target: messages.Target,
         request: str,
         reported_count: int | None,
         latency_ratio: float | None,
+        performance: target_load.Sample | None = None,
     ) -> None:
         """Record that a request has ended; see ``LoadCounts.end``."""
+        if not self._uses_contention:
+            performance = None
         notification = peer_messages.RequestEnded(
-            target.name, request, reported_count, latency_ratio
+            target.name,
+            request,
+            reported_count,
+            latency_ratio,
+            performance=_encode_performance(performance),
         )
         self._notify_coordinator(target, notification)
 
@@ -110,7 +161,12 @@
                 target, request, reported_count, latency_ratio
             ):
                 self._load_counts.end(
-                    target, request, reported_count, latency_ratio, now
+                    target,
+                    request,
+                    reported_count,
+                    latency_ratio,
+                    now,
+                    _decode_performance(notification.performance),
                 )
 
     def handle_request(
@@ -118,16 +174,22 @@
     ) -> peer_messages.LoadResponse:
         """Return the load for a query of another instance."""
         load = self._load_counts.get_load(request.target, self._timers.now())
-        return peer_messages.LoadResponse(load.requests, load.latency_ratio)
+        return peer_messages.LoadResponse(
+            load.requests,
+            load.latency_ratio,
+            performance=_encode_performance(load.performance, load.silence),
+        )
 
     def retain(self, targets: typing.Container[str]) -> None:
         """Drop what is known of targets other than these."""
         self._load_counts.retain(targets)
+        self.performance.retain(targets)
         self._coordinators.clear()
 
     def handle_restart(self, target: str) -> None:
-        """Drop the requests of a target that has restarted."""
+        """Drop the requests and the speed of a target that has restarted."""
         self._load_counts.reset(target)
+        self.performance.reset(target)
 
     def _notify_coordinator(
         self, target: messages.Target, notification: peer_messages.Notification
@@ -157,3 +219,37 @@
         return (
             None if instance in (None, self._instance) else addresses[instance]
         )
+
+
+def _encode_performance(
+    sample: target_load.Sample | None, silence: float = 0.0
+) -> peer_messages.Performance | None:
+    if sample is None:
+        return None
+    return peer_messages.Performance(
+        None if sample.contention is None else round(100 * sample.contention),
+        min(MAX_AGE_MS, round(1000 * sample.age)),
+        None if sample.pace is None else round(1_000_000 * sample.pace),
+        min(MAX_AGE_MS, round(1000 * silence)),
+    )
+
+
+def _decode_performance(
+    performance: peer_messages.Performance | None,
+) -> target_load.Sample | None:
+    if performance is None:
+        return None
+    contention, age_ms, pace = (
+        performance.contention,
+        performance.age_ms,
+        performance.pace,
+    )
+    return target_load.Sample(
+        None if contention is None else contention / 100,
+        age_ms / 1000,
+        None if pace is None else pace / 1_000_000,
+    )
+
+
+def _decode_silence(performance: peer_messages.Performance | None) -> float:
+    return 0.0 if performance is None else performance.silence_ms / 1000
--- a/libs/gateway/vanillayoke/gateway/messages.py
+++ b/libs/gateway/vanillayoke/gateway/messages.py
@@ -182,24 +182,31 @@
 
 
 class Load(typing.NamedTuple):
-    """The load that a target reports with a response."""
+    """The load that a target reports with a response.
+
+    ``contention`` is how long work takes on the target's machine relative to
+    the usual time; ``None`` if the target does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    contention: float | None = None
 
 
 class ResponseMetadata(typing.NamedTuple):
     """Metadata in the headers of a target's response.
 
     ``request`` is the id of the request that it answers. ``is_signed`` says
-    that the signature of the target is present.
+    that the signature of the target is present, ``is_load_malformed`` that its
+    load report can't be used.
     """
 
     request: str | None
     is_not_executed: bool
     is_signed: bool
     load: Load | None
+    is_load_malformed: bool = False
 
 
 class RowKey(typing.NamedTuple):
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -22,6 +22,8 @@
     ),
 )
 _TARGET = metrics.Label('target')
+_SERVICE = metrics.Label('service')
+_VIEW = metrics.Label('view', ('coordinator', 'own'))
 _ORGANISATION = metrics.Label('organisation')
 _RESULT = metrics.Label('result', ('answered', 'over_limit', 'failed'))
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
@@ -72,6 +74,19 @@
             'Times that a target had no room for a request.',
             _TARGET,
         )
+        self.malformed_reports = metrics.Counter(
+            registry,
+            'load_reports_malformed_total',
+            'Load reports of targets that could not be used.',
+            _TARGET,
+        )
+        self.completion_choices = metrics.Counter(
+            registry,
+            'completion_choices_total',
+            'Targets chosen by expected completion time, by whose view.',
+            _SERVICE,
+            _VIEW,
+        )
         self.store_calls = metrics.Counter(
             registry,
             'store_calls_total',
--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -68,15 +68,33 @@
     target: str
 
 
+class Performance(msgspec.Struct, frozen=True, array_like=True):
+    """How fast a target works; whole numbers make it short.
+
+    ``contention`` was reported ``age_ms`` ago, in percent of the usual time of
+    work. ``pace`` is the time for one unit of work in millionths of a second
+    or of the usual time, see ``scheduling.target_load``. Both are ``None`` if
+    unknown. In responses, ``silence_ms`` is the time since the coordinator was
+    last notified of a request at the target.
+    """
+
+    contention: int | None
+    age_ms: int
+    pace: int | None
+    silence_ms: int = 0
+
+
 class LoadResponse(msgspec.Struct, frozen=True, array_like=True, tag='N'):
     """The load of a target.
 
     ``requests`` is the estimated number of running requests,
     ``latency_ratio`` their duration relative to the typical one.
+    ``performance`` is ``None`` if the target does not report its contention.
     """
 
     requests: float
     latency_ratio: float
+    performance: Performance | None = None
 
 
 class UsageRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -140,13 +158,16 @@
 
     ``reported_count`` is the number of requests that the target reported to
     have. ``latency_ratio`` is the duration relative to the typical one of such
-    requests.
+    requests. ``performance`` is what the response told; ``None`` if the target
+    does not report its contention. A notification without a request only
+    reports the performance, before the end of a response.
     """
 
     target: str
     request: str
     reported_count: int | None
     latency_ratio: float | None
+    performance: Performance | None = None
 
 
 class HandedOver(msgspec.Struct, frozen=True, array_like=True, tag='D'):
--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -15,6 +15,7 @@
 from vanillayoke.gateway import process
 from vanillayoke.standins import calls
 from vanillayoke.testing import fixtures
+from vanillayoke.transport import client
 from vanillayoke.transport import server
 
 SETTINGS = {
@@ -115,6 +116,62 @@
     case.assertEqual('r0', call.previous_turn)
 
 
+def _decode_report(report):
+    head = client.Head(200, [(b'X-Vanillayoke-Server-Load', report)])
+    return wire.PlatformDialect().decode_answer(head)
+
+
+def test_load_reports_are_decoded(case):
+    """The contention is the fourth figure, which not all targets send."""
+    for report, load in (
+        (b'3,0,6', messages.Load(3, 0, 6)),
+        (b'3, 2, 6', messages.Load(3, 2, 6)),
+        (b'3,0,6,100', messages.Load(3, 0, 6, 1.0)),
+        (b'6,18,6,250', messages.Load(6, 18, 6, 2.5)),
+        (b'3, 0, 6, 70', messages.Load(3, 0, 6, 0.7)),
+    ):
+        metadata = _decode_report(report)
+        case.assertEqual(load, metadata.load, report)
+        case.assertFalse(metadata.is_load_malformed, report)
+
+
+def test_malformed_load_reports_are_recognised_and_not_used(case):
+    """A wrong figure would keep work away from a target or attract it."""
+    for report in (
+        b'',
+        b'3,0',
+        b'3,0,x',
+        b'3,0,6,',
+        b'3,0,6,-100',
+        b'-3,0,6,100',
+        b'3,-1,6,100',
+        b'3,0,6,0',
+        b'3,0,6,9',
+        b'3,0,6,1000000000',
+        b'1000000000,0,6,100',
+        b'3,0,1000000000,100',
+        b'3,0,6,inf',
+        b'3,0,6,nan',
+        b'3,0,6,1e3',
+        b'3,0,6,100.0',
+        b'3,0,6,1_00',
+        b'3,0,6,+100',
+        b'3,0,6,100%',
+        b'3,0,6,100,1',
+        b'3,0,6,' + b'9' * 5000,
+    ):
+        metadata = _decode_report(report)
+        case.assertIsNone(metadata.load, report)
+        case.assertTrue(metadata.is_load_malformed, report)
+
+
+def test_response_without_a_load_report_is_not_malformed(case):
+    """Each response of a service without reports would be counted."""
+    metadata = wire.PlatformDialect().decode_answer(client.Head(200, []))
+    case.assertIsNone(metadata.load)
+    case.assertFalse(metadata.is_load_malformed)
+
+
 def test_error_for_an_unknown_service_names_route_and_service(case):
     routes = [calls.make_route('r', 'nowhere', 'safe')]
     value = msgspec.json.encode(calls.make_configuration(3, routes))
