Chose targets that report contention by expected completion time.

Dispatcher._choose_candidate hands over to completion_times for services whose targets report their contention; turns and unary requests teach it the usual times of the service. Services without the fourth figure, and instances with COMPLETION_TIME disabled, choose as before and send the same messages.

--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -1,11 +1,13 @@
 """Choice of targets for requests, and the results of their attempts."""
 
 from vanillayoke.core import events as log_events
+from vanillayoke.gateway import completion_times
 from vanillayoke.gateway import context as context_module
 from vanillayoke.gateway import forwarding
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import refusals
 from vanillayoke.programs import scopes
+from vanillayoke.scheduling import completion
 from vanillayoke.scheduling import occupancy
 from vanillayoke.scheduling import prefixes
 from vanillayoke.scheduling import program_slack
@@ -51,6 +53,8 @@
         self.broken_attempts = 0
         # The number of requests at the target when it was chosen, if known.
         self.target_load: float | None = None
+        # The expected completion at the target, if it was chosen by it.
+        self.estimate: completion.Estimate | None = None
         self.queue_seconds = 0.0
         # Set when the request starts to wait for an unavailable store.
         self.store_wait_deadline: float | None = None
@@ -116,6 +120,9 @@
         self._context = context
         self._prefixes: dict[str, prefixes.RecentPrefixes] = {}
         self._slowdowns: dict[str, slowdown_module.Slowdown] = {}
+        self.completion_times = completion_times.CompletionTimes(
+            context, self.get_slowdown
+        )
 
     def get_slowdown(self, service: str) -> slowdown_module.Slowdown:
         """Return the model of how load slows down a service's targets."""
@@ -243,6 +250,11 @@
     ) -> occupancy.Candidate | None:
         """Return the best target, ``None`` if none has a free slot."""
         candidates = [make_candidate(target) for target in targets]
+        progress.estimate = None
+        if self.completion_times.is_used(progress.service):
+            return await self.completion_times.choose(
+                progress, candidates, criteria, excluded
+            )
         target_occupancy, random_float = (
             self._context.occupancy,
             self._context.random_float,
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -122,6 +122,10 @@
         """
         if turn.event_count < 2:
             return None
+        if self._dispatcher.completion_times.is_used(turn.progress.service):
+            return self._dispatcher.completion_times.learn_turn(
+                turn.progress, attempt, turn.event_count
+            )
         interval = (self._context.timers.now() - attempt.head_received_at) / (
             turn.event_count - 1
         )
--- a/libs/gateway/vanillayoke/gateway/unary.py
+++ b/libs/gateway/vanillayoke/gateway/unary.py
@@ -88,6 +88,14 @@
         )
         response = Response(head, await attempt.read_body())
         latency = self._context.timers.now() - attempt.started_at
+        if self._dispatcher.completion_times.is_used(progress.service):
+            if head.status < dispatch.FIRST_SERVER_ERROR_STATUS:
+                attempt.latency_ratio = (
+                    self._dispatcher.completion_times.learn_latency(
+                        progress, attempt, latency
+                    )
+                )
+            return response
         average = self._average_latencies.setdefault(
             progress.route.name, program_slack.AverageTime(latency)
         )
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -61,6 +61,7 @@
         self._request_count = 0
         self._is_first_start = False
         self.tolerance = LIMITS
+        self.disabled_features: frozenset[messages.Feature] = frozenset()
 
     async def start(self, instances: int = 2) -> None:
         """Start the store, two model servers, two tools, and instances."""
@@ -108,8 +109,11 @@
         """Start an instance."""
         host = host or f'10.1.0.{name[1:]}'
         logger = logs.Logger.from_config(name, self.timers, 5000)
+        settings = make_settings(
+            name, host, self._is_first_start, self.tolerance
+        )._replace(disabled_features=self.disabled_features)
         instance = instance_module.Instance(
-            make_settings(name, host, self._is_first_start, self.tolerance),
+            settings,
             wire.PlatformDialect(),
             self.timers,
             logger,
