Ignored paces that are not positive, and tested outdated coordinators.

A coordinator's response with a pace of 0 or less counted as the fastest speed; it now counts as unknown. Tests also cover when a coordinator's count is outdated, and the log line of a program that leaves its cache.

--- a/libs/scheduling/vanillayoke/scheduling/target_load.py
+++ b/libs/scheduling/vanillayoke/scheduling/target_load.py
@@ -202,7 +202,7 @@
     ) -> float:
         """Return the speed of a target with a pace; 1.0 if unknown."""
         view = self._services.get(service)
-        if view is None or pace is None:
+        if view is None or pace is None or pace <= 0.0:
             return 1.0
         if now - view.mean_computed_at > MEAN_LIFETIME_SECONDS:
             view.mean_pace = _compute_mean(view, now)
--- a/tests/gateway/test_completion_times.py
+++ b/tests/gateway/test_completion_times.py
@@ -283,8 +283,36 @@
         case.assertEqual(0, _sum_choices(site, view))
 
 
-async def test_program_stays_at_its_engine_by_completion_time(case, site):
-    """The prompt would be read again at another engine."""
+async def _run_program(site, case, program, count, first=0):
+    """Run turns of one program with a prompt of 3,000 tokens."""
+    history = {}
+    for number in range(first, first + count):
+        request = f'{program}-{number}'
+        response = await site.call(
+            f'i{number % 4 + 1}',
+            'chat',
+            request=request,
+            program_id=program,
+            session_id=f's-{program}',
+            token_budget='1000',
+            token_usage='3000,40',
+            prompt_prefix='5c:800,91:2000',
+            program_deadline_ms='5000',
+            **history,
+        )
+        case.assertEqual(200, response.status)
+        history = {'previous_turn': request}
+        await asyncio.sleep(0.1)
+    return {
+        name
+        for name, target in site.targets.items()
+        for run in target.executions
+        if run.request.startswith(f'{program}-')
+    }
+
+
+async def _start_engines(site):
+    """Start six engines that read prompts."""
     await _start(site)
     for number in range(3, 7):
         target = await site.add_target(f'm{number}')
@@ -293,33 +321,31 @@
         _read_uncached_prompts(site.targets[f'm{number}'])
     await asyncio.sleep(0.2)
     await _run_turns(site, 30, 4, 'x')
+
+
+async def test_program_stays_at_its_engine_by_completion_time(case, site):
+    """The prompt would be read again at another engine."""
+    await _start_engines(site)
     for program in ('p1', 'p2', 'p3', 'p4'):
-        previous = None
-        for number in range(6):
-            request = f'{program}-{number}'
-            history = {} if previous is None else {'previous_turn': previous}
-            response = await site.call(
-                f'i{number % 4 + 1}',
-                'chat',
-                request=request,
-                program_id=program,
-                session_id=f's-{program}',
-                token_budget='1000',
-                token_usage='3000,40',
-                prompt_prefix='5c:800,91:2000',
-                program_deadline_ms='5000',
-                **history,
-            )
-            case.assertEqual(200, response.status)
-            previous = request
-            await asyncio.sleep(0.1)
-        engines = {
-            name
-            for name, target in site.targets.items()
-            for run in target.executions
-            if run.request.startswith(program)
-        }
+        engines = await _run_program(site, case, program, 6)
         case.assertEqual(1, len(engines), program)
 
 
+async def test_log_says_why_a_program_left_its_engine(case, site):
+    """An operator sees a prompt that was read twice."""
+    await _start_engines(site)
+    (engine,) = await _run_program(site, case, 'p1', 2)
+    site.targets[engine].contention = 8.0
+    await _run_program(site, case, 'p1', 6, first=2)
+    events = [
+        event
+        for name in site.instances
+        for event in site.list_events(name, 'cache_left')
+        if event['request'].startswith('p1-')
+    ]
+    case.assertGreater(len(events), 0)
+    case.assertEqual(engine, events[0]['cached'])
+    case.assertGreater(events[0]['ms'], 0.0)
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
--- a/tests/scheduling/test_completion.py
+++ b/tests/scheduling/test_completion.py
@@ -145,6 +145,15 @@
     case.assertEqual(6, len(chosen))
 
 
+def test_only_a_coordinator_that_hears_nothing_is_outdated(case):
+    """An idle target has no requests to be told of."""
+    typical = DEMAND.hold
+    case.assertTrue(completion.is_outdated(3.0, 3 * typical, DEMAND, 1.0))
+    case.assertFalse(completion.is_outdated(3.0, typical, DEMAND, 1.0))
+    case.assertFalse(completion.is_outdated(3.0, 3 * typical, DEMAND, 2.5))
+    case.assertFalse(completion.is_outdated(0.0, 60.0, DEMAND, 1.0))
+
+
 def test_lost_coordinator_costs_little(case):
     """Each instance uses its own view and a speed of 1.0."""
     result = _run(Setting(EQUAL, 0.6, view_age=None, zones=4))
--- a/tests/scheduling/test_target_load.py
+++ b/tests/scheduling/test_target_load.py
@@ -93,6 +93,9 @@
         case.assertAlmostEqual(pace / mean, speed)
     case.assertEqual(1.0, view.compute_speed('s', None, 1.0))
     case.assertEqual(1.0, view.compute_speed('other', 0.05, 1.0))
+    for wrong in (0.0, -1.0):
+        view.record_estimate('s', 'e1', target_load.Sample(pace=wrong), 2.0)
+        case.assertEqual(1.0, view.compute_speed('s', wrong, 2.0))
 
 
 def test_all_instances_compute_the_same_speeds(case):
