--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -76,7 +76,7 @@
         self.is_draining = False
         self.metrics = metrics_module.Metrics()
         self._instrumentation = instrumentation.Instrumentation(
-            log, self.metrics
+            log, self.metrics, timer_service
         )
         self._make_components()
         self._make_cluster_components()
@@ -264,6 +264,10 @@
             settings.instance,
             lambda: self._members.list_eligible(),
             self._timers,
+            settings.has_feature(
+                messages.Feature.COMPLETION_TIME, reports_contention=True
+            ),
+            self._instrumentation.record_malformed_report,
         )
         self._slot_queues = slot_queues.SlotQueues(
             settings.instance,
@@ -283,8 +287,8 @@
                 self._catalog,
                 self._occupancy,
                 self._load_queries,
-                _get_speed,
-                _reports_contention,
+                self._load_queries.get_relative_capacity,
+                self._load_queries.performance.reports_contention,
             ),
             lambda: self._members.list_eligible(),
             self._timers,
@@ -579,19 +583,3 @@
     """Return the relay address of the instance with this peer address."""
     host, _, port = address.rpartition(':')
     return f'{host}:{int(port) + RELAY_PORT_OFFSET}'
-
-
-def _get_speed(target: messages.Target) -> float:
-    """Return a target's speed relative to the mean of its service.
-
-    All targets count as equal until their speeds are estimated.
-    """
-    return 1.0
-
-
-def _reports_contention(service: str) -> bool:
-    """Return whether the targets of a service report contention.
-
-    Load reports do not have that figure yet.
-    """
-    return False
