--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -96,6 +96,24 @@
             _decode((b'X-Vanillayoke-Request-Id', b'r'), (name, value))
 
 
+def test_infinite_counts_are_rejected(case):
+    """Their conversion raised an error that is not answered with 400."""
+    for name in (
+        b'X-Vanillayoke-Token-Budget',
+        b'X-Vanillayoke-Length-Hint',
+    ):
+        for value in (b'inf', b'-inf', b'1e999', b'nan'):
+            with (
+                case.subTest(name=name, value=value),
+                case.assertRaisesRegex(dialect.BadCallError, 'not a finite'),
+            ):
+                _decode(
+                    (b'X-Vanillayoke-Request-Id', b'r'),
+                    (b'X-Vanillayoke-Program-Id', b'p'),
+                    (name, value),
+                )
+
+
 def test_all_fields_of_a_turn_are_decoded(case):
     call = _decode(
         (b'Host', b'Site.example:80'),
