Skipped unreadable log lines in explain and told where left out lines belong.

A line with a timestamp of null, or another field of a wrong type, ended the command explain with a TypeError. The fields that the selection uses are now checked by type; lines that fail are skipped, and the command reports their number and the first line number for each file on its error output.

The line that counts suppressed lines had neither timestamp nor instance, so that explain never selected it, and it was shown without its count. It now has both from the last line that was left out, and is shown with its count and the event's name. Logs written before still lack them.

--- a/libs/cli/vanillayoke/cli/management/commands/explain.py
+++ b/libs/cli/vanillayoke/cli/management/commands/explain.py
@@ -44,7 +44,15 @@
     for path in sorted(folder.iterdir()):
         if path.is_file():
             text = path.read_text(errors='replace')
-            lines += request_logs.parse_lines(text.splitlines())
+            parsed = request_logs.parse_log(text.splitlines())
+            lines += parsed.lines
+            if parsed.unreadable:
+                count = len(parsed.unreadable)
+                noun = 'line' if count == 1 else 'lines'
+                invocation.warn(
+                    f'{path}: {count} {noun} could not be read, the first one '
+                    f'is line {parsed.unreadable[0]}.'
+                )
     [identifier] = invocation.arguments
     matching_lines = request_logs.select_lines(lines, identifier)
     if not matching_lines:
--- a/libs/core/vanillayoke/core/lines.py
+++ b/libs/core/vanillayoke/core/lines.py
@@ -17,6 +17,8 @@
 MAX_WARNING_LINES_PER_SECOND = 400
 MAX_PENDING_BYTES = 256 * 1024
 _WINDOW_SECONDS = 1.0
+# Readers select lines by these fields, so that a summary needs them too.
+_ORIGIN_FIELDS = ('timestamp', 'instance')
 
 
 class LineOutput:
@@ -38,7 +40,8 @@
         self._pending = bytearray()
         self._window = 0
         self._counts: dict[str, int] = {}
-        self._suppressed: dict[str, int] = {}
+        # The count and the last message of each event.
+        self._suppressed: dict[str, tuple[int, dict[str, typing.Any]]] = {}
         if write is os.write:
             os.set_blocking(descriptor, False)
 
@@ -55,7 +58,8 @@
         count = self._counts.get(name, 0)
         self._counts[name] = count + 1
         if count >= limit:
-            self._suppressed[name] = self._suppressed.get(name, 0) + 1
+            suppressed_count, _ = self._suppressed.get(name, (0, None))
+            self._suppressed[name] = suppressed_count + 1, message
             self.dropped += 1
             return
         self._append(message)
@@ -88,9 +92,15 @@
         self._window = window
         self._counts.clear()
         suppressed, self._suppressed = self._suppressed, {}
-        for name, count in suppressed.items():
+        for name, (count, last) in suppressed.items():
+            known = {key: last[key] for key in _ORIGIN_FIELDS if key in last}
             self._append(
-                {'message_type': 'lines_left_out', 'of': name, 'count': count}
+                {
+                    'message_type': 'lines_left_out',
+                    'of': name,
+                    'count': count,
+                    **known,
+                }
             )
 
 
--- a/libs/core/vanillayoke/core/request_logs.py
+++ b/libs/core/vanillayoke/core/request_logs.py
@@ -38,23 +38,52 @@
     fields: dict[str, typing.Any]
 
 
-def parse_lines(texts: typing.Iterable[str]) -> list[LogLine]:
-    """Parse log lines, ignoring text before the JSON and invalid lines."""
-    lines = []
-    for text in texts:
+class ParsedLog(typing.NamedTuple):
+    """The lines of a log and the numbers of those that can't be read."""
+
+    lines: list[LogLine]
+    unreadable: list[int]
+
+
+class _CommonFields(msgspec.Struct):
+    """The fields that the selection uses, with the types that it needs."""
+
+    message_type: str
+    timestamp: float = 0.0
+    instance: str = '?'
+    ms: float | None = None
+    request: str | None = None
+    program: str | None = None
+    target: str | None = None
+
+
+def parse_log(texts: typing.Iterable[str]) -> ParsedLog:
+    """Parse log lines, ignoring text before the JSON and other output.
+
+    Unreadable are lines with invalid JSON or a field of a wrong type; line
+    numbers start at 1.
+    """
+    parsed = ParsedLog([], [])
+    for number, text in enumerate(texts, 1):
         start = text.find('{')
         if start < 0:
             continue
         try:
             fields = msgspec.json.decode(text[start:].encode())
+            if 'message_type' not in fields:
+                continue
+            common = msgspec.convert(fields, _CommonFields)
         except msgspec.DecodeError:
+            parsed.unreadable.append(number)
             continue
-        name = fields.get('message_type')
-        if isinstance(name, str):
-            time = float(fields.get('timestamp', 0.0))
-            instance = str(fields.get('instance', '?'))
-            lines.append(LogLine(time, instance, name, fields))
-    return lines
+        name, time, instance, *_ = msgspec.structs.astuple(common)
+        parsed.lines.append(LogLine(time, instance, name, fields))
+    return parsed
+
+
+def parse_lines(texts: typing.Iterable[str]) -> list[LogLine]:
+    """Parse log lines, ignoring those that can't be read."""
+    return parse_log(texts).lines
 
 
 def select_lines(
@@ -122,6 +151,9 @@
 
 
 def _describe(line: LogLine) -> str:
+    if line.name == 'lines_left_out':
+        count, name = line.fields.get('count'), line.fields.get('of')
+        return f'{line.name}: {count} lines of {name}'
     event = _BY_NAME.get(line.name)
     if event is None:
         return line.name
--- a/tests/core/test_lines.py
+++ b/tests/core/test_lines.py
@@ -64,4 +64,18 @@
     case.assertEqual(lines.MAX_LINES_PER_SECOND + 2, len(written))
 
 
+async def test_summary_has_the_time_and_instance_of_the_last_line(
+    case, pipe, output
+):
+    """A report of an instance's lines would not include it without them."""
+    for number in range(lines.MAX_LINES_PER_SECOND + 2):
+        output.write(_make(timestamp=1000.0 + number, instance='i1'))
+    await asyncio.sleep(1.1)
+    output.write(_make(timestamp=2000.0, instance='i1'))
+    summary = json.loads(pipe.data.splitlines()[-2])
+    case.assertEqual('lines_left_out', summary['message_type'])
+    last = 1000.0 + lines.MAX_LINES_PER_SECOND + 1
+    case.assertEqual((last, 'i1'), (summary['timestamp'], summary['instance']))
+
+
 load_tests = fixtures.adapt(__name__)
--- a/tests/core/test_request_logs.py
+++ b/tests/core/test_request_logs.py
@@ -1,7 +1,9 @@
 """Tests of selecting log lines, on recorded logs."""
 
 import io
+import json
 import pathlib
+import tempfile
 
 from vanillayoke.cli import main
 from vanillayoke.core import request_logs
@@ -63,6 +65,61 @@
     )
 
 
+def _make_line(**changes):
+    fields = {
+        'message_type': 'request_failed',
+        'timestamp': 12.5,
+        'instance': 'i1',
+        'request': 'r1',
+    }
+    return json.dumps(fields | changes)
+
+
+def test_line_with_an_invalid_field_is_unreadable(case):
+    """One such line must not end the command with an exception."""
+    for changes in (
+        {'timestamp': None},
+        {'timestamp': 'noon'},
+        {'timestamp': [1]},
+        {'ms': 'long'},
+        {'request': ['r1']},
+        {'instance': None},
+    ):
+        with case.subTest(**changes):
+            texts = [_make_line(), _make_line(**changes), _make_line()]
+            parsed = request_logs.parse_log(texts)
+            case.assertEqual([2], parsed.unreadable)
+            case.assertEqual(
+                2, len(request_logs.select_lines(parsed.lines, 'r1'))
+            )
+
+
+def test_lines_left_out_are_described(case):
+    """Without time and instance, an operator would not see that lines lack."""
+    left_out = _make_line(
+        message_type='lines_left_out',
+        request=None,
+        of='request_failed',
+        count=7,
+    )
+    lines = request_logs.parse_lines([_make_line(), left_out])
+    texts = request_logs.format_lines(request_logs.select_lines(lines, 'r1'))
+    case.assertIn('i1  lines_left_out: 7 lines of request_failed', texts[-1])
+
+
+def test_command_reports_unreadable_lines(case):
+    with tempfile.TemporaryDirectory() as name:
+        path = pathlib.Path(name) / 'i1.log'
+        texts = [_make_line(), 'started', _make_line(timestamp=None)]
+        path.write_text('\n'.join(texts))
+        status, output, errors = _run(f'--logs={name}', 'r1')
+    case.assertEqual((0, 1), (status, len(output.splitlines())))
+    case.assertEqual(
+        f'{path}: 1 line could not be read, the first one is line 3.\n',
+        errors,
+    )
+
+
 def test_command_prints_the_selected_lines(case):
     status, output, errors = _run(f'--logs={RECORDED}', PROGRAM)
     case.assertEqual((0, ''), (status, errors))
