Logged an invalid settings file once per error.

The settings file is polled once a second, and each poll of an invalid file wrote the same line with level error. The process now remembers the error of the last read and logs a poll only if the error has changed, also after a valid file in between. A reload by signal still logs each time, as the operator waits for its result.

--- a/libs/gateway/vanillayoke/gateway/process.py
+++ b/libs/gateway/vanillayoke/gateway/process.py
@@ -49,6 +49,8 @@
         self._decode_settings = read_settings
         self._disabled_features = features.decode_disabled(disabled_features)
         self._settings = self._read_settings()
+        # The error of the settings file as last read, None if it was valid.
+        self._settings_error: str | None = None
         self._timers = timers.LoopTimers(asyncio.get_running_loop())
         self._output = lines.LineOutput(descriptor, self._timers)
         self._log = logs.Logger.from_config(
@@ -119,8 +121,13 @@
         try:
             settings = self._read_settings()
         except SettingsError as error:
-            self._log.write(events.SETTINGS_REJECTED, error=str(error))
+            text = str(error)
+            # The file is polled: the same error is logged once only.
+            if text != self._settings_error or cause != 'look':
+                self._log.write(events.SETTINGS_REJECTED, error=text)
+            self._settings_error = text
             return
+        self._settings_error = None
         if settings == self._settings and cause == 'look':
             return
         self._settings = settings
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -57,8 +57,8 @@
     return str(path)
 
 
-def _corrupt(path):
-    pathlib.Path(path).write_text('{"node": 7}')
+def _corrupt(path, content='{"node": 7}'):
+    pathlib.Path(path).write_text(content)
 
 
 async def _get(port, target):
@@ -118,6 +118,47 @@
         case.assertIn(name, names)
 
 
+def _list_rejections(read_end):
+    lines = os.read(read_end, 1 << 20).splitlines()
+    fields = [json.loads(line) for line in lines]
+    return [
+        line['error']
+        for line in fields
+        if line['message_type'] == 'settings_rejected'
+    ]
+
+
+async def test_invalid_settings_are_logged_once_per_error(case, folder, pipe):
+    """An invalid file was logged at every poll, once a second."""
+    read_end, write_end = pipe
+    path = _write_settings(folder)
+    instance = process_module.make_process(path, write_end)
+    for content in ('{"node": 7}', '{"node": 7} ', '{"node": "i1"}'):
+        _corrupt(path, content)
+        for _ in range(3):
+            instance._reload('look')
+    _write_settings(folder)
+    instance._reload('look')
+    _corrupt(path)
+    for _ in range(3):
+        instance._reload('look')
+    rejected = _list_rejections(read_end)
+    case.assertEqual(3, len(rejected))
+    case.assertEqual(rejected[0], rejected[2])
+    case.assertNotEqual(rejected[0], rejected[1])
+
+
+async def test_signal_logs_invalid_settings_again(case, folder, pipe):
+    """An operator who sends a signal must see that the file is invalid."""
+    read_end, write_end = pipe
+    path = _write_settings(folder)
+    instance = process_module.make_process(path, write_end)
+    _corrupt(path)
+    for cause in ('look', 'look', 'signal', 'signal', 'look'):
+        instance._reload(cause)
+    case.assertEqual(3, len(_list_rejections(read_end)))
+
+
 @fixtures.fixture
 def stop_signals():
     numbers = (signal.SIGTERM, signal.SIGINT)
