Counted refused attempts, members and malformed requests in the metrics.

Three things were missing on the page of metrics. sheds_total was defined and never incremented; the dispatcher now counts each attempt that a target refused without running the request. gateway_members was never set; it is set from the membership each time the page is rendered, this instance included. Requests answered with 400 were in no count of requests; they are now in requests_total (kind none) and gateway_refusals_total as bad_request.

--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -45,6 +45,9 @@
             )
             refusal = refusals.RefusalError(refusals.Reason.BAD_REQUEST)
             self._send_refusal(responder, refusal)
+            self._context.metrics.record_malformed_request(
+                refusal.reason.value
+            )
             return
         self._context.metrics.active_requests.add(1)
         try:
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -284,6 +284,7 @@
         now = self._context.timers.now()
         if isinstance(error, forwarding.NotExecutedError):
             progress.sheds += 1
+            self._context.metrics.sheds.add(1, target=target.name)
             progress.may_have_run = progress.broken_attempts > 0
             self._context.occupancy.record_shed(target.name, now)
             return
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -7,6 +7,7 @@
 
 from vanillayoke.core import events as log_events
 from vanillayoke.core import logs
+from vanillayoke.core import metrics
 from vanillayoke.core import timers
 from vanillayoke.gateway import access as access_module
 from vanillayoke.gateway import calls
@@ -169,6 +170,11 @@
         self._log.write(log_events.DRAIN_ENDED, seconds=seconds)
         self._close()
 
+    def render_metrics(self) -> metrics.Page:
+        """Render all metrics in the Prometheus text format."""
+        self.metrics.set_members(self._members.list_members())
+        return self.metrics.render()
+
     # Construction
 
     def _make_components(self) -> None:
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -1,9 +1,11 @@
 """The metrics of a gateway instance."""
 
+import collections
 import typing
 
 import aioprometheus
 
+from vanillayoke.cluster import messages as cluster_messages
 from vanillayoke.core import metrics
 
 _KIND = metrics.Label('kind', ('safe', 'unsafe', 'stream', 'none'))
@@ -69,7 +71,7 @@
         self.sheds = metrics.Counter(
             registry,
             'sheds_total',
-            'Times that a target had no room for a request.',
+            'Attempts that a target refused without running the request.',
             _TARGET,
         )
         self.store_calls = metrics.Counter(
@@ -120,6 +122,21 @@
         self.request_latency.observe(seconds, kind=kind)
         self.queue_wait.observe(progress.queue_seconds, kind=kind)
 
+    def record_malformed_request(self, reason: str) -> None:
+        """Count a request without a known route, organisation or deadline."""
+        self.requests.add(1, kind='none', outcome=reason)
+        self.refusals.add(1, reason=reason)
+
+    def set_members(
+        self, members: typing.Iterable[cluster_messages.Member]
+    ) -> None:
+        """Set the number of instances in each state, this one included."""
+        counts = collections.Counter(
+            member.state.name.lower() for member in members
+        )
+        for state in _STATE.values:
+            self.members.set(counts[state], state=state)
+
     def record_store_call(
         self, call: str, outcome: str, seconds: float
     ) -> None:
--- a/libs/gateway/vanillayoke/gateway/process.py
+++ b/libs/gateway/vanillayoke/gateway/process.py
@@ -109,7 +109,7 @@
             responder.send(404, [], b'')
             return
         self._instance.metrics.lines_dropped.set(self._output.dropped)
-        page = self._instance.metrics.render()
+        page = self._instance.render_metrics()
         content_type = (b'Content-Type', page.content_type.encode())
         responder.send(200, [content_type], page.body)
 
