Granted tokens in the background and on credit again after a refusal.

An account was marked as spent when a background grant did not fit, and the mark was never removed. From then on the program got no grants in the background and no credit during an outage, although a smaller turn fitted, the budget was raised, or tokens had been returned to the store. The mark is replaced by a comparison with the last known row, the credit not yet recorded and the size of the turn. Credit was and is limited by the same figures, so that the mark did not protect the budget.

The four tests of these cases failed before the change. A further test reserves, settles, tops up and gives credit at random for 40 programs and finds at most the budget of 200 tokens used (518 if credit ignores what was granted). All 187 tests of tests/gateway pass.

--- a/libs/gateway/vanillayoke/gateway/budget_accounts.py
+++ b/libs/gateway/vanillayoke/gateway/budget_accounts.py
@@ -57,7 +57,6 @@
         self.row: grants.BudgetRow | None = None
         self.version = 0
         self.is_current = False
-        self.is_spent = False
         self.used_at = 0.0
         # Tokens given on credit or charged for it, not yet recorded in the
         # row.
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -205,7 +205,7 @@
         tokens = grants.plan_credit(
             budget, account.max_granted, account.owed, missing
         )
-        if tokens < missing or account.is_spent:
+        if tokens < missing:
             return 0
         account.owed += tokens
         account.budget = budget
@@ -253,15 +253,16 @@
                     # The next maintenance run tries again.
                     return
 
-    def needs_top_up(self, program: str, need: int) -> bool:
-        """Return whether another turn of this size would not fit."""
+    def needs_top_up(self, program: str, budget: int, need: int) -> bool:
+        """Return whether another turn of this size needs a grant.
+
+        ``False`` if the last known row has no room for one.
+        """
         account = self._accounts.get(program)
-        return (
-            account is not None
-            and account.allotment.free < need
-            and not account.lock.locked()
-            and not account.is_spent
-        )
+        if account is None or account.lock.locked():
+            return False
+        missing = need - account.allotment.free
+        return 0 < missing <= budget - account.granted - account.owed
 
     async def top_up(self, program: str, budget: int, need: int) -> None:
         """Request the next grant before a turn has to wait for it."""
@@ -272,10 +273,9 @@
             if missing <= 0:
                 return
             try:
-                if not await self._request_grant(
+                await self._request_grant(
                     account, program, budget, missing, deadline
-                ):
-                    account.is_spent = account.is_current
+                )
             except store_module.StoreError:
                 # The next turn requests the grant itself.
                 return
--- a/libs/gateway/vanillayoke/gateway/reservations.py
+++ b/libs/gateway/vanillayoke/gateway/reservations.py
@@ -362,7 +362,9 @@
         )
 
     def _top_up(self, request: peer_messages.Reserve) -> None:
-        if self._ledger.needs_top_up(request.program, request.need):
+        if self._ledger.needs_top_up(
+            request.program, request.budget, request.need
+        ):
             self._spawn(
                 self._ledger.top_up(
                     request.program, request.budget, request.need
