Raised decoding errors of datagram handlers, and counted dropped datagrams.

Peers.receive caught msgspec.DecodeError around decoding and handling alike. A handler that failed to decode something else, such as a row of the store, was taken for a malformed datagram and its failure was not seen anywhere. Only the decoding of the datagram is caught now. Datagrams that are dropped, unknown kinds and malformed membership messages included, are counted by kind in datagrams_dropped_total.

--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -303,6 +303,7 @@
             self._load_queries.handle,
             self._version_gossip.receive,
             incarnation,
+            lambda kind: self.metrics.datagrams_dropped.add(1, kind=kind),
         )
         self._version_gossip.set_peers(self._peers)
         self._limits.set_peers(self._peers)
--- a/libs/gateway/vanillayoke/gateway/members.py
+++ b/libs/gateway/vanillayoke/gateway/members.py
@@ -87,12 +87,14 @@
         """Start probing."""
         self._schedule()
 
-    def receive(self, data: bytes, sender: str) -> None:
-        """Handle a membership datagram from another instance."""
+    def receive(self, data: bytes, sender: str) -> bool:
+        """Handle a membership datagram; return whether it could be decoded."""
         self._last_received_at = self._timers.now()
         packet = cluster_messages.decode_packet(data)
-        if packet is not None:
-            self._decide(membership_events.Received(packet.message))
+        if packet is None:
+            return False
+        self._decide(membership_events.Received(packet.message))
+        return True
 
     def put_row(self, key: str, value: bytes | None) -> None:
         """Apply a row of the table; ``None`` says that it was removed."""
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -7,6 +7,7 @@
 
 from vanillayoke.cluster import messages as cluster_messages
 from vanillayoke.core import metrics
+from vanillayoke.gateway import peers
 
 _KIND = metrics.Label('kind', ('safe', 'unsafe', 'stream', 'none'))
 _OUTCOME = metrics.Label('outcome')
@@ -27,6 +28,7 @@
 _ORGANISATION = metrics.Label('organisation')
 _RESULT = metrics.Label('result', ('answered', 'over_limit', 'failed'))
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
+_DATAGRAM = metrics.Label('kind', peers.KIND_NAMES)
 
 
 class Metrics:
@@ -96,6 +98,12 @@
         self.members = metrics.Gauge(
             registry, 'gateway_members', 'Instances known, by state.', _STATE
         )
+        self.datagrams_dropped = metrics.Counter(
+            registry,
+            'datagrams_dropped_total',
+            'Datagrams received that could not be decoded, by kind.',
+            _DATAGRAM,
+        )
         self.lines_dropped = metrics.Gauge(
             registry,
             'log_lines_dropped',
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -21,6 +21,17 @@
 HEALTH_STATE = b'v'
 NOTIFICATION = b'n'
 VERSION = b'c'
+# As in the metric of dropped datagrams.
+_KIND_NAMES = {
+    MEMBERSHIP: 'membership',
+    REQUEST: 'request',
+    RESPONSE: 'response',
+    HEALTH_STATE: 'health_state',
+    NOTIFICATION: 'notification',
+    VERSION: 'version',
+}
+UNKNOWN_KIND = 'unknown'
+KIND_NAMES = (*_KIND_NAMES.values(), UNKNOWN_KIND)
 # How long each copy of a request waits for a response. A round trip between
 # zones takes two or three milliseconds; a busy peer takes some tens.
 RETRY_TIMEOUTS_SECONDS = (0.02, 0.05, 0.08)
@@ -56,11 +67,16 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_REQUESTS = msgspec.msgpack.Decoder(_RequestEnvelope)
-_RESPONSES = msgspec.msgpack.Decoder(_ResponseEnvelope)
-_NOTIFICATIONS = msgspec.msgpack.Decoder(peer_messages.Notification)
-_HEALTH_STATES = msgspec.msgpack.Decoder(shared_health.HealthState)
-_VERSIONS = msgspec.msgpack.Decoder(peer_messages.ConfigurationVersion)
+_DECODERS: dict[bytes, msgspec.msgpack.Decoder] = {
+    kind: msgspec.msgpack.Decoder(message_type)
+    for kind, message_type in (
+        (REQUEST, _RequestEnvelope),
+        (RESPONSE, _ResponseEnvelope),
+        (HEALTH_STATE, shared_health.HealthState),
+        (NOTIFICATION, peer_messages.Notification),
+        (VERSION, peer_messages.ConfigurationVersion),
+    )
+}
 
 
 class Sender(typing.Protocol):
@@ -78,19 +94,24 @@
 
 
 class Peers:
-    """Exchanges requests, responses and gossip with other instances."""
+    """Exchanges requests, responses and gossip with other instances.
+
+    ``on_membership`` returns whether it could decode the message.
+    ``on_dropped`` is called with the kind of each datagram that is dropped.
+    """
 
     def __init__(
         self,
         timer_service: timers.TimerService,
         handle: Handler,
-        on_membership: typing.Callable[[bytes, str], None],
+        on_membership: typing.Callable[[bytes, str], bool],
         on_health_state: typing.Callable[[shared_health.HealthState], None],
         on_notification: typing.Callable[[peer_messages.Notification], None],
         on_version: typing.Callable[
             [peer_messages.ConfigurationVersion], None
         ],
         first_number: int,
+        on_dropped: typing.Callable[[str], None],
     ) -> None:
         self._timers = timer_service
         self._handle = handle
@@ -98,6 +119,7 @@
         self._on_health_state = on_health_state
         self._on_notification = on_notification
         self._on_version = on_version
+        self._on_dropped = on_dropped
         self._sender: Sender | None = None
         # Differs from the numbers of a former process at this address, whose
         # responses must not match.
@@ -145,24 +167,34 @@
             )
 
     def receive(self, data: bytes, sender: str) -> None:
-        """Handle a datagram; one that can't be decoded is dropped."""
+        """Handle a datagram; one that can't be decoded is dropped.
+
+        Errors of the handlers are raised.
+        """
         kind, payload = data[:1], data[1:]
+        if kind == MEMBERSHIP:
+            if not self._on_membership(payload, sender):
+                self._on_dropped(_KIND_NAMES[kind])
+            return
         try:
-            if kind == MEMBERSHIP:
-                self._on_membership(payload, sender)
-            elif kind == NOTIFICATION:
-                self._on_notification(_NOTIFICATIONS.decode(payload))
-            elif kind == HEALTH_STATE:
-                self._on_health_state(_HEALTH_STATES.decode(payload))
-            elif kind == VERSION:
-                self._on_version(_VERSIONS.decode(payload))
-            elif kind == REQUEST:
-                self._handle_request(_REQUESTS.decode(payload), sender)
-            elif kind == RESPONSE:
-                self._handle_response(_RESPONSES.decode(payload))
-        except msgspec.DecodeError:
+            message = _DECODERS[kind].decode(payload)
+        except (KeyError, msgspec.DecodeError):
             # From an instance of another version, or not from an instance.
+            self._on_dropped(_KIND_NAMES.get(kind, UNKNOWN_KIND))
             return
+        # A DecodeError of these is a failure and must not be taken for a
+        # malformed datagram.
+        match message:
+            case _RequestEnvelope():
+                self._handle_request(message, sender)
+            case _ResponseEnvelope():
+                self._handle_response(message)
+            case shared_health.HealthState():
+                self._on_health_state(message)
+            case peer_messages.ConfigurationVersion():
+                self._on_version(message)
+            case _:
+                self._on_notification(message)
 
     async def send_request(
         self,
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,120 @@
+"""Tests of receiving datagrams from other instances."""
+
+import msgspec
+
+from tests.gateway import site_fixtures
+from vanillayoke.cluster import messages as cluster_messages
+from vanillayoke.gateway import peer_messages
+from vanillayoke.gateway import peers
+from vanillayoke.scheduling import shared_health
+from vanillayoke.testing import fixtures
+
+SENDER = '10.1.0.9:7380'
+_encode = msgspec.msgpack.encode
+DATAGRAMS = {
+    'notification': peers.NOTIFICATION
+    + _encode(peer_messages.RequestStarted('t1', 'r1', 1.0)),
+    'health_state': peers.HEALTH_STATE
+    + _encode(shared_health.HealthState('t1', 1, (), False)),
+    'version': peers.VERSION
+    + _encode(peer_messages.ConfigurationVersion(1, 'a:1', 'a:2')),
+    'request': peers.REQUEST + _encode((1, peer_messages.LoadQuery('t1'))),
+    'response': peers.RESPONSE + _encode((1, peer_messages.Pending())),
+}
+MALFORMED_PAYLOADS = (
+    b'',
+    b'\xc1',
+    b'\x93',
+    _encode('other'),
+    _encode((1, ('?', 1))),
+    # A program name that is not UTF-8.
+    b'\x92\x01\x93\xa1T\xa2\xff\xfe\x01',
+)
+
+
+class _Handler:
+    """Records what is received, or fails if there is an error to raise."""
+
+    def __init__(self):
+        self.received = []
+        self.dropped = []
+        self.error = None
+
+    def handle(self, *arguments):
+        if self.error is not None:
+            raise self.error
+        self.received.append(arguments)
+        return peer_messages.Granted()
+
+
+@fixtures.fixture
+def handler():
+    return _Handler()
+
+
+@fixtures.fixture
+def instance_peers(clock, handler):
+    return peers.Peers(
+        clock,
+        handler.handle,
+        handler.handle,
+        handler.handle,
+        handler.handle,
+        handler.handle,
+        1,
+        handler.dropped.append,
+    )
+
+
+async def test_malformed_datagrams_are_dropped_and_counted(
+    case, instance_peers, handler
+):
+    """Other versions, or other software, may send anything."""
+    for kind, datagram in DATAGRAMS.items():
+        for payload in MALFORMED_PAYLOADS:
+            instance_peers.receive(datagram[:1] + payload, SENDER)
+        case.assertEqual([kind] * len(MALFORMED_PAYLOADS), handler.dropped)
+        handler.dropped.clear()
+    instance_peers.receive(b'', SENDER)
+    instance_peers.receive(b'?x', SENDER)
+    case.assertEqual(['unknown'] * 2, handler.dropped)
+    case.assertEqual([], handler.received)
+
+
+async def test_decoding_error_of_a_handler_is_raised(
+    case, instance_peers, handler
+):
+    """Such a failure was taken for a malformed datagram and never seen."""
+    handler.error = msgspec.DecodeError('a row in the store')
+    for kind in ('notification', 'health_state', 'version', 'request'):
+        with case.subTest(kind), case.assertRaises(msgspec.DecodeError):
+            instance_peers.receive(DATAGRAMS[kind], SENDER)
+    with case.assertRaises(msgspec.DecodeError):
+        instance_peers.receive(peers.MEMBERSHIP + b'x', SENDER)
+    case.assertEqual([], handler.dropped)
+
+
+async def test_valid_datagrams_are_not_dropped(case, instance_peers, handler):
+    for datagram in DATAGRAMS.values():
+        instance_peers.receive(datagram, SENDER)
+    case.assertEqual([], handler.dropped)
+    case.assertEqual(4, len(handler.received))
+
+
+async def test_dropped_datagrams_are_in_the_metrics(case, site):
+    await site.start(2)
+    instance = site.instances['i1']
+    member = cluster_messages.Member('x', 1, 'z1', 'r1', 'a:1', 'a:2')
+    for data in (
+        peers.MEMBERSHIP + b'\xc1',
+        peers.MEMBERSHIP + _encode(member),
+        peers.REQUEST,
+    ):
+        instance._peers.receive(data, SENDER)
+    page = instance.render_metrics().body.decode()
+    for kind, count in ('membership', 2), ('request', 1), ('response', 0):
+        name = f'vanillayoke_datagrams_dropped_total{{kind="{kind}"}}'
+        case.assertIn(f'{name} {count}\n', page)
+
+
+load_tests = fixtures.adapt(__name__, [site_fixtures])
