Found planned stops that never end in the soak.

The check of graceful stops looked only at processes that had ended, so that an instance that hangs after SIGTERM was never reported. A process that is still running after a grace period without a kill or freeze is now reported. A later freeze delays the report instead of preventing it.

--- a/libs/soak/vanillayoke/soak/checks.py
+++ b/libs/soak/vanillayoke/soak/checks.py
@@ -304,7 +304,32 @@
         if record.status != 0 or duration > history.bounds.grace:
             detail = f'status {record.status} after {duration:.1f} s'
             found.append(Violation('graceful stop', record.instance, detail))
-    return found
+    return found + _find_unended_stops(history, cutoff, stop_requested)
+
+
+def _find_unended_stops(
+    history: histories.History,
+    cutoff: float,
+    stop_requested: dict[str, float],
+) -> list[Violation]:
+    """Find processes still running after an undisturbed grace period.
+
+    ``stop_requested`` has the times of the requests without a later end.
+    """
+    grace_start = cutoff - history.bounds.grace
+    if history.is_disturbed(
+        grace_start, cutoff, frozenset(('kill', 'freeze'))
+    ):
+        return []
+    return [
+        Violation(
+            'graceful stop',
+            instance,
+            f'still running after {cutoff - requested_at:.1f} s',
+        )
+        for instance, requested_at in stop_requested.items()
+        if requested_at <= grace_start
+    ]
 
 
 def check_crashes(
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -254,6 +254,31 @@
     case.assertEqual(['graceful stop', 'no crash'], _check(*stop(1, 1.0)))
 
 
+def test_stop_that_never_ends_is_found(case):
+    """Only ended processes were checked, so that a hung stop went unseen."""
+    told_at = 1.0
+    due_at = told_at + BOUNDS.grace
+    told = _request_stop(told_at)
+    case.assertEqual(['graceful stop'], _check(told, cutoff=due_at))
+    case.assertEqual([], _check(told, cutoff=due_at - 0.1))
+    other = records.Process(told_at + 1.0, 'i2', 'ended', 0)
+    case.assertEqual(['graceful stop'], _check(told, other, cutoff=due_at))
+    ended = records.Process(told_at + 1.0, 'i1', 'ended', 0)
+    started = records.Process(told_at + 2.0, 'i1', 'started', 0)
+    case.assertEqual([], _check(told, ended, started, cutoff=due_at))
+
+
+def test_frozen_stop_has_a_whole_grace_period_afterwards(case):
+    """A process may end late after a freeze, but it must end."""
+    told = _request_stop(1.0)
+    frozen = records.Disturbed(0.0, 4.0, 'freeze', 'i1')
+    due_at = 4.0 + histories.FAULT_AFTERMATH_SECONDS + BOUNDS.grace
+    case.assertEqual([], _check(told, frozen, cutoff=due_at - 0.1))
+    case.assertEqual(
+        ['graceful stop'], _check(told, frozen, cutoff=due_at + 0.1)
+    )
+
+
 def test_crash_is_found(case):
     case.assertEqual(
         ['no crash'], _check(records.Process(1.0, 'i1', 'ended', 1))
