--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -1,11 +1,14 @@
 """The metrics of a gateway instance."""
 
+import collections
 import typing
 
 import aioprometheus
 
+from vanillayoke.cluster import messages as cluster_messages
 from vanillayoke.core import memory
 from vanillayoke.core import metrics
+from vanillayoke.gateway import peers
 
 _KIND = metrics.Label('kind', ('safe', 'unsafe', 'stream', 'none'))
 _OUTCOME = metrics.Label('outcome')
@@ -33,7 +36,6 @@
     'over_limit_urgent': 'over_limit',
 }
 _PRIORITY = metrics.Label('priority')
-_SERVICE = metrics.Label('service')
 _SLOT_REASON = metrics.Label('reason', ('late', 'full'))
 _SLOT_CAUSE = metrics.Label('cause', ('silent', 'released', 'unusable'))
 _RESULT = metrics.Label('result', ('answered', 'over_limit', 'failed'))
@@ -45,6 +47,7 @@
 _MEMORY_KIND = metrics.Label('kind', tuple(kind.label for kind in memory.Kind))
 _MEMORY_REFUSAL = metrics.Label('kind', ('request', 'body', 'caller'))
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
+_DATAGRAM = metrics.Label('kind', peers.KIND_NAMES)
 
 
 class Metrics:
@@ -122,7 +125,7 @@
         self.sheds = metrics.Counter(
             registry,
             'sheds_total',
-            'Times that a target had no room for a request.',
+            'Attempts that a target refused without running the request.',
             _TARGET,
         )
         self.malformed_reports = metrics.Counter(
@@ -180,6 +183,12 @@
         self.members = metrics.Gauge(
             registry, 'gateway_members', 'Instances known, by state.', _STATE
         )
+        self.datagrams_dropped = metrics.Counter(
+            registry,
+            'datagrams_dropped_total',
+            'Datagrams received that could not be decoded, by kind.',
+            _DATAGRAM,
+        )
         self.lines_dropped = metrics.Gauge(
             registry,
             'log_lines_dropped',
@@ -267,6 +276,21 @@
         self.request_latency.observe(seconds, kind=kind)
         self.queue_wait.observe(progress.queue_seconds, kind=kind)
 
+    def record_malformed_request(self, reason: str) -> None:
+        """Count a request without a known route, organisation or deadline."""
+        self.requests.add(1, kind='none', outcome=reason)
+        self.refusals.add(1, reason=reason)
+
+    def set_members(
+        self, members: typing.Iterable[cluster_messages.Member]
+    ) -> None:
+        """Set the number of instances in each state, this one included."""
+        counts = collections.Counter(
+            member.state.name.lower() for member in members
+        )
+        for state in _STATE.values:
+            self.members.set(counts[state], state=state)
+
     def record_store_call(
         self, call: str, outcome: str, seconds: float
     ) -> None:
