--- a/libs/gateway/vanillayoke/gateway/completion_times.py
+++ b/libs/gateway/vanillayoke/gateway/completion_times.py
@@ -18,7 +18,7 @@
 if typing.TYPE_CHECKING:
     from vanillayoke.gateway import dispatch
 
-# Differences in latency below this share are not attributed to the distance.
+# The latency without the distance between zones is at least this share of it.
 MIN_LATENCY_RATIO = 0.1
 
 
