Kept a wait that ends while its request is handled.

Cause: The coordinator advances the queue again after it has added a request, with a later reading of the clock. If a grant or a deadline expired in between, the new request got the slot, and its future response was already removed when the caller looked it up: KeyError. A local request failed with 500, a remote one got no response, and the slot stayed granted for 50 ms. Change: The decision returns the future itself. Result: test_slot_that_becomes_free_during_a_request_is_granted failed with a KeyError and passes; all 25 tests of gateway.test_slot_queues pass.

--- a/libs/gateway/vanillayoke/gateway/slot_queues.py
+++ b/libs/gateway/vanillayoke/gateway/slot_queues.py
@@ -224,11 +224,11 @@
                 coordinator, request, deadline, retry_timeouts
             )
         response = self._decide(request)
-        if response is not None:
+        if not isinstance(response, asyncio.Future):
             return response
         try:
             async with asyncio.timeout(RENEWAL_INTERVAL_SECONDS):
-                return await self._responses[request.ticket]
+                return await response
         except TimeoutError:
             return peer_messages.Pending()
 
@@ -319,9 +319,9 @@
     def handle_request(self, request: peer_messages.SlotRequest) -> typing.Any:
         """Return the response to a request, or a coroutine that waits."""
         response = self._decide(request)
-        if response is not None:
-            return response
-        return _await_response(self._responses[request.ticket])
+        if isinstance(response, asyncio.Future):
+            return _await_response(response)
+        return response
 
     def handle_cancelled(self, cancelled: peer_messages.SlotCancelled) -> None:
         """Handle that a request no longer waits or returns its grant."""
@@ -361,11 +361,8 @@
 
     def _decide(
         self, request: peer_messages.SlotRequest
-    ) -> peer_messages.Response | None:
-        """Return the response, ``None`` if the request waits.
-
-        ``_responses`` then has the future response.
-        """
+    ) -> peer_messages.Response | asyncio.Future[peer_messages.Response]:
+        """Return the response, the future one if the request waits."""
         if not self._is_enabled or self._is_leaving:
             return peer_messages.Unavailable(False)
         now = self._timers.now()
@@ -393,11 +390,12 @@
         outcome = queue.request(claim, now)
         if outcome is not None:
             return self._end_wait(request.target, claim, outcome, now)
-        loop = asyncio.get_running_loop()
-        self._responses[request.ticket] = loop.create_future()
-        # The bound may have made the least urgent request give way.
+        future = asyncio.get_running_loop().create_future()
+        self._responses[request.ticket] = future
+        # The bound may have made the least urgent request give way. This may
+        # also end the wait, as the clock goes on.
         self._advance(request.target, queue)
-        return None
+        return future
 
     def _record(self, notification: peer_messages.Notification) -> None:
         """Record the start or the end of a request at a target."""
--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -13,6 +13,7 @@
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import peer_messages
 from vanillayoke.gateway import slot_queues
+from vanillayoke.scheduling import slot_queue
 from vanillayoke.standins import calls
 from vanillayoke.standins import targets as targets_module
 from vanillayoke.testing import fixtures
@@ -419,6 +420,47 @@
     case.assertLess(site.timers.now() - started_at, 0.4)
 
 
+class _SteppingTimers:
+    """A clock that goes on by a millisecond whenever it is read."""
+
+    def __init__(self, timers) -> None:
+        self._timers = timers
+        self._read_count = 0
+
+    def now(self) -> float:
+        self._read_count += 1
+        return self._timers.now() + self._read_count / 1000
+
+    def call_after(self, delay, callback):
+        return self._timers.call_after(delay, callback)
+
+
+async def test_slot_that_becomes_free_during_a_request_is_granted(case, site):
+    """The request failed, as its wait had ended before it was awaited."""
+    await _start(site)
+    queues = site.instances[_find_coordinator(site)]._slot_queues
+    waited = 0
+    for number in range(6):
+        queues.handle_restart('t1')
+        queue = queues._queues['t1'] = slot_queue.SlotQueue(SLOTS)
+        now = site.timers.now()
+        for busy in range(SLOTS):
+            queue.begin(f'busy{busy}', number / 1000 + 0.0005, now)
+        request = peer_messages.SlotRequest(
+            't1', f'w/{number}', f'w{number}', '', 1.0, 0, False, 1.0, 1.0,
+            1.0, SLOTS, 0.0,
+        )  # fmt: skip
+        with mock.patch.object(
+            queues, '_timers', _SteppingTimers(site.timers)
+        ):
+            response = queues.handle_request(request)
+            if asyncio.iscoroutine(response):
+                waited += 1
+                response = await asyncio.wait_for(response, 0.1)
+        case.assertIsInstance(response, peer_messages.SlotGranted, number)
+    case.assertGreater(waited, 0)
+
+
 async def test_lost_requests_and_cancellations_hold_no_slot(
     case, site, traffic
 ):
