Kept a slot queue usable after its instance stood still.

Cause: If a request's start and end are handled at the same time, its time at the target is 0. As the first one this made the average 0, which can't grow, as samples are clipped to 4 times the average; each later decision about the target divided by it and failed. Change: A slot is held for at least 3 ms, the time of the messages. Result: test_coordinator_that_stood_still_decides_again failed with a ZeroDivisionError and passes; after 60 requests of 0.1 s the average is above 0.06 s.

--- a/libs/scheduling/vanillayoke/scheduling/slot_queue.py
+++ b/libs/scheduling/vanillayoke/scheduling/slot_queue.py
@@ -324,7 +324,8 @@
             self._reported_at = now
         if running is None:
             return
-        held = now - running.started_at
+        # If this instance stood still, start and end arrive at the same time.
+        held = max(MESSAGES_SECONDS, now - running.started_at)
         if reported is None:
             if self._average_hold is None:
                 self._average_hold = program_slack.AverageTime(held)
--- a/tests/scheduling/test_slot_queue.py
+++ b/tests/scheduling/test_slot_queue.py
@@ -516,6 +516,20 @@
     case.assertEqual(1, len(queue.advance(0.25)))
 
 
+def test_coordinator_that_stood_still_decides_again(case):
+    """A slot time of 0, which was never corrected, failed each request."""
+    queue = slot_queue.SlotQueue(SLOTS)
+    # The notifications of a second arrive at once.
+    queue.begin('x', 9.0, 1.0)
+    queue.end('x', None, 1.0)
+    outcome = queue.request(make_claim('y', 1.0), 1.0)
+    case.assertIsInstance(outcome, slot_queue.Granted)
+    for number in range(60):
+        queue.begin(f'z{number}', 9.0, 2.0 + number)
+        queue.end(f'z{number}', None, 2.1 + number)
+    case.assertGreater(queue.hold, 0.06)
+
+
 def test_service_of_long_ago_does_not_count(case):
     """An organisation would pay for a burst of a minute ago."""
     service = slot_queue.AttainedService()
