Freed slots of requests none of which ever reported an end.

Cause: Requests whose end is lost stop to count after 6 times the average time at the target. Before the first reported end there is no average, and they counted until their deadlines: if the instances that filled a new target's slots failed, others waited for it until their own deadlines. Change: Until then requests count for 2 s at most.

--- a/libs/scheduling/vanillayoke/scheduling/slot_queue.py
+++ b/libs/scheduling/vanillayoke/scheduling/slot_queue.py
@@ -43,6 +43,9 @@
 # was lost, do not occupy a slot for longer than this.
 MAX_HOLD_RATIO = 6.0
 MIN_MAX_HOLD_SECONDS = 0.3
+# The same until the first end of a request is reported. It is several times
+# the duration of a turn; time limits of programs are longer.
+INITIAL_MAX_HOLD_SECONDS = 2.0
 MIN_RETRY_AFTER_SECONDS = 0.02
 
 
@@ -257,7 +260,7 @@
 
     def count_occupied(self, now: float) -> float:
         """Return the estimated number of requests at the target."""
-        longest = float('inf')
+        longest = INITIAL_MAX_HOLD_SECONDS
         if self._average_hold is not None:
             longest = max(MIN_MAX_HOLD_SECONDS, MAX_HOLD_RATIO * self.hold)
         count = len(self._grants)
--- a/tests/scheduling/test_slot_queue.py
+++ b/tests/scheduling/test_slot_queue.py
@@ -496,6 +496,26 @@
     case.assertIsInstance(outcome, slot_queue.Granted)
 
 
+def test_slots_are_freed_if_no_end_was_ever_reported(case):
+    """All instances that sent requests failed before the first one ended.
+
+    Their requests would hold the slots until their deadlines.
+    """
+    queue = slot_queue.SlotQueue(SLOTS)
+    for number in range(SLOTS):
+        queue.begin(f'lost{number}', 60.0, 0.0)
+    granted_at = None
+    for step in range(100):
+        now = 0.1 * step
+        queue.advance(now)
+        claim = make_claim('x', 0.0, time_left=30.0)
+        if isinstance(queue.request(claim, now), slot_queue.Granted):
+            granted_at = now
+            break
+    case.assertIsNotNone(granted_at)
+    case.assertLess(granted_at, 2.5)
+
+
 def test_more_slots_serve_more_requests(case):
     queue = make_full_queue()
     for number in range(3):
