Made the slot queue follow changes of the settings.

Cause: Settings are read again on change and enable and disable the loads of zones, but the slot queue used those of the start. Change: The feature is looked up whenever it is used. A coordinator on which it is disabled drops its queues and releases what waits there.

--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -258,7 +258,7 @@
         self._slot_queues = slot_queues.SlotQueues(
             settings.instance,
             incarnation,
-            settings.has_feature(messages.Feature.SLOT_QUEUE),
+            lambda: self.settings.has_feature(messages.Feature.SLOT_QUEUE),
             self._load_queries,
             self._catalog,
             self._occupancy,
--- a/libs/gateway/vanillayoke/gateway/slot_queues.py
+++ b/libs/gateway/vanillayoke/gateway/slot_queues.py
@@ -83,7 +83,7 @@
         self,
         instance: str,
         first_ticket: int,
-        is_enabled: bool,
+        is_enabled: typing.Callable[[], bool],
         load_queries: load_queries_module.LoadQueries,
         catalog: catalog_module.Catalog,
         occupancy: occupancy_module.Occupancy,
@@ -108,8 +108,7 @@
         self._responses: dict[str, asyncio.Future[peer_messages.Response]] = {}
         self._check_timer: timers.Subscription | None = None
         self._is_leaving = False
-        if is_enabled:
-            load_queries.set_observer(self._record)
+        load_queries.set_observer(self._record)
 
     def set_peers(self, peers: peers_module.Peers) -> None:
         """Set the connection to the other instances."""
@@ -148,7 +147,7 @@
         A request that may have run goes on without asking: a refusal would
         leave its outcome unknown.
         """
-        if not self._is_enabled or progress.may_have_run:
+        if not self._is_enabled() or progress.may_have_run:
             return False
         if progress.target_load is None:
             return False
@@ -363,7 +362,7 @@
         self, request: peer_messages.SlotRequest
     ) -> peer_messages.Response | asyncio.Future[peer_messages.Response]:
         """Return the response, the future one if the request waits."""
-        if not self._is_enabled or self._is_leaving:
+        if not self._is_enabled() or self._is_leaving:
             return peer_messages.Unavailable(False)
         now = self._timers.now()
         queue = self._queues.get(request.target)
@@ -399,6 +398,10 @@
 
     def _record(self, notification: peer_messages.Notification) -> None:
         """Record the start or the end of a request at a target."""
+        if not self._is_enabled():
+            # The settings may have changed.
+            self.retain(())
+            return
         now = self._timers.now()
         match notification:
             case peer_messages.RequestStarted(target, request, max_duration):
--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -250,6 +250,42 @@
     case.assertGreater(traffic.counts['B'], 0)
 
 
+async def test_settings_enable_and_disable_the_queue_at_any_time(
+    case, site, traffic
+):
+    """Settings are read on change; only a restart changed the queue."""
+    await _start(site)
+    instances = list(site.instances.values())
+    for has_overload_control in (False, True, False):
+        for instance in instances:
+            instance.settings = instance.settings._replace(
+                has_overload_control=has_overload_control
+            )
+        sent = traffic.count_slot_messages()
+        tasks = await _fill(site, list(site.instances))
+        case.assertEqual(has_overload_control, _count_waiting(site) > 0)
+        responses = await asyncio.gather(*tasks)
+        case.assertEqual({200}, {response.status for response in responses})
+        used = traffic.count_slot_messages() > sent
+        case.assertEqual(has_overload_control, used)
+    case.assertEqual([{}, {}, {}], [i._slot_queues._queues for i in instances])
+
+
+async def test_waits_end_when_the_queue_is_disabled(case, site):
+    """The queue of a coordinator without the feature grants no slot."""
+    await _start(site)
+    tasks = await _fill(site, list(site.instances))
+    case.assertGreater(_count_waiting(site), 4)
+    for instance in site.instances.values():
+        instance.settings = instance.settings._replace(
+            has_overload_control=False
+        )
+    await asyncio.sleep(0.12)
+    case.assertEqual(0, _count_waiting(site))
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+
+
 async def test_turns_wait_for_engines(case, site):
     """A turn in the engine's own queue would preempt running ones."""
     await _start(site)
