Sent loads without waiting requests as before the slot queue.

Cause: LoadResponse got a field with a default, but msgspec omits no defaults of structs that are arrays, so each load was a byte longer at all deployments, also where the feature is off. Change: The field is left out while nothing waits. Older instances and newer ones decode both forms.

--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -273,6 +273,18 @@
     relay: str
 
 
+def omit_defaults(message: msgspec.Struct) -> msgspec.Struct | tuple:
+    """Return what to encode instead of a message.
+
+    Optional fields at the end are left out while they have their defaults, so
+    that a message without them is the same as before they existed. Structs
+    that are encoded as arrays do not support this by themselves.
+    """
+    if type(message) is not LoadResponse or message.waiting:
+        return message
+    return ('N', message.requests, message.latency_ratio)
+
+
 Request = (
     Reserve
     | Settle
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -270,7 +270,7 @@
     ) -> None:
         if self._sender is not None:
             data = RESPONSE + _ENCODER.encode(
-                _ResponseEnvelope(number, response)
+                (number, peer_messages.omit_defaults(response))
             )
             self._sender.send(sender, data)
 
--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -286,6 +286,23 @@
     case.assertEqual({200}, {response.status for response in responses})
 
 
+async def test_disabled_feature_changes_no_byte_of_a_load(case, site, network):
+    """Each request at each deployment queries loads."""
+    await _start(site, is_enabled=False)
+    sent = []
+    send = network.send_datagram
+
+    def record(data, sender, receiver):
+        if _find_tag(data) == 'N':
+            sent.append(msgspec.msgpack.decode(data[1:])[1])
+        send(data, sender, receiver)
+
+    network.send_datagram = record
+    await asyncio.gather(*await _fill(site, list(site.instances)))
+    case.assertTrue(sent)
+    case.assertEqual({3}, {len(response) for response in sent})
+
+
 async def test_turns_wait_for_engines(case, site):
     """A turn in the engine's own queue would preempt running ones."""
     await _start(site)
