Kept turns out of a zone whose load is unknown.

Cause: A turn preferred the zone that holds its program's cache even if nothing had been heard of it for 2 s. In a partition its first candidates were all beyond it, and without any loads the choice differed from that before.

--- a/libs/gateway/vanillayoke/gateway/zone_loads.py
+++ b/libs/gateway/vanillayoke/gateway/zone_loads.py
@@ -149,13 +149,15 @@
         targets = catalog.list_targets(service)
         if targets:
             self._slowdowns[service] = slope * targets[0].slots
-        if affinity_target is not None:
-            target = catalog.find_target(service, affinity_target)
-            if target is not None:
-                return target.zone
         choice = self._choices.get(service)
         if choice is None:
             return self._zone
+        if affinity_target is not None:
+            target = catalog.find_target(service, affinity_target)
+            if target is not None:
+                # A zone whose load is unknown may be out of reach.
+                is_known = choice.is_known(target.zone)
+                return target.zone if is_known else self._zone
         zone = choice.choose(self._random_float)
         if zone != self._zone:
             self._metrics.programs_in_other_zones.add(
--- a/tests/gateway/test_zone_loads.py
+++ b/tests/gateway/test_zone_loads.py
@@ -279,6 +279,8 @@
         case.assertEqual({'z1', 'z2'}, _get_loads(site, 'i1').keys())
         case.assertEqual({'z1', 'z2'}, _choose(site, 'i1'))
         case.assertEqual({'z3'}, _get_loads(site, 'i5').keys())
+        # Nor do the targets of this zone come first for programs under way.
+        case.assertEqual({'z1'}, _choose(site, 'i2', 'm5', 1))
     network.restore_paths()
     await asyncio.sleep(4.0)
     for name in site.instances:
