--- a/libs/gateway/vanillayoke/gateway/slot_queues.py
+++ b/libs/gateway/vanillayoke/gateway/slot_queues.py
@@ -190,7 +190,7 @@
                             progress, target, excluded, response
                         )
                         return False
-                    case None:
+                    case None if is_usable:
                         self._log_end(progress, target, started_at, 'silent')
                         return True
                     case peer_messages.Unavailable():
@@ -198,7 +198,10 @@
                         is_held = False
                         has_waited = self._timers.now() - started_at
                         self._log_end(progress, target, started_at, 'released')
-                        return has_waited <= REQUEST_TIMEOUTS_SECONDS[0]
+                        return (
+                            is_usable
+                            and has_waited <= REQUEST_TIMEOUTS_SECONDS[0]
+                        )
                 if not is_usable:
                     self._log_end(progress, target, started_at, 'unusable')
                     return False
--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -561,6 +561,31 @@
     case.assertLess(site.timers.now() - started_at, 0.5)
 
 
+async def test_target_that_leaves_gets_no_request_without_coordinator(
+    case, site, network
+):
+    """A zone was cut off while its targets were replaced."""
+    await _start(site)
+    coordinator, others = _find_coordinator(site), _list_others(site)
+    site.targets['t1'].service_time = 0.3
+    tasks = await _fill(site, others[:1], SLOTS)
+    tasks += _send(site, others[:1], 8, prefix='x')
+    await asyncio.sleep(0.005)
+    case.assertEqual(8, _count_waiting(site))
+    hosts = [site.instances[n].settings.ip for n in (coordinator, others[0])]
+    network.block_path(*hosts)
+    # The waiting requests have been renewed, without a response.
+    await asyncio.sleep(0.102)
+    _register(site, 't2')
+    _register(site, 't1', state='draining')
+    await asyncio.sleep(0.01)
+    started = len(site.targets['t1'].executions)
+    case.assertEqual(SLOTS, started)
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+    case.assertEqual(started, len(site.targets['t1'].executions))
+
+
 async def test_restarted_target_releases_requests(case, site):
     """The requests that its coordinator counts do not run there any more."""
     await _start(site)
