Made a coordinator of a zone that stood still warm up again.

Cause: After 2 s without processor time its first interval dropped all reports as too old, as datagrams are read one at a time, and it sent the sum of its own targets as that of the zone. If another instance had taken over, its versions were also too low for 2 s.

--- a/libs/gateway/vanillayoke/gateway/zone_loads.py
+++ b/libs/gateway/vanillayoke/gateway/zone_loads.py
@@ -39,6 +39,9 @@
 # An instance that coordinates no target any more sends so many empty reports,
 # as datagrams may be lost.
 EMPTY_REPORT_COUNT = 4
+# A coordinator that has stood still for longer warms up again: it drops the
+# reports that have become too old before it has read the later ones.
+MAX_PAUSE_SECONDS = 1.0
 # Loads of services in one datagram, so that it fits into one packet unless a
 # single zone has more.
 MAX_LOADS_PER_DATAGRAM = 24
@@ -98,6 +101,7 @@
         # the versions of its sums; None if it does not.
         self._coordinated: tuple[float, int] | None = None
         self._remaining_reports = 0
+        self._ticked_at = float('-inf')
 
     def set_peers(self, peers: peers_module.Peers) -> None:
         """Set the connection to the other instances."""
@@ -208,6 +212,9 @@
     def _tick(self) -> None:
         now = self._timers.now()
         self._interval_count += 1
+        if now - self._ticked_at > MAX_PAUSE_SECONDS:
+            self._coordinated = None
+        self._ticked_at = now
         if not self._may_balance() and not self._has_admission():
             return
         services = self._list_services()
--- a/tests/gateway/test_zone_loads.py
+++ b/tests/gateway/test_zone_loads.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+from unittest import mock
 
 import msgspec
 
@@ -218,6 +219,30 @@
         del site.instances[coordinator]
 
 
+async def test_coordinator_that_stood_still_sends_no_incomplete_sum(
+    case, site
+):
+    """Its zone would look small and idle, or short, to all others."""
+    await _start(site)
+    for name in ('m7', 'm8', 'm9'):
+        await site.add_target(name, zone='z2')
+    await asyncio.sleep(1.0)
+    slots = _get_loads(site, 'i1')['z2'].slots
+    coordinator = site.instances[_find_coordinator(site, 'z2')]
+    loads = coordinator._zone_loads
+    coordinator._zone_loads_timer.cancel()
+    with mock.patch.object(loads, 'receive'):
+        await asyncio.sleep(zone_loads.MAX_AGE_SECONDS + 0.2)
+    loads._tick()
+    coordinator._zone_loads_timer = loads.start()
+    for _ in range(15):
+        for name in site.instances:
+            known = _get_loads(site, name).get('z2')
+            case.assertIn(known and known.slots, (None, slots))
+        await asyncio.sleep(0.1)
+    case.assertEqual(slots, _get_loads(site, 'i1')['z2'].slots)
+
+
 async def test_older_coordinator_takes_over_from_a_younger_one(
     case, site, network
 ):
