Looked up a waiting request's target by its name.

Cause: After each response of a coordinator the target was searched among all targets of its service. Change: The catalog looks it up, and the process is compared. All 29 tests of gateway.test_slot_queues pass.

--- a/libs/gateway/vanillayoke/gateway/slot_queues.py
+++ b/libs/gateway/vanillayoke/gateway/slot_queues.py
@@ -177,9 +177,9 @@
                     retry_timeouts,
                 )
                 retry_timeouts = RENEWAL_TIMEOUTS_SECONDS
-                is_usable = target in self._catalog.list_targets(
-                    target.service
-                ) and (was_avoided or not self._should_avoid(target))
+                is_usable = self._is_ready(target) and (
+                    was_avoided or not self._should_avoid(target)
+                )
                 match response:
                     case peer_messages.SlotGranted() if is_usable:
                         is_held = False
@@ -308,6 +308,11 @@
             ms=round(waited * 1000, 1),
         )
 
+    def _is_ready(self, target: messages.Target) -> bool:
+        """Return whether this process of a target may get new work."""
+        known = self._catalog.find_target(target.service, target.name)
+        return known == target
+
     def _should_avoid(self, target: messages.Target) -> bool:
         return self._occupancy.should_avoid(target.name, self._timers.now())
 
