Bounded the requests that a slot queue counts as running.

Cause: Requests whose end was lost were kept until their deadlines, although they stop to count after a few times the average time at the target. During a partition they grew to the rate times the time limit, and each decision and each start read all of them. Change: If more than 4 for each slot are known, those that do not count any more are dropped. Result: test_requests_whose_ends_are_lost_are_bounded found 3,000 requests and finds less than 100. All 25 tests of scheduling.test_slot_queue pass.

--- a/libs/scheduling/vanillayoke/scheduling/slot_queue.py
+++ b/libs/scheduling/vanillayoke/scheduling/slot_queue.py
@@ -260,18 +260,26 @@
 
     def count_occupied(self, now: float) -> float:
         """Return the estimated number of requests at the target."""
-        longest = INITIAL_MAX_HOLD_SECONDS
-        if self._average_hold is not None:
-            longest = max(MIN_MAX_HOLD_SECONDS, MAX_HOLD_RATIO * self.hold)
-        count = len(self._grants)
-        for running in self._running.values():
-            if running.deadline > now and running.started_at + longest > now:
-                count += 1
+        count = len(self._grants) + len(self._list_counted(now))
         # What the target reported when it refused a request. It has served
         # the others since then.
         served = (now - self._reported_at) * self.slots / self.hold
         return max(float(count), self._reported - served)
 
+    def _list_counted(self, now: float) -> list[str]:
+        """Return the requests that occupy a slot.
+
+        Those whose end was not reported are left out after some time.
+        """
+        longest = INITIAL_MAX_HOLD_SECONDS
+        if self._average_hold is not None:
+            longest = max(MIN_MAX_HOLD_SECONDS, MAX_HOLD_RATIO * self.hold)
+        return [
+            name
+            for name, running in self._running.items()
+            if running.deadline > now and running.started_at + longest > now
+        ]
+
     def request(self, claim: Claim, now: float) -> Outcome | None:
         """Grant or refuse a request; ``None`` if it has to wait.
 
@@ -313,7 +321,7 @@
             now, now + max_duration, claim, charged
         )
         if len(self._running) > 4 * self.slots:
-            self._drop_ended(now)
+            self._drop_uncounted(now)
 
     def end(self, request: str, reported: int | None, now: float) -> None:
         """Record that a request has ended.
@@ -516,9 +524,7 @@
             claim.organisation, claim.weight, -grant.charged, now
         )
 
-    def _drop_ended(self, now: float) -> None:
+    def _drop_uncounted(self, now: float) -> None:
         self._running = {
-            name: running
-            for name, running in self._running.items()
-            if running.deadline > now
+            name: self._running[name] for name in self._list_counted(now)
         }
--- a/tests/scheduling/test_slot_queue.py
+++ b/tests/scheduling/test_slot_queue.py
@@ -496,6 +496,17 @@
     case.assertIsInstance(outcome, slot_queue.Granted)
 
 
+def test_requests_whose_ends_are_lost_are_bounded(case):
+    """A partition lost the ends of all requests, each with a minute left.
+
+    All of them were kept until their deadlines and read for each decision.
+    """
+    queue = make_full_queue(hold=0.1)
+    for number in range(3000):
+        queue.begin(f'lost{number}', 60.0, 0.01 * number)
+    case.assertLess(len(queue._running), 100)
+
+
 def test_slots_are_freed_if_no_end_was_ever_reported(case):
     """All instances that sent requests failed before the first one ended.
 
