Ignored loads of zones with an absurd version.

Cause: A new coordinator counts on from the highest known epoch. After the highest number of 64 bits it could encode no message any more, and each of its intervals failed until its process ended. Change: Higher versions than 2**62 are ignored, like other impossible figures. Result: test_impossible_figures_are_ignored failed with this version added and passes, as do all tests of scheduling.test_zone_loads and gateway.test_zone_loads.

--- a/libs/scheduling/vanillayoke/scheduling/zone_loads.py
+++ b/libs/scheduling/vanillayoke/scheduling/zone_loads.py
@@ -20,6 +20,9 @@
 MAX_SERVICES = 256
 MAX_NAME_LENGTH = 200
 MAX_COUNT = 1_000_000
+# Successors count on from a version, which is encoded with 64 bits. Starts of
+# processes are far below.
+MAX_EPOCH = 2**62
 
 # The start of the process that counts, and its counter.
 Version = tuple[int, int]
@@ -229,6 +232,7 @@
     if (
         not _is_name(sender)
         or min(version) < 0
+        or max(version) > MAX_EPOCH
         or len(services) > MAX_SERVICES
     ):
         return False
--- a/tests/scheduling/test_zone_loads.py
+++ b/tests/scheduling/test_zone_loads.py
@@ -111,6 +111,7 @@
     for report in (
         _report('a', (1, 1), age_ms=-1),
         _report('a', (-1, 1)),
+        _report('a', (2**64 - 1, 1)),
         _report('', (1, 1)),
         _report('a' * 1000, (1, 1)),
         _report('a', (1, 1), service=''),
