Mocked a method with its signature in a test of the loads of zones.

Cause: The linter requires it. Change: The mock has the signature of the method. Result: make lint passes; the 24 tests of gateway.test_zone_loads pass.

--- a/tests/gateway/test_zone_loads.py
+++ b/tests/gateway/test_zone_loads.py
@@ -231,7 +231,7 @@
     coordinator = site.instances[_find_coordinator(site, 'z2')]
     loads = coordinator._zone_loads
     coordinator._zone_loads_timer.cancel()
-    with mock.patch.object(loads, 'receive'):
+    with mock.patch.object(loads, 'receive', autospec=True):
         await asyncio.sleep(zone_loads.MAX_AGE_SECONDS + 0.2)
     loads._tick()
     coordinator._zone_loads_timer = loads.start()
