Split the slot queues by their two sides.

Cause: gateway.slot_queues had 580 lines and two jobs, the requests of this instance that wait and the queues of the targets that it coordinates, and one function of 56 lines. Change: The requests are in gateway.slot_requests; a wait is an object, and its responses are handled outside its loop. Behaviour is the same.

--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -13,7 +13,7 @@
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import reservations as reservations_module
-from vanillayoke.gateway import slot_queues as slot_queues_module
+from vanillayoke.gateway import slot_requests as slot_requests_module
 from vanillayoke.gateway import store as store_module
 from vanillayoke.gateway import zone_loads
 from vanillayoke.scheduling import occupancy
@@ -39,7 +39,7 @@
     store: store_module.StoreClient
     reservations: reservations_module.Reservations
     load_queries: load_queries.LoadQueries
-    slot_queues: slot_queues_module.SlotQueues
+    slot_requests: slot_requests_module.SlotRequests
     histories: histories_module.Histories
     log: logs.Logger
     metrics: metrics_module.Metrics
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -243,7 +243,7 @@
                     if target.name == candidate.name
                 )
                 asked_at = timers.now()
-                if not await self._context.slot_queues.acquire(
+                if not await self._context.slot_requests.acquire(
                     progress, target, excluded
                 ):
                     continue
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -31,6 +31,7 @@
 from vanillayoke.gateway import rendezvous
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import slot_queues
+from vanillayoke.gateway import slot_requests
 from vanillayoke.gateway import store as store_module
 from vanillayoke.gateway import sweeping
 from vanillayoke.gateway import table_sync
@@ -256,9 +257,19 @@
             self._timers,
         )
         self._slot_queues = slot_queues.SlotQueues(
+            self._has_slot_queues,
+            self._load_queries,
+            self._catalog,
+            self._occupancy,
+            self._timers,
+            self.metrics,
+            self._log,
+        )
+        self._slot_requests = slot_requests.SlotRequests(
             settings.instance,
             incarnation,
-            lambda: self.settings.has_feature(messages.Feature.SLOT_QUEUE),
+            self._has_slot_queues,
+            self._slot_queues,
             self._load_queries,
             self._catalog,
             self._occupancy,
@@ -333,7 +344,7 @@
         self._limits.set_peers(self._peers)
         self._reservations.set_peers(self._peers)
         self._load_queries.set_peers(self._peers)
-        self._slot_queues.set_peers(self._peers)
+        self._slot_requests.set_peers(self._peers)
         self._zone_loads.set_peers(self._peers)
         self._health_gossip.set_peers(self._peers)
         self._members = members_module.Members(
@@ -358,7 +369,7 @@
             self._store,
             self._reservations,
             self._load_queries,
-            self._slot_queues,
+            self._slot_requests,
             self._histories,
             self._log,
             self.metrics,
@@ -404,6 +415,9 @@
                 return self._slot_queues.handle_request(request)
         return self._reservations.handle_request(request)
 
+    def _has_slot_queues(self) -> bool:
+        return self.settings.has_feature(messages.Feature.SLOT_QUEUE)
+
     def _handle_notification(
         self, notification: peer_messages.Notification
     ) -> None:
--- a/libs/scheduling/vanillayoke/scheduling/slot_queue.py
+++ b/libs/scheduling/vanillayoke/scheduling/slot_queue.py
@@ -14,7 +14,7 @@
 # A request is sent as soon as its grant arrives. A busy instance takes some
 # tens of milliseconds.
 GRANT_SECONDS = 0.05
-# Waiting requests are renewed every 0.1 s (gateway.slot_queues). Those of an
+# Waiting requests are renewed every 0.1 s (gateway.slot_requests). Those of an
 # instance that has failed are dropped after this time.
 LOST_SECONDS = 0.25
 # With this many waiting requests for each slot, the last one would wait for
--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -12,7 +12,7 @@
 from tests.gateway import site_fixtures
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import peer_messages
-from vanillayoke.gateway import slot_queues
+from vanillayoke.gateway import slot_requests
 from vanillayoke.scheduling import slot_queue
 from vanillayoke.standins import calls
 from vanillayoke.standins import targets as targets_module
@@ -418,7 +418,7 @@
 ):
     """A coordinator without processor time can't renew its own requests."""
     await _start(site)
-    monkeypatch(slot_queues, 'RENEWAL_INTERVAL_SECONDS', 1.0)
+    monkeypatch(slot_requests, 'RENEWAL_INTERVAL_SECONDS', 1.0)
     site.targets['t1'].service_time = 0.3
     tasks = await _fill(site, list(site.instances), 12)
     responses = await asyncio.gather(*tasks)
@@ -678,7 +678,7 @@
 
 
 def test_weight_is_the_rate_limit(case):
-    weights = slot_queues.OrganisationWeights()
+    weights = slot_requests.OrganisationWeights()
     organisations = {
         b'1': messages.Organisation('small', 10.0),
         b'2': messages.Organisation('large', 50.0),
