Split the slot queue from the use of slots and the attained service.

Cause: scheduling.slot_queue had 530 lines and three jobs: the order of waiting requests, what is known of the requests at the target, and the organisations' service. Change: The latter two are in scheduling.slot_usage and scheduling.attained_service. Behaviour is the same.

--- a/libs/scheduling/vanillayoke/scheduling/slot_queue.py
+++ b/libs/scheduling/vanillayoke/scheduling/slot_queue.py
@@ -6,10 +6,10 @@
 """
 
 import enum
-import math
 import typing
 
-from vanillayoke.scheduling import program_slack
+from vanillayoke.scheduling import attained_service
+from vanillayoke.scheduling import slot_usage
 
 # A request is sent as soon as its grant arrives. A busy instance takes some
 # tens of milliseconds.
@@ -21,31 +21,8 @@
 # 32 times the time that a slot is held: 0.8 s for tool calls of 25 ms and 8 s
 # for turns of 0.25 s, which is longer than the slack of programs.
 MAX_WAITING_PER_SLOT = 32
-# Between the end of a request and the start of the next one a slot is idle for
-# the time of three messages. As many requests as slots are idle at a time are
-# sent in addition; the target's own queue holds them. It is none if less than
-# MIN_IDLE_SLOTS are idle. So it is 1 or 2 at a service with 6 slots and calls
-# of 10 to 50 ms, and none at an engine with turns of 0.2 s: engines preempt
-# running requests for a more urgent one in their own queue.
-MESSAGES_SECONDS = 0.003
-MIN_IDLE_SLOTS = 0.3
 # One grant in this many goes to the organisation with the least service.
 FAIR_GRANT_INTERVAL = 4
-# Service attained earlier counts less: bursts last from 6 to 20 s.
-SERVICE_HALF_LIFE_SECONDS = 2.0
-# Attained service is rescaled, and negligible records are dropped, when its
-# unit has doubled this many times.
-MAX_DOUBLINGS = 8
-MIN_SERVICE_RATIO = 0.05
-# Assumed until a request has ended.
-INITIAL_HOLD_SECONDS = 0.1
-# Requests whose end was not reported, because an instance failed or a datagram
-# was lost, do not occupy a slot for longer than this.
-MAX_HOLD_RATIO = 6.0
-MIN_MAX_HOLD_SECONDS = 0.3
-# The same until the first end of a request is reported. It is several times
-# the duration of a turn; time limits of programs are longer.
-INITIAL_MAX_HOLD_SECONDS = 2.0
 MIN_RETRY_AFTER_SECONDS = 0.02
 
 
@@ -127,113 +104,25 @@
         self.renewed_at = now
 
 
-class _Running:
-    __slots__ = ('claim', 'charged', 'deadline', 'started_at')
-
-    def __init__(
-        self,
-        started_at: float,
-        deadline: float,
-        claim: Claim | None,
-        charged: float,
-    ) -> None:
-        self.started_at = started_at
-        self.deadline = deadline
-        self.claim = claim
-        self.charged = charged
-
-
 class _Grant:
-    __slots__ = ('charged', 'claim', 'expires_at')
+    __slots__ = ('charge', 'claim', 'expires_at')
 
     def __init__(
-        self, claim: Claim, expires_at: float, charged: float
+        self, claim: Claim, expires_at: float, charge: attained_service.Charge
     ) -> None:
         self.claim = claim
         self.expires_at = expires_at
-        self.charged = charged
-
-
-class AttainedService:
-    """The service that organisations attained, relative to their weights.
-
-    Earlier service decays. It is stored in a unit that grows with time, so
-    that only the record of the organisation served has to change.
-    """
-
-    def __init__(self) -> None:
-        self._records: dict[str, tuple[float, float]] = {}
-        self._total = 0.0
-        self._total_weight = 0.0
-        self._epoch = 0.0
-
-    def add(
-        self, organisation: str, weight: float, seconds: float, now: float
-    ) -> None:
-        """Record that an organisation was served."""
-        doublings = (now - self._epoch) / SERVICE_HALF_LIFE_SECONDS
-        if doublings > MAX_DOUBLINGS:
-            self._rescale(doublings)
-            self._epoch = now
-            doublings = 0.0
-        value, former_weight = self._records.get(organisation, (0.0, 0.0))
-        added = max(seconds * 2.0**doublings, -value)
-        self._records[organisation] = (value + added, weight)
-        self._total += added
-        self._total_weight += weight - former_weight
-
-    def get_share(self, organisation: str, weight: float, now: float) -> float:
-        """Return the attained service relative to the weight."""
-        value, _ = self._records.get(organisation, (0.0, 0.0))
-        return value * self._compute_decay(now) / weight
-
-    def get_level(
-        self, organisation: str, weight: float, allowance: float, now: float
-    ) -> int:
-        """Return how far an organisation is above the average share.
-
-        Level 0 is at most the average, each further level up to twice as
-        much. Within a level, slack decides. ``allowance`` is the service of
-        one request, which alone does not raise the level.
-        """
-        record = self._records.get(organisation)
-        if record is None:
-            return 0
-        decay = self._compute_decay(now)
-        share = (record[0] * decay - allowance) / weight
-        mean = self._total * decay / self._total_weight
-        if share <= mean or mean <= 0:
-            return 0
-        return 1 + int(math.log2(share / mean))
-
-    def _compute_decay(self, now: float) -> float:
-        return 0.5 ** ((now - self._epoch) / SERVICE_HALF_LIFE_SECONDS)
-
-    def _rescale(self, doublings: float) -> None:
-        factor = 0.5**doublings
-        threshold = MIN_SERVICE_RATIO * self._total * factor
-        threshold /= max(1, len(self._records))
-        self._records = {
-            name: (value * factor, weight)
-            for name, (value, weight) in self._records.items()
-            if value * factor > threshold
-        }
-        self._total = sum(value for value, _ in self._records.values())
-        self._total_weight = sum(w for _, w in self._records.values())
+        self.charge = charge
 
 
 class SlotQueue:
     """The slots of one target, and the requests that wait for them."""
 
     def __init__(self, slots: int) -> None:
-        self.slots = slots
+        self._usage = slot_usage.SlotUsage(slots)
         self._waiting: dict[str, _Waiter] = {}
         self._grants: dict[str, _Grant] = {}
-        self._running: dict[str, _Running] = {}
-        self._average_hold: program_slack.AverageTime | None = None
-        self._reported = 0.0
-        self._reported_at = float('-inf')
-        self._service = AttainedService()
+        self._service = attained_service.AttainedService()
         self._grant_count = 0
         self._evicted: list[Decision] = []
         self.expired_grants = 0
@@ -243,42 +132,28 @@
         """The number of waiting requests."""
         return len(self._waiting)
 
+    @property
+    def slots(self) -> int:
+        """How many requests the target runs at a time."""
+        return self._usage.slots
+
+    @slots.setter
+    def slots(self, slots: int) -> None:
+        self._usage.slots = slots
+
     @property
     def hold(self) -> float:
         """The average time that a request occupies a slot."""
-        if self._average_hold is None:
-            return INITIAL_HOLD_SECONDS
-        return self._average_hold.value
+        return self._usage.hold
 
     @property
     def capacity(self) -> int:
         """How many requests may be at the target."""
-        if self._average_hold is None:
-            return self.slots
-        idle = self.slots * MESSAGES_SECONDS / max(MESSAGES_SECONDS, self.hold)
-        return self.slots + max(0, math.ceil(idle - MIN_IDLE_SLOTS))
+        return self._usage.capacity
 
     def count_occupied(self, now: float) -> float:
         """Return the estimated number of requests at the target."""
-        count = len(self._grants) + len(self._list_counted(now))
-        # What the target reported when it refused a request. It has served
-        # the others since then.
-        served = (now - self._reported_at) * self.slots / self.hold
-        return max(float(count), self._reported - served)
-
-    def _list_counted(self, now: float) -> list[str]:
-        """Return the requests that occupy a slot.
-
-        Those whose end was not reported are left out after some time.
-        """
-        longest = INITIAL_MAX_HOLD_SECONDS
-        if self._average_hold is not None:
-            longest = max(MIN_MAX_HOLD_SECONDS, MAX_HOLD_RATIO * self.hold)
-        return [
-            name
-            for name, running in self._running.items()
-            if running.deadline > now and running.started_at + longest > now
-        ]
+        return self._usage.count(len(self._grants), now)
 
     def request(self, claim: Claim, now: float) -> Outcome | None:
         """Grant or refuse a request; ``None`` if it has to wait.
@@ -311,43 +186,19 @@
 
     def begin(self, request: str, max_duration: float, now: float) -> None:
         """Record that a request was sent to the target."""
-        claim, charged = None, 0.0
+        charge = None
         for ticket, grant in self._grants.items():
             if grant.claim.request == request:
-                claim, charged = grant.claim, grant.charged
-                del self._grants[ticket]
+                charge = self._grants.pop(ticket).charge
                 break
-        self._running[request] = _Running(
-            now, now + max_duration, claim, charged
-        )
-        if len(self._running) > 4 * self.slots:
-            self._drop_uncounted(now)
+        self._usage.begin(request, max_duration, charge, now)
 
     def end(self, request: str, reported: int | None, now: float) -> None:
-        """Record that a request has ended.
-
-        ``reported`` counts the requests at the target, including this one,
-        ``None`` if the target did not report it.
-        """
-        running = self._running.pop(request, None)
-        if reported is not None:
-            self._reported = max(0, reported - 1)
-            self._reported_at = now
-        if running is None:
-            return
-        # If this instance stood still, start and end arrive at the same time.
-        held = max(MESSAGES_SECONDS, now - running.started_at)
-        if reported is None:
-            if self._average_hold is None:
-                self._average_hold = program_slack.AverageTime(held)
-            self._average_hold.learn(held)
-        if running.claim is not None:
-            self._service.add(
-                running.claim.organisation,
-                running.claim.weight,
-                held - running.charged,
-                now,
-            )
+        """Record that a request has ended; see ``SlotUsage.end``."""
+        ended = self._usage.end(request, reported, now)
+        if ended is not None and ended.charge is not None:
+            organisation, weight, charged = ended.charge
+            self._service.add(organisation, weight, ended.held - charged, now)
 
     def cancel(self, ticket: str, now: float) -> Claim | None:
         """Remove a waiting request, or return its grant.
@@ -397,8 +248,7 @@
     def reset(self) -> None:
         """Forget the requests at a target that has restarted."""
         self._grants.clear()
-        self._running.clear()
-        self._reported = 0.0
+        self._usage.reset()
 
     def _choose(self, now: float) -> Claim:
         """Return the waiting request that is to be served next."""
@@ -466,7 +316,7 @@
 
     def _predict(self, position: int) -> float:
         """Return the predicted wait; later, more urgent requests add to it."""
-        if self._average_hold is None:
+        if not self._usage.is_hold_known:
             return 0.0
         return (position + 1) * self.hold / self.slots
 
@@ -513,18 +363,13 @@
 
     def _grant(self, claim: Claim, position: int, now: float) -> Granted:
         expires_at = now + GRANT_SECONDS
-        charged = self.hold
-        self._grants[claim.ticket] = _Grant(claim, expires_at, charged)
-        self._service.add(claim.organisation, claim.weight, charged, now)
+        charge = attained_service.Charge(
+            claim.organisation, claim.weight, self.hold
+        )
+        self._grants[claim.ticket] = _Grant(claim, expires_at, charge)
+        self._service.add(*charge, now)
         return Granted(expires_at, position)
 
     def _take_back(self, grant: _Grant, now: float) -> None:
-        claim = grant.claim
-        self._service.add(
-            claim.organisation, claim.weight, -grant.charged, now
-        )
-
-    def _drop_uncounted(self, now: float) -> None:
-        self._running = {
-            name: self._running[name] for name in self._list_counted(now)
-        }
+        organisation, weight, charged = grant.charge
+        self._service.add(organisation, weight, -charged, now)
--- a/tests/scheduling/test_slot_queue.py
+++ b/tests/scheduling/test_slot_queue.py
@@ -9,7 +9,9 @@
 import typing
 from unittest import mock
 
+from vanillayoke.scheduling import attained_service
 from vanillayoke.scheduling import slot_queue
+from vanillayoke.scheduling import slot_usage
 from vanillayoke.testing import fixtures
 
 SLOTS = 6
@@ -367,14 +369,14 @@
 def test_slots_do_not_idle_for_messages_of_short_calls(case):
     """Without a spare request each slot idles for 3 ms of every 28 ms."""
     completed = {}
-    for minimum in (slot_queue.MIN_IDLE_SLOTS, float(SLOTS)):
-        with mock.patch.object(slot_queue, 'MIN_IDLE_SLOTS', minimum):
+    for minimum in (slot_usage.MIN_IDLE_SLOTS, float(SLOTS)):
+        with mock.patch.object(slot_usage, 'MIN_IDLE_SLOTS', minimum):
             kinds = [Kind('call', 480.0, 0.025, 0.1, 1.2)]
             simulation = Simulation(kinds, delay=0.0015)
             simulation.run(10.0)
         completed[minimum] = simulation.completed
     most = 10.0 * SLOTS / 0.025
-    case.assertGreater(completed[slot_queue.MIN_IDLE_SLOTS], 0.96 * most)
+    case.assertGreater(completed[slot_usage.MIN_IDLE_SLOTS], 0.96 * most)
     case.assertLess(completed[SLOTS], 0.91 * most)
 
 
@@ -504,7 +506,7 @@
     queue = make_full_queue(hold=0.1)
     for number in range(3000):
         queue.begin(f'lost{number}', 60.0, 0.01 * number)
-    case.assertLess(len(queue._running), 100)
+    case.assertLess(len(queue._usage._running), 100)
 
 
 def test_slots_are_freed_if_no_end_was_ever_reported(case):
@@ -563,7 +565,7 @@
 
 def test_service_of_long_ago_does_not_count(case):
     """An organisation would pay for a burst of a minute ago."""
-    service = slot_queue.AttainedService()
+    service = attained_service.AttainedService()
     for step in range(100):
         service.add('hot', 1.0, 0.2, 0.1 * step)
         service.add('other', 1.0, 0.02, 0.1 * step)
