Made a feature that is enabled again warm up the loads of zones.

Cause: Where the settings enabled the exchange of loads again, a coordinator still counted as warmed up. Its first sum had the targets of those instances only that had read their settings before. Change: It warms up again after intervals without services to report.

--- a/libs/gateway/vanillayoke/gateway/zone_loads.py
+++ b/libs/gateway/vanillayoke/gateway/zone_loads.py
@@ -212,12 +212,13 @@
     def _tick(self) -> None:
         now = self._timers.now()
         self._interval_count += 1
-        if now - self._ticked_at > MAX_PAUSE_SECONDS:
-            self._coordinated = None
-        self._ticked_at = now
         if not self._may_balance() and not self._has_admission():
             return
         services = self._list_services()
+        if not services or now - self._ticked_at > MAX_PAUSE_SECONDS:
+            # A sum would lack the reports that have yet to arrive.
+            self._coordinated = None
+        self._ticked_at = now
         self._update_members()
         self._send_report(services, now)
         peers = self._zone_peers.get(self._zone, ())
--- a/tests/gateway/test_zone_loads.py
+++ b/tests/gateway/test_zone_loads.py
@@ -243,6 +243,24 @@
     case.assertEqual(slots, _get_loads(site, 'i1')['z2'].slots)
 
 
+async def test_feature_that_is_enabled_again_sends_no_incomplete_sum(
+    case, site
+):
+    """Settings may change at any time, at one instance after the other."""
+    await _start(site)
+    for has_overload_control in (False, True):
+        for instance in site.instances.values():
+            instance.settings = instance.settings._replace(
+                has_overload_control=has_overload_control
+            )
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            for name in site.instances:
+                for zone, load in _get_loads(site, name).items():
+                    case.assertEqual(8, load.slots, (name, zone))
+    case.assertEqual(set(ZONES), _get_loads(site, 'i1').keys())
+
+
 async def test_older_coordinator_takes_over_from_a_younger_one(
     case, site, network
 ):
