Listed the message fields that are left out while they have their defaults.

Cause: The omission of the waiting requests named the other fields of the message. Another field added after them would never have been sent. Change: A table names the first new field of a message; it and those after it are left out from the end. It applies to requests, responses and notifications. Result: test_new_fields_are_left_out_only_if_all_after_them_are passes with a further field; the bytes of a load are the same. All tests of tests.gateway pass.

--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -3,6 +3,8 @@
 Structs are encoded as arrays, so the order of fields is part of the protocol.
 """
 
+import functools
+
 import msgspec
 
 from vanillayoke.scheduling import program_slack
@@ -273,16 +275,35 @@
     relay: str
 
 
+# The first field of each message that earlier deployments do not use. It and
+# those after it are left out while they have their defaults.
+_FIRST_NEW_FIELDS = {LoadResponse: 'waiting'}
+
+
+@functools.cache
+def _list_new_fields(kind: type) -> list[msgspec.structs.FieldInfo]:
+    """Return the new fields of a message, the last one first."""
+    first = _FIRST_NEW_FIELDS.get(kind)
+    fields = msgspec.structs.fields(kind)
+    names = [field.name for field in fields]
+    return [] if first is None else fields[names.index(first) :][::-1]
+
+
 def omit_defaults(message: msgspec.Struct) -> msgspec.Struct | tuple:
     """Return what to encode instead of a message.
 
-    Optional fields at the end are left out while they have their defaults, so
-    that a message without them is the same as before they existed. Structs
-    that are encoded as arrays do not support this by themselves.
+    A message without new fields is the same as before they existed. Structs
+    that are encoded as arrays do not omit defaults by themselves.
     """
-    if type(message) is not LoadResponse or message.waiting:
+    count = 0
+    for field in _list_new_fields(type(message)):
+        if getattr(message, field.name) != field.default:
+            break
+        count += 1
+    if not count:
         return message
-    return ('N', message.requests, message.latency_ratio)
+    values = msgspec.structs.astuple(message)
+    return (message.__struct_config__.tag, *values[:-count])
 
 
 Request = (
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -141,7 +141,9 @@
         """Send a notification, which has no response."""
         if self._sender is not None:
             self._sender.send(
-                address, NOTIFICATION + _ENCODER.encode(notification)
+                address,
+                NOTIFICATION
+                + _ENCODER.encode(peer_messages.omit_defaults(notification)),
             )
 
     def receive(self, data: bytes, sender: str) -> None:
@@ -181,7 +183,9 @@
         number = self._last_number
         queue: asyncio.Queue[peer_messages.Response] = asyncio.Queue()
         self._waiting[number] = queue
-        data = REQUEST + _ENCODER.encode(_RequestEnvelope(number, request))
+        data = REQUEST + _ENCODER.encode(
+            (number, peer_messages.omit_defaults(request))
+        )
         try:
             return await self._send_until_response(
                 address, data, queue, deadline, retry_timeouts
--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -696,6 +696,28 @@
     case.assertEqual(1.0, weights.find(None, configuration))
 
 
+def test_new_fields_are_left_out_only_if_all_after_them_are(case):
+    """A field that is left out in between would shift the others."""
+
+    class Message(msgspec.Struct, array_like=True, tag='N'):
+        requests: float
+        waiting: int = 0
+        performance: float | None = None
+
+    fields = {Message: 'waiting'}
+    with mock.patch.object(peer_messages, '_FIRST_NEW_FIELDS', fields):
+        for message in (
+            Message(1.0),
+            Message(1.0, 2),
+            Message(1.0, 0, 0.5),
+            Message(1.0, 2, 0.5),
+        ):
+            sent = msgspec.msgpack.encode(peer_messages.omit_defaults(message))
+            received = msgspec.msgpack.decode(sent, type=Message)
+            case.assertEqual(message, received)
+        case.assertEqual(('N', 1.0), peer_messages.omit_defaults(Message(1.0)))
+
+
 def test_load_response_of_an_older_instance_has_no_waiting_requests(case):
     """Instances of two versions run together while one is replaced."""
     data = msgspec.msgpack.encode(['N', 3.0, 1.0])
