Gave the first measured times at a target equal weights.

Cause: The average time that a slot is held began with the first sample, and later ones had a weight of 0.03. After each change of a target's coordinator, a long first request made the predicted starts too late for some seconds, and requests that could have been served in time got 503. Change: The average is that of all samples until there are 33. Result: After a first request of 3 s and 12 of 0.25 s, test_long_first_request_does_not_refuse_the_next_ones was refused with an average of 2.16 s and waits now.

--- a/libs/scheduling/vanillayoke/scheduling/slot_usage.py
+++ b/libs/scheduling/vanillayoke/scheduling/slot_usage.py
@@ -31,6 +31,24 @@
 MAX_RUNNING_PER_SLOT = 4
 
 
+class _AverageHold(program_slack.AverageTime):
+    """A moving average in which the first samples have equal weights.
+
+    Otherwise a long first request would be expected of the next 30 ones, and
+    those that have less time left would be refused.
+    """
+
+    def __init__(self, first: float) -> None:
+        super().__init__(first)
+        self._count = 1
+
+    def learn(self, seconds: float) -> None:
+        self._count += 1
+        clipped = min(seconds, self.MAX_RATIO * self.value)
+        weight = max(self.WEIGHT, 1 / self._count)
+        self.value += weight * (clipped - self.value)
+
+
 class _Running:
     __slots__ = ('charge', 'deadline', 'started_at')
 
@@ -58,7 +76,7 @@
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self._running: dict[str, _Running] = {}
-        self._average_hold: program_slack.AverageTime | None = None
+        self._average_hold: _AverageHold | None = None
         self._reported = 0.0
         self._reported_at = float('-inf')
 
@@ -126,8 +144,9 @@
         held = max(MESSAGES_SECONDS, now - running.started_at)
         if reported is None:
             if self._average_hold is None:
-                self._average_hold = program_slack.AverageTime(held)
-            self._average_hold.learn(held)
+                self._average_hold = _AverageHold(held)
+            else:
+                self._average_hold.learn(held)
         return Ended(held, running.charge)
 
     def reset(self) -> None:
--- a/tests/scheduling/test_slot_queue.py
+++ b/tests/scheduling/test_slot_queue.py
@@ -405,6 +405,20 @@
     add(case, queue, 0.0, 'y', priority=-1, time_left=0.5)
 
 
+def test_long_first_request_does_not_refuse_the_next_ones(case):
+    """Each new coordinator refused urgent turns for seconds, at random."""
+    queue = slot_queue.SlotQueue(SLOTS)
+    queue.begin('long', 9.0, 0.0)
+    queue.end('long', None, 3.0)
+    for number in range(12):
+        queue.begin(f'x{number}', 9.0, 3.0)
+        queue.end(f'x{number}', None, 3.25)
+    for number in range(SLOTS):
+        queue.begin(f'busy{number}', 9.0, 3.25)
+    claim = make_claim('y', 3.25, time_left=1.0)
+    case.assertIsNone(queue.request(claim, 3.25))
+
+
 def test_waiting_request_is_refused_when_its_last_start_has_passed(case):
     queue = make_full_queue(hold=0.1)
     add(case, queue, 0.0, 'x', time_left=0.3)
