Repeated a request for a slot after a pause of the own instance.

Cause: Without a response within 8 ms a request is sent to its target without a slot. If the instance itself had no processor time, the response was there but unread, and all its requests passed those that waited. Change: If the time-out is noticed more than 5 ms late, the request is repeated once with its ticket.

--- a/libs/gateway/vanillayoke/gateway/slot_requests.py
+++ b/libs/gateway/vanillayoke/gateway/slot_requests.py
@@ -26,6 +26,9 @@
 # A waiting request is repeated once before it gives up its position because of
 # one lost datagram.
 RENEWAL_TIMEOUTS_SECONDS = (*REQUEST_TIMEOUTS_SECONDS, 0.02)
+# If the time-out of a response is noticed later than this, the instance had no
+# processor time and may not have read the response.
+MAX_TIMEOUT_DELAY_SECONDS = 0.005
 # How often a waiting request asks again. Its coordinator may have failed or
 # changed, or the grant may have been lost.
 RENEWAL_INTERVAL_SECONDS = 0.1
@@ -91,6 +94,8 @@
         self.was_avoided = was_avoided
         # Whether the coordinator may hold a grant or a place in the queue.
         self.is_held = True
+        # Whether it was repeated because this instance had stood still.
+        self.is_repeated = False
 
 
 class SlotRequests:
@@ -240,10 +245,19 @@
         """Return the response; ``Pending`` if it is time to ask again."""
         request = self._make_request(wait)
         if wait.coordinator is not None:
-            deadline = self._timers.now() + RENEWAL_INTERVAL_SECONDS
-            return await self._peers.send_request(
-                wait.coordinator, request, deadline, retry_timeouts
+            asked_at = self._timers.now()
+            response = await self._peers.send_request(
+                wait.coordinator,
+                request,
+                asked_at + RENEWAL_INTERVAL_SECONDS,
+                retry_timeouts,
             )
+            latest = asked_at + sum(retry_timeouts) + MAX_TIMEOUT_DELAY_SECONDS
+            is_late = self._timers.now() > latest
+            if response is None and is_late and not wait.is_repeated:
+                wait.is_repeated = True
+                return peer_messages.Pending()
+            return response
         response = self._slot_queues.decide(request)
         if not isinstance(response, asyncio.Future):
             return response
--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -427,6 +427,28 @@
     case.assertEqual([1] * 12, runs)
 
 
+async def test_busy_instance_does_not_bypass_the_queue(case, site):
+    """The response had arrived but was not read before the time-out."""
+    await _start(site)
+    others = _list_others(site)
+    site.targets['t1'].service_time = 0.3
+    tasks = await _fill(site, others[:1], SLOTS)
+    tasks += _send(site, others[:1], 8, prefix='x')
+    loop = asyncio.get_running_loop()
+    while not _count_waiting(site):
+        await asyncio.sleep(0.0002)
+    loop._virtual_selector.elapsed += 0.03
+    await asyncio.sleep(0.01)
+    causes = [
+        event['cause']
+        for event in site.list_events(others[0], 'slot_wait_abandoned')
+    ]
+    case.assertEqual([], causes)
+    case.assertEqual(8, _count_waiting(site))
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+
+
 async def test_partition_lets_requests_proceed(case, site, network):
     """The instance can't reach the coordinator but the target."""
     await _start(site)
