Bounded a loop in a test of the slot queue.

Cause: The linter allows no unbounded wait for a state. Change: The test looks at most 50 times. Result: make lint passes; the 31 tests of gateway.test_slot_queues pass, and this one still fails without the repetition.

--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -435,8 +435,10 @@
     tasks = await _fill(site, others[:1], SLOTS)
     tasks += _send(site, others[:1], 8, prefix='x')
     loop = asyncio.get_running_loop()
-    while not _count_waiting(site):
+    for _ in range(50):
         await asyncio.sleep(0.0002)
+        if _count_waiting(site):
+            break
     loop._virtual_selector.elapsed += 0.03
     await asyncio.sleep(0.01)
     causes = [
