--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -34,6 +34,7 @@
 from vanillayoke.gateway import rendezvous
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import slot_queues
+from vanillayoke.gateway import slot_requests
 from vanillayoke.gateway import store as store_module
 from vanillayoke.gateway import sweeping
 from vanillayoke.gateway import table_sync
@@ -276,9 +277,19 @@
             self._instrumentation.record_malformed_report,
         )
         self._slot_queues = slot_queues.SlotQueues(
+            self._has_slot_queues,
+            self._load_queries,
+            self._catalog,
+            self._occupancy,
+            self._timers,
+            self.metrics,
+            self._log,
+        )
+        self._slot_requests = slot_requests.SlotRequests(
             settings.instance,
             incarnation,
-            settings.has_feature(messages.Feature.SLOT_QUEUE),
+            self._has_slot_queues,
+            self._slot_queues,
             self._load_queries,
             self._catalog,
             self._occupancy,
@@ -365,7 +376,7 @@
         self._limits.set_peers(self._peers)
         self._reservations.set_peers(self._peers)
         self._load_queries.set_peers(self._peers)
-        self._slot_queues.set_peers(self._peers)
+        self._slot_requests.set_peers(self._peers)
         self._zone_loads.set_peers(self._peers)
         self._program_admission.set_peers(self._peers)
         self._health_gossip.set_peers(self._peers)
@@ -391,7 +402,7 @@
             self._store,
             self._reservations,
             self._load_queries,
-            self._slot_queues,
+            self._slot_requests,
             self._histories,
             self._log,
             self.metrics,
@@ -447,6 +458,9 @@
                 return self._program_admission.handle_query(request)
         return self._reservations.handle_request(request)
 
+    def _has_slot_queues(self) -> bool:
+        return self.settings.has_feature(messages.Feature.SLOT_QUEUE)
+
     def _handle_notification(
         self, notification: peer_messages.Notification
     ) -> None:
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -163,7 +163,9 @@
         """Send a notification, which has no response."""
         if self._sender is not None:
             self._sender.send(
-                address, NOTIFICATION + _ENCODER.encode(notification)
+                address,
+                NOTIFICATION
+                + _ENCODER.encode(peer_messages.omit_defaults(notification)),
             )
 
     def receive(self, data: bytes, sender: str) -> None:
@@ -213,7 +215,9 @@
         number = self._last_number
         queue: asyncio.Queue[peer_messages.Response] = asyncio.Queue()
         self._waiting[number] = queue
-        data = REQUEST + _ENCODER.encode(_RequestEnvelope(number, request))
+        data = REQUEST + _ENCODER.encode(
+            (number, peer_messages.omit_defaults(request))
+        )
         try:
             return await self._send_until_response(
                 address, data, queue, deadline, retry_timeouts
@@ -302,7 +306,7 @@
     ) -> None:
         if self._sender is not None:
             data = RESPONSE + _ENCODER.encode(
-                _ResponseEnvelope(number, response)
+                (number, peer_messages.omit_defaults(response))
             )
             self._sender.send(sender, data)
 
--- a/libs/gateway/vanillayoke/gateway/zone_loads.py
+++ b/libs/gateway/vanillayoke/gateway/zone_loads.py
@@ -39,6 +39,9 @@
 # An instance that coordinates no target any more sends so many empty reports,
 # as datagrams may be lost.
 EMPTY_REPORT_COUNT = 4
+# A coordinator that has stood still for longer warms up again: it drops the
+# reports that have become too old before it has read the later ones.
+MAX_PAUSE_SECONDS = 1.0
 # Loads of services in one datagram, so that it fits into one packet unless a
 # single zone has more.
 MAX_LOADS_PER_DATAGRAM = 24
@@ -98,6 +101,7 @@
         # the versions of its sums; None if it does not.
         self._coordinated: tuple[float, int] | None = None
         self._remaining_reports = 0
+        self._ticked_at = float('-inf')
 
     def set_peers(self, peers: peers_module.Peers) -> None:
         """Set the connection to the other instances."""
@@ -149,13 +153,15 @@
         targets = catalog.list_targets(service)
         if targets:
             self._slowdowns[service] = slope * targets[0].slots
-        if affinity_target is not None:
-            target = catalog.find_target(service, affinity_target)
-            if target is not None:
-                return target.zone
         choice = self._choices.get(service)
         if choice is None:
             return self._zone
+        if affinity_target is not None:
+            target = catalog.find_target(service, affinity_target)
+            if target is not None:
+                # A zone whose load is unknown may be out of reach.
+                is_known = choice.is_known(target.zone)
+                return target.zone if is_known else self._zone
         zone = choice.choose(self._random_float)
         if zone != self._zone:
             self._metrics.programs_in_other_zones.add(
@@ -209,6 +215,10 @@
         if not self._may_balance() and not self._has_admission():
             return
         services = self._list_services()
+        if not services or now - self._ticked_at > MAX_PAUSE_SECONDS:
+            # A sum would lack the reports that have yet to arrive.
+            self._coordinated = None
+        self._ticked_at = now
         self._update_members()
         self._send_report(services, now)
         peers = self._zone_peers.get(self._zone, ())
--- a/tests/gateway/test_slot_queues.py
+++ b/tests/gateway/test_slot_queues.py
@@ -12,7 +12,8 @@
 from tests.gateway import site_fixtures
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import peer_messages
-from vanillayoke.gateway import slot_queues
+from vanillayoke.gateway import slot_requests
+from vanillayoke.scheduling import slot_queue
 from vanillayoke.standins import calls
 from vanillayoke.standins import targets as targets_module
 from vanillayoke.testing import fixtures
@@ -249,6 +250,59 @@
     case.assertGreater(traffic.counts['B'], 0)
 
 
+async def test_settings_enable_and_disable_the_queue_at_any_time(
+    case, site, traffic
+):
+    """Settings are read on change; only a restart changed the queue."""
+    await _start(site)
+    instances = list(site.instances.values())
+    for has_overload_control in (False, True, False):
+        for instance in instances:
+            instance.settings = instance.settings._replace(
+                has_overload_control=has_overload_control
+            )
+        sent = traffic.count_slot_messages()
+        tasks = await _fill(site, list(site.instances))
+        case.assertEqual(has_overload_control, _count_waiting(site) > 0)
+        responses = await asyncio.gather(*tasks)
+        case.assertEqual({200}, {response.status for response in responses})
+        used = traffic.count_slot_messages() > sent
+        case.assertEqual(has_overload_control, used)
+    case.assertEqual([{}, {}, {}], [i._slot_queues._queues for i in instances])
+
+
+async def test_waits_end_when_the_queue_is_disabled(case, site):
+    """The queue of a coordinator without the feature grants no slot."""
+    await _start(site)
+    tasks = await _fill(site, list(site.instances))
+    case.assertGreater(_count_waiting(site), 4)
+    for instance in site.instances.values():
+        instance.settings = instance.settings._replace(
+            has_overload_control=False
+        )
+    await asyncio.sleep(0.12)
+    case.assertEqual(0, _count_waiting(site))
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+
+
+async def test_disabled_feature_changes_no_byte_of_a_load(case, site, network):
+    """Each request at each deployment queries loads."""
+    await _start(site, is_enabled=False)
+    sent = []
+    send = network.send_datagram
+
+    def record(data, sender, receiver):
+        if _find_tag(data) == 'N':
+            sent.append(msgspec.msgpack.decode(data[1:])[1])
+        send(data, sender, receiver)
+
+    network.send_datagram = record
+    await asyncio.gather(*await _fill(site, list(site.instances)))
+    case.assertTrue(sent)
+    case.assertEqual({3}, {len(response) for response in sent})
+
+
 async def test_turns_wait_for_engines(case, site):
     """A turn in the engine's own queue would preempt running ones."""
     await _start(site)
@@ -364,7 +418,7 @@
 ):
     """A coordinator without processor time can't renew its own requests."""
     await _start(site)
-    monkeypatch(slot_queues, 'RENEWAL_INTERVAL_SECONDS', 1.0)
+    monkeypatch(slot_requests, 'RENEWAL_INTERVAL_SECONDS', 1.0)
     site.targets['t1'].service_time = 0.3
     tasks = await _fill(site, list(site.instances), 12)
     responses = await asyncio.gather(*tasks)
@@ -373,6 +427,30 @@
     case.assertEqual([1] * 12, runs)
 
 
+async def test_busy_instance_does_not_bypass_the_queue(case, site):
+    """The response had arrived but was not read before the time-out."""
+    await _start(site)
+    others = _list_others(site)
+    site.targets['t1'].service_time = 0.3
+    tasks = await _fill(site, others[:1], SLOTS)
+    tasks += _send(site, others[:1], 8, prefix='x')
+    loop = asyncio.get_running_loop()
+    for _ in range(50):
+        await asyncio.sleep(0.0002)
+        if _count_waiting(site):
+            break
+    loop._virtual_selector.elapsed += 0.03
+    await asyncio.sleep(0.01)
+    causes = [
+        event['cause']
+        for event in site.list_events(others[0], 'slot_wait_abandoned')
+    ]
+    case.assertEqual([], causes)
+    case.assertEqual(8, _count_waiting(site))
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+
+
 async def test_partition_lets_requests_proceed(case, site, network):
     """The instance can't reach the coordinator but the target."""
     await _start(site)
@@ -419,6 +497,47 @@
     case.assertLess(site.timers.now() - started_at, 0.4)
 
 
+class _SteppingTimers:
+    """A clock that goes on by a millisecond whenever it is read."""
+
+    def __init__(self, timers) -> None:
+        self._timers = timers
+        self._read_count = 0
+
+    def now(self) -> float:
+        self._read_count += 1
+        return self._timers.now() + self._read_count / 1000
+
+    def call_after(self, delay, callback):
+        return self._timers.call_after(delay, callback)
+
+
+async def test_slot_that_becomes_free_during_a_request_is_granted(case, site):
+    """The request failed, as its wait had ended before it was awaited."""
+    await _start(site)
+    queues = site.instances[_find_coordinator(site)]._slot_queues
+    waited = 0
+    for number in range(6):
+        queues.handle_restart('t1')
+        queue = queues._queues['t1'] = slot_queue.SlotQueue(SLOTS)
+        now = site.timers.now()
+        for busy in range(SLOTS):
+            queue.begin(f'busy{busy}', number / 1000 + 0.0005, now)
+        request = peer_messages.SlotRequest(
+            't1', f'w/{number}', f'w{number}', '', 1.0, 0, False, 1.0, 1.0,
+            1.0, SLOTS, 0.0,
+        )  # fmt: skip
+        with mock.patch.object(
+            queues, '_timers', _SteppingTimers(site.timers)
+        ):
+            response = queues.handle_request(request)
+            if asyncio.iscoroutine(response):
+                waited += 1
+                response = await asyncio.wait_for(response, 0.1)
+        case.assertIsInstance(response, peer_messages.SlotGranted, number)
+    case.assertGreater(waited, 0)
+
+
 async def test_lost_requests_and_cancellations_hold_no_slot(
     case, site, traffic
 ):
@@ -466,6 +585,31 @@
     case.assertLess(site.timers.now() - started_at, 0.5)
 
 
+async def test_target_that_leaves_gets_no_request_without_coordinator(
+    case, site, network
+):
+    """A zone was cut off while its targets were replaced."""
+    await _start(site)
+    coordinator, others = _find_coordinator(site), _list_others(site)
+    site.targets['t1'].service_time = 0.3
+    tasks = await _fill(site, others[:1], SLOTS)
+    tasks += _send(site, others[:1], 8, prefix='x')
+    await asyncio.sleep(0.005)
+    case.assertEqual(8, _count_waiting(site))
+    hosts = [site.instances[n].settings.ip for n in (coordinator, others[0])]
+    network.block_path(*hosts)
+    # The waiting requests have been renewed, without a response.
+    await asyncio.sleep(0.102)
+    _register(site, 't2')
+    _register(site, 't1', state='draining')
+    await asyncio.sleep(0.01)
+    started = len(site.targets['t1'].executions)
+    case.assertEqual(SLOTS, started)
+    responses = await asyncio.gather(*tasks)
+    case.assertEqual({200}, {response.status for response in responses})
+    case.assertEqual(started, len(site.targets['t1'].executions))
+
+
 async def test_restarted_target_releases_requests(case, site):
     """The requests that its coordinator counts do not run there any more."""
     await _start(site)
@@ -558,7 +702,7 @@
 
 
 def test_weight_is_the_rate_limit(case):
-    weights = slot_queues.OrganisationWeights()
+    weights = slot_requests.OrganisationWeights()
     organisations = {
         b'1': messages.Organisation('small', 10.0),
         b'2': messages.Organisation('large', 50.0),
@@ -576,6 +720,28 @@
     case.assertEqual(1.0, weights.find(None, configuration))
 
 
+def test_new_fields_are_left_out_only_if_all_after_them_are(case):
+    """A field that is left out in between would shift the others."""
+
+    class Message(msgspec.Struct, array_like=True, tag='N'):
+        requests: float
+        waiting: int = 0
+        performance: float | None = None
+
+    fields = {Message: 'waiting'}
+    with mock.patch.object(peer_messages, '_FIRST_NEW_FIELDS', fields):
+        for message in (
+            Message(1.0),
+            Message(1.0, 2),
+            Message(1.0, 0, 0.5),
+            Message(1.0, 2, 0.5),
+        ):
+            sent = msgspec.msgpack.encode(peer_messages.omit_defaults(message))
+            received = msgspec.msgpack.decode(sent, type=Message)
+            case.assertEqual(message, received)
+        case.assertEqual(('N', 1.0), peer_messages.omit_defaults(Message(1.0)))
+
+
 def test_load_response_of_an_older_instance_has_no_waiting_requests(case):
     """Instances of two versions run together while one is replaced."""
     data = msgspec.msgpack.encode(['N', 3.0, 1.0])
--- a/tests/scheduling/test_slot_queue.py
+++ b/tests/scheduling/test_slot_queue.py
@@ -9,7 +9,9 @@
 import typing
 from unittest import mock
 
+from vanillayoke.scheduling import attained_service
 from vanillayoke.scheduling import slot_queue
+from vanillayoke.scheduling import slot_usage
 from vanillayoke.testing import fixtures
 
 SLOTS = 6
@@ -367,14 +369,14 @@
 def test_slots_do_not_idle_for_messages_of_short_calls(case):
     """Without a spare request each slot idles for 3 ms of every 28 ms."""
     completed = {}
-    for minimum in (slot_queue.MIN_IDLE_SLOTS, float(SLOTS)):
-        with mock.patch.object(slot_queue, 'MIN_IDLE_SLOTS', minimum):
+    for minimum in (slot_usage.MIN_IDLE_SLOTS, float(SLOTS)):
+        with mock.patch.object(slot_usage, 'MIN_IDLE_SLOTS', minimum):
             kinds = [Kind('call', 480.0, 0.025, 0.1, 1.2)]
             simulation = Simulation(kinds, delay=0.0015)
             simulation.run(10.0)
         completed[minimum] = simulation.completed
     most = 10.0 * SLOTS / 0.025
-    case.assertGreater(completed[slot_queue.MIN_IDLE_SLOTS], 0.96 * most)
+    case.assertGreater(completed[slot_usage.MIN_IDLE_SLOTS], 0.96 * most)
     case.assertLess(completed[SLOTS], 0.91 * most)
 
 
@@ -403,6 +405,20 @@
     add(case, queue, 0.0, 'y', priority=-1, time_left=0.5)
 
 
+def test_long_first_request_does_not_refuse_the_next_ones(case):
+    """Each new coordinator refused urgent turns for seconds, at random."""
+    queue = slot_queue.SlotQueue(SLOTS)
+    queue.begin('long', 9.0, 0.0)
+    queue.end('long', None, 3.0)
+    for number in range(12):
+        queue.begin(f'x{number}', 9.0, 3.0)
+        queue.end(f'x{number}', None, 3.25)
+    for number in range(SLOTS):
+        queue.begin(f'busy{number}', 9.0, 3.25)
+    claim = make_claim('y', 3.25, time_left=1.0)
+    case.assertIsNone(queue.request(claim, 3.25))
+
+
 def test_waiting_request_is_refused_when_its_last_start_has_passed(case):
     queue = make_full_queue(hold=0.1)
     add(case, queue, 0.0, 'x', time_left=0.3)
@@ -496,6 +512,37 @@
     case.assertIsInstance(outcome, slot_queue.Granted)
 
 
+def test_requests_whose_ends_are_lost_are_bounded(case):
+    """A partition lost the ends of all requests, each with a minute left.
+
+    All of them were kept until their deadlines and read for each decision.
+    """
+    queue = make_full_queue(hold=0.1)
+    for number in range(3000):
+        queue.begin(f'lost{number}', 60.0, 0.01 * number)
+    case.assertLess(len(queue._usage._running), 100)
+
+
+def test_slots_are_freed_if_no_end_was_ever_reported(case):
+    """All instances that sent requests failed before the first one ended.
+
+    Their requests would hold the slots until their deadlines.
+    """
+    queue = slot_queue.SlotQueue(SLOTS)
+    for number in range(SLOTS):
+        queue.begin(f'lost{number}', 60.0, 0.0)
+    granted_at = None
+    for step in range(100):
+        now = 0.1 * step
+        queue.advance(now)
+        claim = make_claim('x', 0.0, time_left=30.0)
+        if isinstance(queue.request(claim, now), slot_queue.Granted):
+            granted_at = now
+            break
+    case.assertIsNotNone(granted_at)
+    case.assertLess(granted_at, 2.5)
+
+
 def test_more_slots_serve_more_requests(case):
     queue = make_full_queue()
     for number in range(3):
@@ -516,9 +563,23 @@
     case.assertEqual(1, len(queue.advance(0.25)))
 
 
+def test_coordinator_that_stood_still_decides_again(case):
+    """A slot time of 0, which was never corrected, failed each request."""
+    queue = slot_queue.SlotQueue(SLOTS)
+    # The notifications of a second arrive at once.
+    queue.begin('x', 9.0, 1.0)
+    queue.end('x', None, 1.0)
+    outcome = queue.request(make_claim('y', 1.0), 1.0)
+    case.assertIsInstance(outcome, slot_queue.Granted)
+    for number in range(60):
+        queue.begin(f'z{number}', 9.0, 2.0 + number)
+        queue.end(f'z{number}', None, 2.1 + number)
+    case.assertGreater(queue.hold, 0.06)
+
+
 def test_service_of_long_ago_does_not_count(case):
     """An organisation would pay for a burst of a minute ago."""
-    service = slot_queue.AttainedService()
+    service = attained_service.AttainedService()
     for step in range(100):
         service.add('hot', 1.0, 0.2, 0.1 * step)
         service.add('other', 1.0, 0.02, 0.1 * step)
