Left out the new fields of three more messages while they are unset.

RequestEnded, UsageReport and LimitStatus were one byte longer at deployments without the features. Tests of slot queues, limits and admission pass (67).

--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -330,7 +330,12 @@
 
 # The first field of each message that earlier deployments do not use. It and
 # those after it are left out while they have their defaults.
-_FIRST_NEW_FIELDS = {LoadResponse: 'waiting'}
+_FIRST_NEW_FIELDS = {
+    LoadResponse: 'waiting',
+    RequestEnded: 'performance',
+    UsageReport: 'priority',
+    LimitStatus: 'urgent',
+}
 
 
 @functools.cache
