--- a/libs/core/vanillayoke/core/lines.py
+++ b/libs/core/vanillayoke/core/lines.py
@@ -12,7 +12,8 @@
 from vanillayoke.core import events
 from vanillayoke.core import timers
 
-# Per event; the second limit is for warnings and errors.
+# Per event; the second limit is for warnings and errors. A busy instance ends
+# some hundred requests a second.
 MAX_LINES_PER_SECOND = 200
 MAX_WARNING_LINES_PER_SECOND = 400
 MAX_PENDING_BYTES = 256 * 1024
--- a/libs/core/vanillayoke/core/request_logs.py
+++ b/libs/core/vanillayoke/core/request_logs.py
@@ -12,7 +12,7 @@
 from vanillayoke.core import events
 
 # Related events are included from this long before the first line of the
-# request to this long after its last one.
+# request to this long after its last one. Callers wait for a few seconds.
 CONTEXT_BEFORE_SECONDS = 5.0
 CONTEXT_AFTER_SECONDS = 1.0
 _CONTEXT_EVENTS = frozenset(
--- a/libs/gateway/vanillayoke/gateway/availability.py
+++ b/libs/gateway/vanillayoke/gateway/availability.py
@@ -9,8 +9,9 @@
 import collections
 
 # Different partitions that fail without a success in between before the store
-# counts as unavailable. A wrong result while only some partitions are down is
-# corrected by the next probe that meets a working one.
+# counts as unavailable. While a third of the partitions are down, calls to
+# three of them fail in one case of thirty. A wrong result while only some
+# partitions are down is corrected by the next probe that meets a working one.
 UNAVAILABLE_PARTITION_COUNT = 3
 # A partition that failed is the last choice for this time.
 RECENT_FAILURE_SECONDS = 0.5
--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -22,6 +22,7 @@
 # Callers ignore a Retry-After longer than a third of their remaining time.
 MAX_RETRY_AFTER_RATIO = 0.32
 # How much of its time limit a request may wait for its organisation's limit.
+# The rest is for its work.
 LIMIT_WAIT_RATIO = 0.5
 
 
--- a/libs/gateway/vanillayoke/gateway/coordinator_client.py
+++ b/libs/gateway/vanillayoke/gateway/coordinator_client.py
@@ -10,7 +10,8 @@
 # The second instance in rank is asked if the first does not respond or is
 # leaving.
 MAX_COORDINATORS = 2
-# How long an instance that did not respond is skipped.
+# How long an instance that did not respond is skipped. If it has failed, this
+# is detected after about two seconds.
 UNRESPONSIVE_SECONDS = 1.0
 
 
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -17,12 +17,15 @@
 from vanillayoke.scheduling import zone_choice
 from vanillayoke.transport import client
 
-# The pause between two searches for a target with a free slot.
+# The pause between two searches for a target with a free slot. On a busy
+# service a slot is freed every few milliseconds.
 SLOT_RETRY_SECONDS = 0.02
 # How long a request waits while its service has no targets at all, as may
 # happen for a short time when they are replaced.
 NO_TARGET_TIMEOUT_SECONDS = 0.3
 FIRST_SERVER_ERROR_STATUS = 500
+# How often a request is sent again after its response broke off. After more
+# breaks it is likely that the target can't answer this request.
 MAX_BROKEN_ATTEMPTS = 2
 
 
--- a/libs/gateway/vanillayoke/gateway/exclusivity.py
+++ b/libs/gateway/vanillayoke/gateway/exclusivity.py
@@ -11,7 +11,8 @@
 
 from vanillayoke.gateway import rendezvous
 
-# Changes older than this affect no running program.
+# Changes older than this affect no running program. A program that was stopped
+# may continue within a minute.
 RETENTION_SECONDS = 120.0
 # How long after a failure of the store a former coordinator may have left
 # unrecorded credit: it covers the detection of that coordinator's failure.
--- a/libs/gateway/vanillayoke/gateway/forwarding.py
+++ b/libs/gateway/vanillayoke/gateway/forwarding.py
@@ -19,8 +19,9 @@
 # idle for less than this. The server might close an older one while the
 # request is in transit, and it would be unknown whether the request ran.
 MAX_IDLE_BEFORE_UNSAFE_SECONDS = 1.0
-# If the caller disconnects after this time without a response from the
-# target, the attempt counts as a failure of the target.
+# If the caller disconnects after this time without a response from the target,
+# the attempt counts as a failure of the target. Targets begin to respond
+# within some tenths of a second, and callers give up after two seconds.
 NO_RESPONSE_SECONDS = 1.0
 
 
--- a/libs/gateway/vanillayoke/gateway/histories.py
+++ b/libs/gateway/vanillayoke/gateway/histories.py
@@ -12,9 +12,13 @@
 from vanillayoke.programs import transcripts
 
 TABLE = 'turns'
+# Of the latest turns' texts: the next turn of a program often comes to the
+# same instance.
 MAX_CACHE_BYTES = 8 * 1024 * 1024
 # A turn is stored in any one of this number of partitions, so that it can be
-# stored while some of them are unavailable.
+# stored while some of them are unavailable. While a third of all partitions
+# are down, one turn in thirty finds none of three, and one in three would have
+# to wait with a single one. Finding a turn missing takes as many reads.
 CANDIDATE_PARTITION_COUNT = 3
 # Must stay below the store's limit of 1 MB for an encoded transaction.
 MAX_BATCH_BYTES = 512 * 1024
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -45,6 +45,8 @@
 from vanillayoke.transport import datagrams
 from vanillayoke.transport import server
 
+# Targets are a millisecond away. One that accepts no connection in this time
+# is down or has a full queue.
 CONNECT_TIMEOUT_SECONDS = 0.4
 MAINTENANCE_INTERVAL_SECONDS = 0.25
 # Relative to the first peer port, which receives datagrams.
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -17,16 +17,20 @@
 
 TABLE = 'budgets'
 # Accounts of programs idle for longer are dropped; the tokens left in them
-# stay counted as granted.
+# stay counted as granted. Programs pause for
+# less than this.
 ACCOUNT_IDLE_SECONDS = 120.0
 # Consecutive conflicts on a program's row before the caller gets an error.
+# Each one is a successful write of another instance.
 MAX_CONFLICTS = 20
 # No row ever has this version: expecting it returns the current row.
 NEVER_VERSION = 2**53 - 1
 # How long a turn that does not fit waits for the program's other turns to
-# release tokens that they have reserved.
+# release tokens that they have reserved. Most turns of sub-agents take less.
 SETTLEMENT_TIMEOUT_SECONDS = 1.0
+# How long the store is asked which writes took effect.
 CONFIRM_TIMEOUT_SECONDS = 0.5
+# For writes that no turn waits for.
 TOP_UP_TIMEOUT_SECONDS = 2.0
 
 
@@ -335,7 +339,8 @@
         """Return unreserved tokens to the store; return the program count.
 
         If the store fails, or an account stays locked until the deadline, the
-        remaining tokens stay counted as granted.
+        remaining tokens stay counted as granted: the process has to end within
+        its grace period.
         """
         returned_count = 0
         try:
--- a/libs/gateway/vanillayoke/gateway/limit_accounts.py
+++ b/libs/gateway/vanillayoke/gateway/limit_accounts.py
@@ -16,7 +16,8 @@
 TABLE = 'limits'
 ACCOUNT_IDLE_SECONDS = 60.0
 READ_TIMEOUT_SECONDS = 0.3
-# The time in which all instances have reported to a new coordinator.
+# The time in which all instances have reported to a new coordinator. They
+# check for a change of coordinators several times a second.
 SETTLING_SECONDS = 1.0
 WRITE_TIMEOUT_SECONDS = 1.0
 
--- a/libs/gateway/vanillayoke/gateway/limits.py
+++ b/libs/gateway/vanillayoke/gateway/limits.py
@@ -24,7 +24,9 @@
 # How long admitted requests are batched before they are reported.
 REPORT_DELAY_SECONDS = 0.25
 # The share of the tolerance that all instances together may admit without
-# reporting, assuming that each admits as many requests as this one.
+# reporting, assuming that each admits as many requests as this one. Without a
+# valid response of the coordinator an instance asks first, unless all
+# instances may admit one request each within this share.
 UNREPORTED_RATIO = 1.0 - quotas.SAVE_RATIO
 # How long a response of the coordinator is valid.
 STATUS_LIFETIME_SECONDS = 1.0
@@ -36,7 +38,7 @@
 # Retry delay of requests refused because no coordinator can be reached.
 NO_COORDINATOR_RETRY_SECONDS = 0.25
 # How long an instance cut off from most others assumes that these still have
-# a coordinator.
+# a coordinator. Network partitions are shorter.
 MAX_ISOLATION_SECONDS = 15.0
 
 
--- a/libs/gateway/vanillayoke/gateway/partitions.py
+++ b/libs/gateway/vanillayoke/gateway/partitions.py
@@ -8,7 +8,9 @@
 import xxhash
 
 # More partitions give more throughput when the store is slow, and cost one
-# read each when expired rows are swept.
+# read each when expired rows are swept. If the store is a hundred times slower
+# than usual, a partition takes a few transactions a second instead of some
+# hundred; this many still take all writes of a site.
 PARTITION_COUNT = 256
 
 
--- a/libs/gateway/vanillayoke/gateway/relays.py
+++ b/libs/gateway/vanillayoke/gateway/relays.py
@@ -4,8 +4,8 @@
 
 from vanillayoke.core import timers
 
-# Relays that are tried for one call. The store may refuse several instances at
-# the same time.
+# Relays that are tried for one call. The store may refuse a third of the
+# instances at the same time.
 MAX_ATTEMPTS = 3
 # A relay that refused a call is not chosen again for this time.
 REFUSAL_MEMORY_SECONDS = 2.0
--- a/libs/gateway/vanillayoke/gateway/reservations.py
+++ b/libs/gateway/vanillayoke/gateway/reservations.py
@@ -27,14 +27,18 @@
 # How long the store may take on behalf of another instance.
 COORDINATOR_TIMEOUT_SECONDS = 2.5
 # How long after joining this instance asks the former coordinators of
-# programs for their tokens.
+# programs for their tokens. Programs that were running at that time have ended
+# or reserved here by then.
 JOIN_PERIOD_SECONDS = 20.0
-# How long a turn waits for a grant before it proceeds on credit.
+# How long a turn waits for a grant before it proceeds on credit. A healthy
+# store responds within some ten milliseconds.
 CREDIT_TIMEOUT_SECONDS = 0.1
-# Programs whose credit is recorded concurrently.
+# Programs whose credit is recorded concurrently. Each coordinator gives credit
+# to a few programs, but all of them write when the store recovers.
 MAX_CREDIT_WRITES = 10
 # Rounds of collecting tokens from other instances for one turn.
 MAX_COLLECTION_ROUNDS = 4
+# A coordinator gets some ten turns a second, and programs last for seconds.
 MAX_RECENT_KEYS = 2000
 # Interval of the check that the event loop is running.
 TICK_INTERVAL_SECONDS = 0.25
--- a/libs/gateway/vanillayoke/gateway/retries.py
+++ b/libs/gateway/vanillayoke/gateway/retries.py
@@ -4,6 +4,8 @@
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import store as store_module
 
+# The first pause outlasts a short refusal; the longest one limits the load on
+# a store that recovers.
 INITIAL_BACKOFF_SECONDS = 0.02
 MAX_BACKOFF_SECONDS = 0.4
 # The timeout of an attempt made shortly before the deadline.
--- a/libs/gateway/vanillayoke/gateway/token_transfers.py
+++ b/libs/gateway/vanillayoke/gateway/token_transfers.py
@@ -20,6 +20,8 @@
 # row, in order of their scores: a stopping instance transfers its tokens to
 # the highest-ranked instance that it knows.
 MAX_RANKED_HOLDERS = 2
+# Most holders respond within milliseconds. One that is unresponsive counts as
+# failed after two seconds.
 COLLECT_TIMEOUT_SECONDS = 0.5
 # A holder may have to read the store before it responds.
 RESPONSE_TIMEOUT_SECONDS = 1.0
@@ -29,10 +31,13 @@
 HAND_OVER_TIMEOUT_SECONDS = 0.3
 # Delay before an empty search is repeated, since tokens may be in transit.
 CONFIRMATION_DELAY_SECONDS = 0.15
-# How long an empty search is valid.
+# How long an empty search is valid. A program in a loop sends some ten
+# requests a second.
 SEARCH_VALIDITY_SECONDS = 0.5
 MAX_SEARCHES = 1000
 # Programs for which receivers of tokens are remembered, and receivers of each.
+# A stopping instance has some hundred programs and responds for some seconds
+# more, in which a program has few coordinators.
 MAX_TRANSFERRED_PROGRAMS = 2000
 MAX_RECEIVERS = 4
 
--- a/libs/gateway/vanillayoke/gateway/unary.py
+++ b/libs/gateway/vanillayoke/gateway/unary.py
@@ -19,7 +19,9 @@
 _DROPPED = frozenset((b'content-length',))
 # The timeout of an attempt on a safe route is the longest of: a multiple of
 # the typical latency, a part of the request's time limit, and a minimum. It
-# leaves the caller time to retry.
+# leaves the caller time to retry, and a target that is four times slower than
+# usual is still waited for. Routes with a time limit of about the minimum end
+# by that limit: their requests may take longer although the target is healthy.
 TIMEOUT_LATENCY_FACTOR = 10.0
 TIMEOUT_LIMIT_RATIO = 0.35
 MIN_TIMEOUT_SECONDS = 0.5
--- a/libs/programs/vanillayoke/programs/grants.py
+++ b/libs/programs/vanillayoke/programs/grants.py
@@ -11,11 +11,15 @@
 import msgspec
 
 # The share of the budget that one grant takes; a program loses at most this
-# share when an instance fails.
+# share when an instance fails. Most programs use less than half of their
+# budget and need two grants.
 GRANT_RATIO = 0.25
-# The share of the budget that a coordinator may give on credit while the
-# store is unavailable; at least one turn.
+# The share of the budget that a coordinator may give on credit while the store
+# is unavailable; at least one turn. It equals one grant, so that the
+# loss with a failed coordinator is the same for grants and credit.
 CREDIT_RATIO = 0.25
+# Holders named by a row. A program has one coordinator at a time; while many
+# instances start, some five of a hundred rank highest in turn.
 MAX_HOLDERS = 16
 
 
--- a/libs/scheduling/vanillayoke/scheduling/health.py
+++ b/libs/scheduling/vanillayoke/scheduling/health.py
@@ -4,7 +4,8 @@
 has the lowest load and so attracts more of them.
 """
 
-# Weight of the newest outcome in the moving average of failures.
+# Weight of the newest outcome in the moving average of failures. Two failures
+# in a row make a target unhealthy; one among successes does not.
 OUTCOME_WEIGHT = 0.3
 UNHEALTHY_FAILURE_RATIO = 0.45
 HEALTHY_FAILURE_RATIO = 0.2
--- a/libs/scheduling/vanillayoke/scheduling/intake.py
+++ b/libs/scheduling/vanillayoke/scheduling/intake.py
@@ -19,7 +19,9 @@
 _CERTAIN_WAIT_RATIO = 0.4
 """Share of the estimated wait that counts for refusals of waiting programs.
 
-The estimate is uncertain and the backlog may shrink.
+The estimate is uncertain and the backlog may shrink. At 0.6 and above,
+programs were refused that would have ended in time; at 0, many waited in
+vain.
 """
 
 _START_CHARGE_SECONDS = 0.1
--- a/libs/scheduling/vanillayoke/scheduling/load_counts.py
+++ b/libs/scheduling/vanillayoke/scheduling/load_counts.py
@@ -11,7 +11,9 @@
 
 # Load reports cover requests whose start was sent to a previous coordinator.
 REPORT_HALF_LIFE_SECONDS = 0.2
-# Weight of the newest request in the moving average of latency ratios.
+# Weight of the newest request in the moving average of latency ratios. Some
+# ten requests distinguish a target that is four times slower from one that had
+# a few long requests.
 LATENCY_RATIO_WEIGHT = 0.1
 # Without requests the latency ratio decays towards 1, so that a slow target
 # is tried again.
--- a/libs/scheduling/vanillayoke/scheduling/occupancy.py
+++ b/libs/scheduling/vanillayoke/scheduling/occupancy.py
@@ -16,7 +16,8 @@
 REPORT_HALF_LIFE_SECONDS = 0.5
 SHED_PAUSE_SECONDS = 0.05
 # A single failure within this time of a success is not reported to other
-# instances.
+# instances: one lost response among good ones does not make a target
+# unhealthy.
 RECENT_SUCCESS_SECONDS = 2.0
 
 
@@ -214,13 +215,17 @@
 
 
 # Subtracted from the score of the target with the session's cache. Scores are
-# in requests per slot; the lowest score wins.
+# in requests per slot; the lowest score wins. Processing the session's history
+# again takes about the time of that much queueing.
 AFFINITY_BONUS = 0.25
+# Traffic between zones costs.
 LOCAL_ZONE_BONUS = 0.08
 # Remote targets are considered if other requests slow the best local one
-# down by more than this.
+# down by more than this. They have to be faster by about as much to make up
+# for the traffic between zones and the queries.
 MAX_LOCAL_SLOWDOWN_RATIO = 0.25
-# Below this utilisation no request waits for a slot.
+# Below this utilisation no request waits for a slot. What other requests cost
+# there is covered by the slope, which is learned.
 LOW_UTILISATION = 0.4
 # If a smaller share of the targets is healthy, health is ignored.
 MIN_HEALTHY_RATIO = 0.5
--- a/libs/scheduling/vanillayoke/scheduling/outages.py
+++ b/libs/scheduling/vanillayoke/scheduling/outages.py
@@ -13,11 +13,14 @@
 import typing
 
 # A turn waits only if the store returns in time with at least this
-# probability.
+# probability. A refusal uses up one of the caller's few attempts as well, so
+# that waiting pays even if its success is unlikely. With 0.25, long programs
+# with seconds left were given up in the seventh second of an outage that ended
+# then.
 MIN_RETURN_PROBABILITY = 0.1
 # The estimate by age weighs as much as this many previous outages.
 AGE_ESTIMATE_WEIGHT = 2.0
-# Share of the caller's remaining time.
+# Share of the caller's remaining time. Callers ignore a longer pause.
 MAX_PAUSE_RATIO = 0.32
 # For callers whose remaining time is too short to be served: their next
 # attempt can wait for the store.
--- a/libs/scheduling/vanillayoke/scheduling/policies.py
+++ b/libs/scheduling/vanillayoke/scheduling/policies.py
@@ -32,7 +32,7 @@
 
     With ``most_first``, started programs end sooner and release their memory.
     Otherwise short programs are favoured, but long ones occupy memory for
-    longer.
+    longer, and in the bench all programs waited longer to start.
     """
 
     most_first: bool = True
@@ -62,7 +62,8 @@
     """Export a cached prefix if a tool call is expected to take long.
 
     This happens only if other programs need the memory. Without ``exports``,
-    for engines that do not support it, the prefix is released instead.
+    for engines that do not support it, the prefix is released instead. In the
+    bench that is worse than to leave it to the engine's own eviction.
     """
 
     exports: bool = True
--- a/libs/scheduling/vanillayoke/scheduling/prefixes.py
+++ b/libs/scheduling/vanillayoke/scheduling/prefixes.py
@@ -16,9 +16,13 @@
 
 RETENTION_SECONDS = 20.0
 # Cost of one rank if the recent prefixes would fill the whole cache, relative
-# to the duration of a turn on an idle target.
+# to the duration of a turn on an idle target. Reading a prefix takes about
+# half as long as its response, and all requests of the engine wait for it.
+# With half this cost, further engines read prefixes that the first one had
+# room for.
 MAX_RANK_COST = 0.6
-# In the same unit as the rank cost.
+# In the same unit as the rank cost. Without the cached prompt the target has
+# to read it again, which displaces others from its cache.
 MAX_AFFINITY_VALUE = 1.0
 # Higher ranks cost the same.
 MAX_RANK = 3
--- a/libs/scheduling/vanillayoke/scheduling/quotas.py
+++ b/libs/scheduling/vanillayoke/scheduling/quotas.py
@@ -18,7 +18,8 @@
 # A slice counts until it has left the window completely, so that the count is
 # never too low.
 SLICES_PER_WINDOW = 50
-# A program without requests for this time has no expected requests.
+# A program without requests for this time has no expected requests. Pauses
+# between the requests of a program are far shorter.
 PROGRAM_IDLE_SECONDS = 2.0
 # A program counts as running for this time after its last request: it may be
 # waiting for an outage to end.
@@ -27,7 +28,8 @@
 INITIAL_PROGRAM_SECONDS = 1.5
 LEARNING_RATE = 0.1
 # A program is expected to send at least this share of the requests that it
-# has already sent.
+# has already sent. How long one goes on that has exceeded the average can't be
+# known.
 MIN_EXPECTED_RATIO = 0.25
 # Programs with more requests than this, both relative to the average and in
 # total, may be in an endless loop. Other programs take precedence over them.
--- a/libs/scheduling/vanillayoke/scheduling/shared_health.py
+++ b/libs/scheduling/vanillayoke/scheduling/shared_health.py
@@ -19,9 +19,11 @@
 # Reports have to reach the quorum within this time: healthy targets also fail
 # single requests.
 QUORUM_WINDOW_SECONDS = 1.5
-# On average, over all instances together.
+# On average, over all instances together. Each probe costs a request while the
+# target is unhealthy, and a recovered target is idle for about this time.
 PROBE_INTERVAL_SECONDS = 0.5
-# Consecutive successful requests of one instance that end an episode.
+# Consecutive successful requests of one instance that end an episode. A target
+# that fails every second request must not count as healthy.
 MIN_SUCCESSFUL_PROBES = 2
 
 
--- a/libs/scheduling/vanillayoke/scheduling/slowdown.py
+++ b/libs/scheduling/vanillayoke/scheduling/slowdown.py
@@ -1,11 +1,14 @@
 """How much a target slows down with the number of its requests.
 
 Engines with many slots can become several times slower long before all slots
-are used. The slope differs between engines and is therefore learned from the
-time between events of a response and the target's load.
+are used. By used slots alone, all targets below half full would look alike and
+requests would pile up at the nearest ones. The slope differs between engines
+and is therefore learned from the time between events of a response and the
+target's load.
 """
 
-# Weight of all earlier samples relative to a new one.
+# Weight of all earlier samples relative to a new one: about the last hundred
+# samples count.
 DECAY_FACTOR = 0.99
 # Initial estimate of the relative slowdown of a full target, and its weight
 # in samples.
--- a/libs/scheduling/vanillayoke/scheduling/urgency.py
+++ b/libs/scheduling/vanillayoke/scheduling/urgency.py
@@ -12,10 +12,12 @@
 DEFAULT_LEVEL = 5
 LATE_LEVEL = 8
 # Upper bounds of the slack for each level from BASE_LEVEL on. There are few
-# levels, since preempted requests have to process their prompts again.
+# levels, since preempted requests have to process their prompts again: with
+# seven levels as many programs ended in time, with a third more preemptions.
 SLACK_BOUNDS_SECONDS = (0.4, 1.6)
 BASE_LEVEL = 4
-# Programs that are overdue by more of their time limit get the lowest level.
+# Programs that are overdue by more of their time limit get the lowest level:
+# their results are of no more use.
 MAX_OVERDUE_RATIO = 1.0
 # Slack is multiplied by this factor for each step of lower priority.
 PRIORITY_FACTOR = 1.5
--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -13,15 +13,19 @@
 from vanillayoke.core import memory as memory_module
 from vanillayoke.transport import headers as headers_module
 
-# Used for servers that send no Keep-Alive timeout. A request sent while the
-# server closes its idle connection is lost.
+# Used for servers that send no Keep-Alive timeout. Servers close idle
+# connections after seconds; a request sent while its connection is being
+# closed is lost.
 DEFAULT_KEEP_ALIVE_SECONDS = 2.0
 # Subtracted from the server's Keep-Alive timeout, which starts earlier than
 # the client's: when the server sends its last byte.
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
 # Requests that must not run twice may use a connection that has been idle for
-# up to this part of the server's Keep-Alive timeout.
+# up to this part of the server's Keep-Alive timeout: long before its end, the
+# server does not close the connection while a request is in transit.
 UNSAFE_KEEP_ALIVE_RATIO = 0.5
+# Ends connections whose sent data is not acknowledged, as after a network
+# failure that closes no connection.
 TCP_USER_TIMEOUT_MS = 2000
 
 
