Admitted a returning program whose kind had not arrived at the instance.

A program that was refused at one instance returned to another where no program of its priority had arrived, or to the same one after its organisation had become hot. It is not counted again as an arrival, so the lookup of its kind raised KeyError while the share was 1 and the service was still refusing, and the request failed with an internal error.

It is now admitted in that case. The new test raised KeyError before and passes now, as do the other tests of tests.scheduling.test_program_admission.

--- a/libs/scheduling/vanillayoke/scheduling/program_admission.py
+++ b/libs/scheduling/vanillayoke/scheduling/program_admission.py
@@ -641,7 +641,11 @@
 
     def take(self, program: NewProgram, share: float) -> bool:
         """Return whether the next program is within the share."""
-        kind = self._kinds[_get_level(program)]
+        kind = self._kinds.get(_get_level(program))
+        if kind is None:
+            # The program was refused at another instance, and none of its kind
+            # has arrived at this one yet.
+            return share >= 1.0
         kind.rest += share
         if kind.rest < 1.0:
             return False
--- a/tests/scheduling/test_program_admission.py
+++ b/tests/scheduling/test_program_admission.py
@@ -447,4 +447,19 @@
     case.assertAlmostEqual(first, second, delta=0.2 * second)
 
 
+def test_returning_program_of_a_kind_that_never_arrived_here(case):
+    """It was refused elsewhere; while all are admitted it was an error."""
+    admission = _make_admission()
+    capacity = admission.get_capacity(SERVICE)
+    for requests in (1.2, 0.9, 0.8):
+        at = 10.0 - requests
+        admission.update(SERVICE, _make_load(requests * SLOTS, at), at)
+    case.assertTrue(capacity.is_refusing)
+    case.assertEqual(1.0, capacity.share)
+    returning = NEW._replace(waited=0.5)
+    admission.record_arrival(SERVICE, returning, 9.2, 0.0)
+    decision = admission.decide(SERVICE, returning, 9.2)
+    case.assertIsInstance(decision, program_admission.Admitted)
+
+
 load_tests = fixtures.adapt(__name__)
