Admitted programs under way at a coordinator that had been cut off.

An instance that was regarded as failed, by a partition or because it stood still, became the coordinator of its programs again when the others noticed that it had recovered. Programs that had meanwhile begun at another coordinator were unknown to it, so on routes without history their later turns were taken for first turns and refused with 503.

The membership raises an instance's incarnation when others had regarded it as failed. After that, as after a restart, the coordinator reports programs it does not know as possibly begun for 10 s.

--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -360,6 +360,7 @@
             self._reservations,
             self._limits,
             lambda: self._members.list_eligible(),
+            lambda: self._members.incarnation,
             self._timers,
             self._rng.random,
             self._log,
--- a/libs/gateway/vanillayoke/gateway/program_admission.py
+++ b/libs/gateway/vanillayoke/gateway/program_admission.py
@@ -49,7 +49,10 @@
 
 
 class ProgramAdmission:
-    """Admits the programs that arrive at this instance."""
+    """Admits the programs that arrive at this instance.
+
+    ``get_incarnation`` returns this instance's incarnation in the membership.
+    """
 
     def __init__(
         self,
@@ -58,6 +61,7 @@
         reservations: reservations_module.Reservations,
         limits: limits_module.Limits,
         list_eligible: rendezvous.ListPeers,
+        get_incarnation: typing.Callable[[], int],
         timer_service: timers.TimerService,
         random_float: typing.Callable[[], float],
         log: logs.Logger,
@@ -67,11 +71,11 @@
         settings = get_settings()
         self._instance = settings.instance
         self._zone = settings.zone
-        self._is_first_start = settings.is_first_start
         self._zone_loads = zone_loads
         self._reservations = reservations
         self._limits = limits
         self._list_eligible = list_eligible
+        self._get_incarnation = get_incarnation
         self._timers = timer_service
         self._random_float = random_float
         self._log = log
@@ -86,7 +90,14 @@
         )
         # Programs that were refused, of those that this instance coordinates.
         self._refused = program_admission.RefusedPrograms()
-        self._started_at = timer_service.now()
+        # Until when programs may be under way that began at another
+        # coordinator, whose successor this instance is.
+        self._uncertain_until = -math.inf
+        if not settings.is_first_start:
+            self._uncertain_until = (
+                timer_service.now() + FORMER_COORDINATOR_SECONDS
+            )
+        self._incarnation: int | None = None
         self._eligible: typing.Sequence[rendezvous.Peer] = ()
         # When instances that may have been coordinators were removed.
         self._removed: dict[str, float] = {}
@@ -314,14 +325,21 @@
         own_name = self._instance
         if coordinator is None or coordinator.instance != own_name:
             return False
-        is_new = now - self._started_at < FORMER_COORDINATOR_SECONDS
-        if is_new and not self._is_first_start:
+        if now < self._uncertain_until:
             return False
         candidates = (own_name, *self._removed)
         return rendezvous.find_highest(name, candidates) == own_name
 
     def _update_members(self, now: float) -> None:
-        """Note which instances can no longer be coordinators."""
+        """Note which instances can no longer be coordinators.
+
+        A new incarnation of this instance means that others had regarded it
+        as failed, so that programs began at other coordinators.
+        """
+        incarnation = self._get_incarnation()
+        if self._incarnation not in (None, incarnation):
+            self._uncertain_until = now + FORMER_COORDINATOR_SECONDS
+        self._incarnation = incarnation
         eligible = self._list_eligible()
         if eligible is not self._eligible:
             current = {peer.instance for peer in eligible}
--- a/tests/gateway/test_program_admission.py
+++ b/tests/gateway/test_program_admission.py
@@ -227,6 +227,35 @@
         case.assertEqual(200, response.status)
 
 
+async def test_coordinator_that_was_cut_off_does_not_refuse_programs(
+    case, controlled_site, network
+):
+    """While it was regarded as failed, programs began at another one."""
+    site = await controlled_site()
+    programs = [
+        name
+        for number in range(200)
+        if site_fixtures.rank_coordinators(name := f'old{number}', INSTANCES)
+        == ['i1', 'i2', 'i3']
+    ]
+    hosts = [site.instances[name].settings.ip for name in INSTANCES]
+    for host in hosts[1:]:
+        network.block_path(hosts[0], host)
+    await asyncio.sleep(4.0)
+    for program in programs:
+        await site.turn('i2', f'r-{program}', program=program, route='plan')
+    network.restore_paths()
+    await asyncio.sleep(1.0)
+    await overload(site)
+    eligible = site.instances['i3']._members.list_eligible()
+    case.assertEqual(len(INSTANCES), len(eligible))
+    for program in programs:
+        response = await site.turn(
+            'i3', f'r-{program}-2', program=program, route='plan'
+        )
+        case.assertEqual(200, response.status)
+
+
 async def test_refused_program_is_admitted_when_it_returns(
     case, controlled_site
 ):
