Left out the priority of usage records where it is unset.

The records in a usage report had a fifth field, null where priorities are not used, so the reports of deployments without overload control differed from those of the former version and were longer by a byte for each record. Only the fields of the message itself were left out, not those of its records.

The new test compares the bytes with the former message; it failed before and passes now.

--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -333,6 +333,7 @@
 _FIRST_NEW_FIELDS = {
     LoadResponse: 'waiting',
     RequestEnded: 'performance',
+    UsageRecord: 'priority',
     UsageReport: 'priority',
     LimitStatus: 'urgent',
 }
@@ -353,6 +354,9 @@
     A message without new fields is the same as before they existed. Structs
     that are encoded as arrays do not omit defaults by themselves.
     """
+    if isinstance(message, UsageReport):
+        records = tuple(omit_defaults(record) for record in message.records)
+        message = msgspec.structs.replace(message, records=records)
     count = 0
     for field in _list_new_fields(type(message)):
         if getattr(message, field.name) != field.default:
@@ -361,7 +365,9 @@
     if not count:
         return message
     values = msgspec.structs.astuple(message)
-    return (message.__struct_config__.tag, *values[:-count])
+    tag = message.__struct_config__.tag
+    tags = () if tag is None else (tag,)
+    return (*tags, *values[:-count])
 
 
 Request = (
--- a/tests/gateway/test_limit_priorities.py
+++ b/tests/gateway/test_limit_priorities.py
@@ -124,4 +124,26 @@
     case.assertEqual(0, decoded.urgent)
 
 
+def test_reports_without_priorities_are_those_of_the_former_version(case):
+    """Each record had a field more where priorities are not used."""
+    limit = quotas.Limit(10.0, 1.0, 3.0, test_limits.WINDOW)
+    records = (
+        peer_messages.UsageRecord(5, 'p', 'r', 1),
+        peer_messages.UsageRecord(6, 'q', 'r', -1),
+    )
+    report = peer_messages.UsageReport('red', 'x', limit, 2, records)
+    former = ['L', 'red', 'x', limit, 2]
+    former += [[[5, 'p', 'r', 1], [6, 'q', 'r', -1]], False, False, None]
+    sent = msgspec.msgpack.encode(peer_messages.omit_defaults(report))
+    case.assertEqual(msgspec.msgpack.encode(former), sent)
+    for priority in (None, 2):
+        record = peer_messages.UsageRecord(7, 's', 'r', 1, 2)
+        report = peer_messages.UsageReport(
+            'red', 'x', limit, 2, (*records, record), priority=priority
+        )
+        sent = msgspec.msgpack.encode(peer_messages.omit_defaults(report))
+        received = msgspec.msgpack.decode(sent, type=peer_messages.UsageReport)
+        case.assertEqual(report, received)
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
