Asked a second instance whether a program had begun.

A first turn reserves at the second instance in rank if the program's coordinator does not respond to it, for example when the path between two instances fails or the coordinator stands still. The coordinator then did not know the program, and on routes without history its later turns that arrived at other instances were taken for first turns and refused with 503.

Before a program is refused, the second instance in rank is now asked at the same time as the coordinator; the turn is admitted if either knows the program. While programs are refused this costs one more request for each turn without a previous turn, at any number of instances. The new test got 503 for a second turn before and 200 for all now.

--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -291,9 +291,14 @@
 
 
 class ProgramQuery(msgspec.Struct, frozen=True, array_like=True, tag='V'):
-    """Ask a program's coordinator whether it has begun."""
+    """Ask a program's coordinator whether it has begun.
+
+    ``is_second`` is set for the second instance in rank, where turns reserve
+    if the coordinator does not respond.
+    """
 
     program: str
+    is_second: bool = False
 
 
 class ProgramStatus(msgspec.Struct, frozen=True, array_like=True, tag='W'):
--- a/libs/gateway/vanillayoke/gateway/program_admission.py
+++ b/libs/gateway/vanillayoke/gateway/program_admission.py
@@ -7,6 +7,7 @@
 it does not respond or can't know, the turn is admitted.
 """
 
+import asyncio
 import collections
 import math
 import typing
@@ -162,11 +163,16 @@
     def handle_query(
         self, query: peer_messages.ProgramQuery
     ) -> peer_messages.ProgramStatus:
-        """Return what is known of a program that this instance coordinates."""
+        """Return what is known of a program that this instance coordinates.
+
+        Of a program of another coordinator, only return whether it has begun.
+        """
         now = self._timers.now()
         name = query.program
         if self._reservations.is_begun(name):
             return peer_messages.ProgramStatus(True)
+        if query.is_second:
+            return peer_messages.ProgramStatus(False)
         if not self._knows_programs_like(name, now):
             return peer_messages.ProgramStatus(True)
         known = self._refused.find(name, now)
@@ -280,15 +286,32 @@
     # The coordinator of a program
 
     async def _query(self, name: str) -> peer_messages.ProgramStatus | None:
-        """Ask a program's coordinator; return ``None`` if it is silent."""
-        query = peer_messages.ProgramQuery(name)
-        coordinator = self._find_coordinator(name)
-        if coordinator is None:
-            return None
-        if coordinator.instance == self._instance:
+        """Ask a program's coordinator; return ``None`` if it is silent.
+
+        The second instance in rank is asked as well: turns reserve there if
+        the coordinator does not respond to them.
+        """
+        ranked = rendezvous.list_highest(name, self._list_eligible(), 2)
+        statuses = await asyncio.gather(
+            *(
+                self._query_instance(
+                    peer, peer_messages.ProgramQuery(name, rank > 0)
+                )
+                for rank, peer in enumerate(ranked)
+            )
+        )
+        for status in statuses:
+            if status is not None and status.is_begun:
+                return status
+        return statuses[0] if statuses else None
+
+    async def _query_instance(
+        self, peer: rendezvous.Peer, query: peer_messages.ProgramQuery
+    ) -> peer_messages.ProgramStatus | None:
+        if peer.instance == self._instance:
             return self.handle_query(query)
         response = await self._peers.send_request(
-            coordinator.address,
+            peer.address,
             query,
             self._timers.now() + sum(QUERY_TIMEOUTS_SECONDS),
             QUERY_TIMEOUTS_SECONDS,
--- a/tests/gateway/test_program_admission.py
+++ b/tests/gateway/test_program_admission.py
@@ -256,6 +256,30 @@
         case.assertEqual(200, response.status)
 
 
+async def test_program_that_began_without_its_coordinator_is_not_refused(
+    case, controlled_site, network
+):
+    """Its first turn reserved at the next one in the order of preference."""
+    site = await controlled_site()
+    programs = [
+        name
+        for number in range(200)
+        if site_fixtures.rank_coordinators(name := f'old{number}', INSTANCES)
+        == ['i1', 'i2', 'i3']
+    ]
+    hosts = [site.instances[name].settings.ip for name in INSTANCES]
+    network.block_path(hosts[0], hosts[1])
+    for program in programs:
+        await site.turn('i2', f'r-{program}', program=program, route='plan')
+    network.restore_paths()
+    await overload(site)
+    for program in programs:
+        response = await site.turn(
+            'i3', f'r-{program}-2', program=program, route='plan'
+        )
+        case.assertEqual(200, response.status)
+
+
 async def test_refused_program_is_admitted_when_it_returns(
     case, controlled_site
 ):
