Admitted returning programs of all kinds while there is capacity.

While a service was still refusing but could take all programs, the share of a less urgent kind was computed as what the more urgent ones leave, which rounding made slightly smaller than 1. Programs that were refused without a promise are admitted again only at a share of 1, so they were refused although there was capacity.

The share is now exactly 1 in that case.

--- a/libs/scheduling/vanillayoke/scheduling/program_admission.py
+++ b/libs/scheduling/vanillayoke/scheduling/program_admission.py
@@ -578,8 +578,12 @@
             target = TARGET_UTILISATION
             if not number and len(rates) > 1:
                 target = URGENT_TARGET_UTILISATION
-            left = self.capacity.get_share(target) * total - admitted
-            share = min(1.0, max(MIN_SHARE, left / rate))
+            share = self.capacity.get_share(target)
+            # Rounding must not leave a share slightly below 1, at which
+            # returning programs are refused.
+            if share < 1.0:
+                left = share * total - admitted
+                share = min(1.0, max(MIN_SHARE, left / rate))
             self._level_shares[level] = share
             admitted += share * rate
         if total:
--- a/tests/scheduling/test_program_admission.py
+++ b/tests/scheduling/test_program_admission.py
@@ -462,4 +462,27 @@
     case.assertIsInstance(decision, program_admission.Admitted)
 
 
+def test_returning_programs_of_all_kinds_are_admitted_with_capacity(case):
+    """Rounding left the share of less urgent kinds slightly below 1."""
+    refused = 0
+    for seed in range(50):
+        rng = random.Random(seed)
+        admission = _make_admission()
+        capacity = admission.get_capacity(SERVICE)
+        at = 8.8
+        for priority in (0, 1, 2):
+            program = NEW._replace(priority=priority)
+            for _ in range(5):
+                at += rng.uniform(0.0, 0.01)
+                admission.record_arrival(SERVICE, program, at, 0.0)
+        for requests in (1.2, 0.9, 0.8):
+            at = 10.2 - requests
+            admission.update(SERVICE, _make_load(requests * SLOTS, at), at)
+        case.assertTrue(capacity.is_refusing)
+        returning = NEW._replace(priority=2, waited=0.5)
+        decision = admission.decide(SERVICE, returning, at)
+        refused += isinstance(decision, program_admission.Refused)
+    case.assertEqual(0, refused)
+
+
 load_tests = fixtures.adapt(__name__)
