Scaled the estimated rate of programs with the number of slots.

The rate of arriving programs is averaged in units of all slots. When targets failed or returned, the average of the former number of slots was kept, so after a return it was too high for some seconds and programs were refused while there was capacity, and after a failure it was too low.

In the new test two thirds of the targets return after an overload, with .6 requests per slot measured from then on.

--- a/libs/scheduling/vanillayoke/scheduling/program_admission.py
+++ b/libs/scheduling/vanillayoke/scheduling/program_admission.py
@@ -329,11 +329,13 @@
     def _get_arrival_rate(self) -> float | None:
         """Return the slots per second that arriving programs would occupy.
 
-        Return ``None`` if there is only one load so far.
+        It is in units of all present slots. Return ``None`` if there is only
+        one load so far.
         """
         if not self._admitted_share:
             return None
-        return self._admitted_rate / self._admitted_share
+        rate = self._admitted_rate / self._admitted_share
+        return rate * self._compared.slots / self._sample.slots
 
     def _learn_arrivals(self, sample: _Sample, program_seconds: float) -> None:
         previous = self._compared
@@ -345,6 +347,7 @@
             return
         self._compared = sample
         # Compared at the present number of slots: targets may have failed.
+        self._admitted_rate *= previous.slots / sample.slots
         before = min(MAX_UTILISATION, previous.requests / sample.slots)
         after = sample.utilisation
         ended = _compute_end_rate((before + after) / 2, program_seconds)
--- a/tests/scheduling/test_program_admission.py
+++ b/tests/scheduling/test_program_admission.py
@@ -485,4 +485,28 @@
     case.assertEqual(0, refused)
 
 
+def _update_capacity(capacity, utilisations, seconds, now, slots=SLOTS):
+    """Report a load every .5 s; yield the time of each update."""
+    for utilisation in utilisations:
+        now += 0.5
+        loads = _make_load(utilisation * slots, now, slots)
+        capacity.update(loads, seconds, now + 0.35)
+        yield now
+        share = capacity.get_share(program_admission.TARGET_UTILISATION)
+        capacity.record_share(share, now + 0.35)
+
+
+def test_returned_targets_are_not_mistaken_for_more_programs(case):
+    """Two thirds of the targets had failed and return.
+
+    The rate of programs is relative to the number of slots.
+    """
+    capacity = program_admission.ServiceCapacity()
+    times = _update_capacity(capacity, [1.2] * 100, 1.5, 0.0, SLOTS // 3)
+    now = list(times)[-1]
+    case.assertLess(capacity.share, 0.5)
+    for _ in _update_capacity(capacity, [0.6] * 6, 1.5, now):
+        case.assertFalse(capacity.is_refusing, capacity.utilisation)
+
+
 load_tests = fixtures.adapt(__name__)
