Split the admission of programs into modules with one job each.

The demand of programs, the capacity of a service, the arrivals at one instance and the refused programs now have modules of their own; what is left decides.

--- a/libs/gateway/vanillayoke/gateway/program_admission.py
+++ b/libs/gateway/vanillayoke/gateway/program_admission.py
@@ -25,6 +25,8 @@
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import zone_loads as zone_loads_module
 from vanillayoke.scheduling import program_admission
+from vanillayoke.scheduling import program_demand
+from vanillayoke.scheduling import refused_programs
 
 # How long each of two copies of a query waits. Instances are busy while
 # programs are refused, and a turn is admitted without a response.
@@ -82,7 +84,7 @@
         self._log = log
         self._metrics = metrics
         self._peers: peers_module.Peers | None = None
-        self._demands = program_admission.DemandModel()
+        self._demands = program_demand.DemandModel()
         self._admission = program_admission.ProgramAdmission(self._demands)
         self._services: set[str] = set()
         # Programs that this instance has admitted.
@@ -90,7 +92,7 @@
             collections.OrderedDict()
         )
         # Programs that were refused, of those that this instance coordinates.
-        self._refused = program_admission.RefusedPrograms()
+        self._refused = refused_programs.RefusedPrograms()
         # Until when programs may be under way that began at another
         # coordinator, whose successor this instance is.
         self._uncertain_until = -math.inf
@@ -227,9 +229,9 @@
         is_known = name in self._begun or self._reservations.is_begun(name)
         return None if is_known else name
 
-    def _make_program(self, arrival: Arrival) -> program_admission.NewProgram:
+    def _make_program(self, arrival: Arrival) -> program_demand.NewProgram:
         organisation = arrival.organisation
-        return program_admission.NewProgram(
+        return program_demand.NewProgram(
             arrival.route.name,
             arrival.priority,
             arrival.call.program.time_left,
@@ -242,7 +244,7 @@
         self,
         arrival: Arrival,
         name: str,
-        program: program_admission.NewProgram,
+        program: program_demand.NewProgram,
         decision: program_admission.Refused,
     ) -> None:
         """Report a refusal, and raise ``RefusalError``."""
--- a/tests/scheduling/test_program_admission.py
+++ b/tests/scheduling/test_program_admission.py
@@ -13,6 +13,10 @@
 import typing
 
 from vanillayoke.scheduling import program_admission
+from vanillayoke.scheduling import program_arrivals
+from vanillayoke.scheduling import program_demand
+from vanillayoke.scheduling import refused_programs
+from vanillayoke.scheduling import service_capacity
 from vanillayoke.scheduling import zone_loads
 from vanillayoke.testing import fixtures
 
@@ -74,15 +78,13 @@
         self.rng = random.Random(seed)
         self.get_slots = get_slots
         self.admits = admits
-        self.demands = [
-            program_admission.DemandModel() for _ in range(INSTANCES)
-        ]
+        self.demands = [program_demand.DemandModel() for _ in range(INSTANCES)]
         self.admissions = [
             program_admission.ProgramAdmission(demand)
             for demand in self.demands
         ]
         self.loads = [{} for _ in range(INSTANCES)]
-        self.refused = program_admission.RefusedPrograms()
+        self.refused = refused_programs.RefusedPrograms()
         self.queue = []
         self.busy = 0
         self.waiting = []
@@ -128,7 +130,7 @@
         index = self.rng.randrange(INSTANCES)
         admission = self.admissions[index]
         known = self.refused.find(program.name, now)
-        new = program_admission.NewProgram(
+        new = program_demand.NewProgram(
             program.kind.route,
             program.kind.priority,
             program.deadline - now,
@@ -342,7 +344,7 @@
     return now - 0.2
 
 
-NEW = program_admission.NewProgram('urgent', 0, 3.0, 3.0)
+NEW = program_demand.NewProgram('urgent', 0, 3.0, 3.0)
 
 
 def _decide(admission, now, program=NEW):
@@ -351,7 +353,7 @@
 
 
 def _make_admission():
-    return program_admission.ProgramAdmission(program_admission.DemandModel())
+    return program_admission.ProgramAdmission(program_demand.DemandModel())
 
 
 def test_nothing_is_refused_when_loads_are_missing_or_old(case):
@@ -385,7 +387,7 @@
     admission = _make_admission()
     admission.update(SERVICE, _make_load(1.3 * SLOTS, 10.0), 10.3)
     share = admission.get_capacity(SERVICE).share
-    case.assertGreater(share, program_admission.MIN_SHARE)
+    case.assertGreater(share, service_capacity.MIN_SHARE)
     case.assertLess(share, 1.0)
 
 
@@ -410,7 +412,7 @@
 
 
 def test_program_that_returns_is_admitted_before_new_ones(case):
-    refused = program_admission.RefusedPrograms()
+    refused = refused_programs.RefusedPrograms()
     refused.add('p', 10.4, 10.0)
     case.assertIsNone(refused.find('q', 10.1))
     case.assertAlmostEqual(0.3, refused.find('p', 10.1).wait)
@@ -423,8 +425,8 @@
 
 def test_program_that_cannot_end_in_time_is_refused_at_once(case):
     """It would take capacity from others and be late."""
-    demands = program_admission.DemandModel()
-    for _ in range(program_admission.MIN_LEARNED_PROGRAMS):
+    demands = program_demand.DemandModel()
+    for _ in range(program_demand.MIN_LEARNED_PROGRAMS):
         demands.learn_program('urgent', 4, 1.2, 0.0, 1.7)
     admission = program_admission.ProgramAdmission(demands)
     now = _overload(admission)
@@ -492,7 +494,7 @@
         loads = _make_load(utilisation * slots, now, slots)
         capacity.update(loads, seconds, now + 0.35)
         yield now
-        share = capacity.get_share(program_admission.TARGET_UTILISATION)
+        share = capacity.get_share(program_arrivals.TARGET_UTILISATION)
         capacity.record_share(share, now + 0.35)
 
 
@@ -501,7 +503,7 @@
 
     The rate of programs is relative to the number of slots.
     """
-    capacity = program_admission.ServiceCapacity()
+    capacity = service_capacity.ServiceCapacity()
     times = _update_capacity(capacity, [1.2] * 100, 1.5, 0.0, SLOTS // 3)
     now = list(times)[-1]
     case.assertLess(capacity.share, 0.5)
