Split the counts and statistics of limits from their accounts.

The counts of a sliding window, the statistics of programs and the programs that ask to start now have modules of their own; quotas keeps the limits and the accounts. No change of behaviour: the tests test_quotas and test_quota_priorities of tests.scheduling and test_limits, test_limit_priorities and test_limits_rolls of tests.gateway pass as before (48 tests).

--- a/libs/gateway/vanillayoke/gateway/limit_accounts.py
+++ b/libs/gateway/vanillayoke/gateway/limit_accounts.py
@@ -11,6 +11,7 @@
 from vanillayoke.gateway import partitions
 from vanillayoke.gateway import peer_messages
 from vanillayoke.gateway import store as store_module
+from vanillayoke.scheduling import program_statistics
 from vanillayoke.scheduling import quotas
 
 TABLE = 'limits'
@@ -76,7 +77,7 @@
         self._spawn = spawn
         self._get_lost_ratio = get_lost_ratio
         self._is_leaving = is_leaving
-        self._statistics = quotas.ProgramStatistics()
+        self._statistics = program_statistics.ProgramStatistics()
         self._entries: dict[str, _Entry] = {}
 
     def handle_request(
--- a/libs/scheduling/vanillayoke/scheduling/quotas.py
+++ b/libs/scheduling/vanillayoke/scheduling/quotas.py
@@ -15,9 +15,10 @@
 import math
 import typing
 
-# A slice counts until it has left the window completely, so that the count is
-# never too low.
-SLICES_PER_WINDOW = 50
+from vanillayoke.scheduling import program_starts
+from vanillayoke.scheduling import program_statistics
+from vanillayoke.scheduling import request_windows
+
 # A program without requests for this time has no expected requests. Pauses
 # between the requests of a program are far shorter.
 PROGRAM_IDLE_SECONDS = 2.0
@@ -29,9 +30,6 @@
 # A program counts as running for this time after its last request: it may be
 # waiting for an outage to end.
 PROGRAM_RETENTION_SECONDS = 20.0
-INITIAL_REQUESTS_PER_PROGRAM = 4.0
-INITIAL_PROGRAM_SECONDS = 1.5
-LEARNING_RATE = 0.1
 # A program is expected to send at least this share of the requests that it
 # has already sent. How long one goes on that has exceeded the average can't be
 # known.
@@ -41,7 +39,6 @@
 LOOP_FACTOR = 6.0
 MIN_LOOP_REQUESTS = 50
 MAX_PROGRAMS = 1000
-MIN_PAUSE_SECONDS = 0.05
 # An account is near its limit if the present usage, together with the usage
 # of the last RECENT_SECONDS times LOOKAHEAD_FACTOR or the expected requests of
 # its programs, exceeds this share of the limit.
@@ -51,18 +48,11 @@
 # Share of the tolerance beyond a limit that running programs may use. The
 # rest covers requests that are not counted.
 OVERRUN_RATIO = 0.4
-# Period over which the start rates of programs are measured. A kind of program
-# that has not been seen for this time has no claim on the limit.
-START_RATE_SECONDS = 5.0
 # The shortest time for which the limit has to cover more urgent programs. It
 # allows for starts that are not evenly spaced.
 MIN_LOOKAHEAD_SECONDS = 0.5
 # Points in time of the lookahead, from the next moment to a whole window.
 LOOKAHEAD_STEPS = 5
-# A less urgent kind of program is admitted at least this often relative to
-# the more urgent ones.
-MIN_ADMISSION_RATIO = 0.1
-MAX_ADMISSION_CREDIT = 1.0
 # How long after an account has come near its limit all instances have reported
 # what they admitted without asking. Before, a running program may be unknown
 # and must not be taken for a new one that is to wait for more urgent ones.
@@ -73,6 +63,8 @@
 # rest. The remainder covers requests admitted while the save is in progress.
 SAVE_RATIO = 0.6
 
+AdmissionRequest = program_starts.AdmissionRequest
+
 
 class Limit(typing.NamedTuple):
     """The number of requests allowed in a window of ``length`` seconds.
@@ -154,18 +146,6 @@
 Decision = Admitted | Refused
 
 
-class AdmissionRequest(typing.NamedTuple):
-    """The program and route of a request; '' without a program.
-
-    ``priority`` is that of the route, 0 the most urgent. It is ``None`` if the
-    request can't start a program, or if priorities are not used.
-    """
-
-    program: str
-    route: str
-    priority: int | None = None
-
-
 class _Program:
     def __init__(self, route: str, now: float) -> None:
         self.route = route
@@ -175,212 +155,6 @@
         self.is_learned = False
 
 
-class Window:
-    """Request counts in a sliding window, by reporter."""
-
-    def __init__(self, length: float) -> None:
-        self.length = length
-        self._width = length / SLICES_PER_WINDOW
-        self._totals: collections.Counter[int] = collections.Counter()
-        self._reported: dict[str, collections.Counter[int]] = {}
-        # Counts of a previous coordinator, which include those that are
-        # reported again to this one.
-        self._restored: dict[int, int] = {}
-
-    def add(self, reporter: str, at: float, count: int) -> None:
-        """Count requests at a time; a negative count withdraws some."""
-        index = int(at / self._width)
-        counts = self._reported.setdefault(reporter, collections.Counter())
-        counts[index] += count
-        self._totals[index] += count
-
-    def remove_reporter(self, reporter: str) -> None:
-        """Remove a reporter's counts before it reports all of them again."""
-        for index, count in self._reported.pop(reporter, {}).items():
-            self._totals[index] -= count
-
-    def restore(self, counts: typing.Iterable[tuple[float, int]]) -> None:
-        """Take over a previous account's times and counts of all reporters."""
-        self._restored = {}
-        for at, count in counts:
-            index = int(at / self._width)
-            self._restored[index] = self._restored.get(index, 0) + count
-
-    def count(self, now: float, last: float | None = None) -> int:
-        """Return the count of the last seconds, by default of the window."""
-        length = self.length if last is None else last
-        first = int((now - length) / self._width)
-        return sum(
-            count for index, count in self._list_counts() if index >= first
-        )
-
-    def estimate_wait(self, now: float, excess: float) -> float:
-        """Return the seconds until so many requests have left the window."""
-        for index, count in sorted(self._list_counts()):
-            excess -= count
-            if excess <= 0:
-                left = (index + 1) * self._width + self.length - now
-                return min(self.length, max(MIN_PAUSE_SECONDS, left))
-        return self.length
-
-    def list_counts(self) -> list[tuple[float, int]]:
-        """Return times and counts of the requests in the window."""
-        return [
-            (index * self._width, count)
-            for index, count in self._list_counts()
-            if count
-        ]
-
-    def prune(self, now: float) -> None:
-        """Discard counts that have left the window."""
-        first = int((now - self.length) / self._width)
-        for counts in (
-            self._totals,
-            self._restored,
-            *self._reported.values(),
-        ):
-            for index in [i for i in counts if i < first]:
-                del counts[index]
-        for reporter in [r for r, c in self._reported.items() if not c]:
-            del self._reported[reporter]
-
-    def _list_counts(self) -> typing.Iterator[tuple[int, int]]:
-        if not self._restored:
-            yield from self._totals.items()
-            return
-        for index in self._totals.keys() | self._restored.keys():
-            restored = self._restored.get(index, 0)
-            yield index, max(self._totals[index], restored)
-
-
-class ProgramStatistics:
-    """Average numbers of requests and durations of programs, by route."""
-
-    def __init__(self) -> None:
-        self._averages: dict[str, tuple[float, float]] = {}
-
-    def get(self, route: str) -> tuple[float, float]:
-        """Return a program's average number of requests and its seconds."""
-        return self._averages.get(
-            route, (INITIAL_REQUESTS_PER_PROGRAM, INITIAL_PROGRAM_SECONDS)
-        )
-
-    def learn(self, route: str, requests: float, seconds: float) -> None:
-        """Update the averages with a program that has ended."""
-        average_requests, average_seconds = self.get(route)
-        self._averages[route] = (
-            average_requests + LEARNING_RATE * (requests - average_requests),
-            average_seconds + LEARNING_RATE * (seconds - average_seconds),
-        )
-
-
-class _Start(typing.NamedTuple):
-    at: float
-    priority: int
-    route: str
-
-
-class ProgramStarts:
-    """Programs that recently asked to start, whether admitted or not.
-
-    A program that asks again is counted once.
-    """
-
-    def __init__(self) -> None:
-        self._starts: collections.OrderedDict[str, _Start] = (
-            collections.OrderedDict()
-        )
-        # Numbers of programs by priority and route.
-        self._counts: dict[int, collections.Counter[str]] = {}
-        self._admitted: collections.Counter[int] = collections.Counter()
-        self._admitted_names: set[str] = set()
-        # Admissions that a less urgent kind is owed.
-        self._credits: dict[int, float] = {}
-        self._unnamed_count = 0
-
-    @property
-    def has_several_kinds(self) -> bool:
-        """Whether programs of several priorities have asked."""
-        return len(self._counts) > 1
-
-    @property
-    def lowest_priority(self) -> int:
-        """The priority of the least urgent programs."""
-        return max(self._counts, default=0)
-
-    def add(self, request: AdmissionRequest, now: float) -> str:
-        """Count a program; return the name to report its admission with."""
-        name = request.program
-        if not name:
-            self._unnamed_count += 1
-            name = f'/{self._unnamed_count}'
-        if name in self._starts or request.priority is None:
-            return name
-        priority = request.priority
-        self._starts[name] = _Start(now, priority, request.route)
-        counts = self._counts.setdefault(priority, collections.Counter())
-        counts[request.route] += 1
-        if len(self._starts) > MAX_PROGRAMS:
-            self._remove_oldest()
-        credit = self._credits.get(priority, 0.0)
-        credit += MIN_ADMISSION_RATIO * self._get_served_ratio(priority)
-        self._credits[priority] = min(MAX_ADMISSION_CREDIT, credit)
-        return name
-
-    def record_admission(self, name: str) -> None:
-        """Record that a program was admitted."""
-        start = self._starts.get(name)
-        if start is None or name in self._admitted_names:
-            return
-        self._admitted_names.add(name)
-        self._admitted[start.priority] += 1
-        credit = self._credits.get(start.priority, 0.0)
-        self._credits[start.priority] = max(0.0, credit - 1.0)
-
-    def has_credit(self, priority: int) -> bool:
-        """Return whether a kind was admitted less often than it has to be."""
-        return self._credits.get(priority, 0.0) >= MAX_ADMISSION_CREDIT
-
-    def list_more_urgent(
-        self, priority: int
-    ) -> typing.Iterator[tuple[str, int]]:
-        """Return the routes and numbers of the more urgent programs."""
-        for other, counts in self._counts.items():
-            if other < priority:
-                yield from counts.items()
-
-    def prune(self, now: float) -> None:
-        """Forget programs that asked too long ago."""
-        while self._starts:
-            start = next(iter(self._starts.values()))
-            if now - start.at < START_RATE_SECONDS:
-                return
-            self._remove_oldest()
-
-    def _get_served_ratio(self, priority: int) -> float:
-        """Return the lowest share admitted of any more urgent kind."""
-        return min(
-            (
-                self._admitted[other] / counts.total()
-                for other, counts in self._counts.items()
-                if other < priority
-            ),
-            default=1.0,
-        )
-
-    def _remove_oldest(self) -> None:
-        name, start = self._starts.popitem(last=False)
-        counts = self._counts[start.priority]
-        counts[start.route] -= 1
-        if not counts[start.route]:
-            del counts[start.route]
-        if not counts:
-            del self._counts[start.priority]
-        if name in self._admitted_names:
-            self._admitted_names.discard(name)
-            self._admitted[start.priority] -= 1
-
-
 class Account:
     """One organisation's usage of its limit, as counted by its coordinator.
 
@@ -392,16 +166,16 @@
     def __init__(
         self,
         window: float,
-        statistics: ProgramStatistics,
+        statistics: program_statistics.ProgramStatistics,
         fades_idle_programs: bool = False,
     ) -> None:
-        self.window = Window(window)
+        self.window = request_windows.Window(window)
         self._statistics = statistics
         self._fades_idle_programs = fades_idle_programs
         self._programs: collections.OrderedDict[str, _Program] = (
             collections.OrderedDict()
         )
-        self._starts = ProgramStarts()
+        self._starts = program_starts.ProgramStarts()
         self._near_limit_since: float | None = None
         self._near_limit_at = float('-inf')
         self.limit = Limit(0.0, 0.0, 0.0, window)
@@ -570,7 +344,7 @@
         for step in range(LOOKAHEAD_STEPS + 1):
             ahead = start + (length - start) * step / LOOKAHEAD_STEPS
             period = max(MIN_LOOKAHEAD_SECONDS, ahead)
-            number = count * period / START_RATE_SECONDS
+            number = count * period / program_starts.START_RATE_SECONDS
             # Starts are random: one standard deviation more than the mean.
             arriving = average * (number + math.sqrt(number))
             usage = self.window.count(now, length - ahead) + arriving
--- a/tests/scheduling/test_quota_priorities.py
+++ b/tests/scheduling/test_quota_priorities.py
@@ -9,6 +9,8 @@
 import random
 import typing
 
+from vanillayoke.scheduling import program_starts
+from vanillayoke.scheduling import program_statistics
 from vanillayoke.scheduling import quotas
 from vanillayoke.testing import fixtures
 
@@ -60,7 +62,9 @@
 def _simulate(rates, limit_rate, has_priorities=True, seed=1, fades=False):
     """Serve programs until all have ended or were given up."""
     rng = random.Random(seed)
-    account = quotas.Account(WINDOW, quotas.ProgramStatistics(), fades)
+    account = quotas.Account(
+        WINDOW, program_statistics.ProgramStatistics(), fades
+    )
     limit = quotas.Limit.from_rate(limit_rate, 0.0, TOLERANCE)
     account.set_limit(limit, 1)
     queue = _schedule(rates, rng)
@@ -196,7 +200,9 @@
     outcome = _simulate(lambda _: (8.0, 4.0), 40.0)
     urgent, other = outcome.served
     case.assertGreater(urgent, 0.45)
-    case.assertGreater(other, 0.5 * quotas.MIN_ADMISSION_RATIO * urgent)
+    case.assertGreater(
+        other, 0.5 * program_starts.MIN_ADMISSION_RATIO * urgent
+    )
     case.assertLess(other, urgent)
 
 
@@ -218,7 +224,7 @@
 
 def _make_full_account(urgent_count):
     """Return an account near its limit, with recent urgent programs."""
-    account = quotas.Account(WINDOW, quotas.ProgramStatistics())
+    account = quotas.Account(WINDOW, program_statistics.ProgramStatistics())
     account.set_limit(quotas.Limit(100.0, 10.0, 5.0, WINDOW), 1)
     for number in range(urgent_count):
         request = quotas.AdmissionRequest(f'u{number}', 'r0', 0)
@@ -236,7 +242,7 @@
     request = quotas.AdmissionRequest('p', 'r2', 2)
     refusal = account.request_admission('i', request, 101.0)
     case.assertGreater(refusal.urgent, 0)
-    later = 101.0 + quotas.START_RATE_SECONDS
+    later = 101.0 + program_starts.START_RATE_SECONDS
     account.is_near_limit(later)
     decision = account.request_admission('i', request, later)
     case.assertEqual(quotas.Admitted(), decision)
@@ -244,7 +250,7 @@
 
 def test_program_that_began_elsewhere_is_not_taken_for_a_new_one(case):
     """Its first request was admitted at once and is not reported yet."""
-    account = quotas.Account(WINDOW, quotas.ProgramStatistics())
+    account = quotas.Account(WINDOW, program_statistics.ProgramStatistics())
     account.set_limit(quotas.Limit(100.0, 10.0, 5.0, WINDOW), 1)
     for number in range(20):
         request = quotas.AdmissionRequest(f'u{number}', 'r0', 0)
@@ -260,11 +266,11 @@
 
 def test_program_that_asks_again_counts_once(case):
     """Refused programs return several times and would raise the demand."""
-    starts = quotas.ProgramStarts()
+    starts = program_starts.ProgramStarts()
     for number in range(10):
         starts.add(quotas.AdmissionRequest('p', 'r', 0), number * 0.1)
     case.assertEqual([('r', 1)], list(starts.list_more_urgent(2)))
-    starts.prune(quotas.START_RATE_SECONDS)
+    starts.prune(program_starts.START_RATE_SECONDS)
     case.assertEqual([], list(starts.list_more_urgent(2)))
 
 
--- a/tests/scheduling/test_quotas.py
+++ b/tests/scheduling/test_quotas.py
@@ -7,11 +7,13 @@
 import hypothesis
 from hypothesis import strategies
 
+from vanillayoke.scheduling import program_statistics
 from vanillayoke.scheduling import quotas
+from vanillayoke.scheduling import request_windows
 from vanillayoke.testing import fixtures
 
 WINDOW = 5.0
-SLICE = WINDOW / quotas.SLICES_PER_WINDOW
+SLICE = WINDOW / request_windows.SLICES_PER_WINDOW
 
 
 def _limit(requests, tolerance=0.0, overrun=0.0):
@@ -19,7 +21,9 @@
 
 
 def _make(limit, statistics=None):
-    account = quotas.Account(WINDOW, statistics or quotas.ProgramStatistics())
+    account = quotas.Account(
+        WINDOW, statistics or program_statistics.ProgramStatistics()
+    )
     account.set_limit(_limit(limit), 1)
     return account
 
