Admitted new programs in full when there is capacity for returning ones.

Each returning program that is admitted takes the place of a new one. Up to four such admissions per priority were still owed when the share was 1 again, so as many new programs of an instance were refused although there was capacity for all.

At a share of 1 nothing is owed any more. In the new test the first new program after an overload was refused at a share of 1 before and four are admitted now.

--- a/libs/scheduling/vanillayoke/scheduling/program_arrivals.py
+++ b/libs/scheduling/vanillayoke/scheduling/program_arrivals.py
@@ -167,6 +167,9 @@
         if kind.rest < 1.0:
             return False
         kind.rest -= 1.0
+        if share >= 1.0:
+            # There is capacity for both.
+            kind.owed = 0
         if kind.owed:
             # A returning program was admitted in place of this one.
             kind.owed -= 1
--- a/tests/scheduling/test_program_admission.py
+++ b/tests/scheduling/test_program_admission.py
@@ -511,4 +511,20 @@
         case.assertFalse(capacity.is_refusing, capacity.utilisation)
 
 
+def test_returning_programs_do_not_displace_new_ones_with_capacity(case):
+    """Admissions of an overload were taken from new programs after it."""
+    admission = _make_admission()
+    capacity = admission.get_capacity(SERVICE)
+    admission.record_arrival(SERVICE, NEW, 8.8, 0.0)
+    for requests in (1.2, 0.9, 0.8):
+        at = 10.2 - requests
+        admission.update(SERVICE, _make_load(requests * SLOTS, at), at)
+        case.assertTrue(admission.admit_returning(SERVICE, NEW, at))
+    case.assertTrue(capacity.is_refusing)
+    case.assertEqual(1.0, capacity.share)
+    for _ in range(4):
+        decision = _decide(admission, 9.4)
+        case.assertIsInstance(decision, program_admission.Admitted)
+
+
 load_tests = fixtures.adapt(__name__)
