--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -291,9 +291,14 @@
 
 
 class ProgramQuery(msgspec.Struct, frozen=True, array_like=True, tag='V'):
-    """Ask a program's coordinator whether it has begun."""
+    """Ask a program's coordinator whether it has begun.
+
+    ``is_second`` is set for the second instance in rank, where turns reserve
+    if the coordinator does not respond.
+    """
 
     program: str
+    is_second: bool = False
 
 
 class ProgramStatus(msgspec.Struct, frozen=True, array_like=True, tag='W'):
@@ -333,6 +338,7 @@
 _FIRST_NEW_FIELDS = {
     LoadResponse: 'waiting',
     RequestEnded: 'performance',
+    UsageRecord: 'priority',
     UsageReport: 'priority',
     LimitStatus: 'urgent',
 }
@@ -353,6 +359,9 @@
     A message without new fields is the same as before they existed. Structs
     that are encoded as arrays do not omit defaults by themselves.
     """
+    if isinstance(message, UsageReport):
+        records = tuple(omit_defaults(record) for record in message.records)
+        message = msgspec.structs.replace(message, records=records)
     count = 0
     for field in _list_new_fields(type(message)):
         if getattr(message, field.name) != field.default:
@@ -361,7 +370,9 @@
     if not count:
         return message
     values = msgspec.structs.astuple(message)
-    return (message.__struct_config__.tag, *values[:-count])
+    tag = message.__struct_config__.tag
+    tags = () if tag is None else (tag,)
+    return (*tags, *values[:-count])
 
 
 Request = (
--- a/libs/gateway/vanillayoke/gateway/program_admission.py
+++ b/libs/gateway/vanillayoke/gateway/program_admission.py
@@ -7,6 +7,7 @@
 it does not respond or can't know, the turn is admitted.
 """
 
+import asyncio
 import collections
 import math
 import typing
@@ -24,6 +25,8 @@
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import zone_loads as zone_loads_module
 from vanillayoke.scheduling import program_admission
+from vanillayoke.scheduling import program_demand
+from vanillayoke.scheduling import refused_programs
 
 # How long each of two copies of a query waits. Instances are busy while
 # programs are refused, and a turn is admitted without a response.
@@ -49,7 +52,10 @@
 
 
 class ProgramAdmission:
-    """Admits the programs that arrive at this instance."""
+    """Admits the programs that arrive at this instance.
+
+    ``get_incarnation`` returns this instance's incarnation in the membership.
+    """
 
     def __init__(
         self,
@@ -58,6 +64,7 @@
         reservations: reservations_module.Reservations,
         limits: limits_module.Limits,
         list_eligible: rendezvous.ListPeers,
+        get_incarnation: typing.Callable[[], int],
         timer_service: timers.TimerService,
         random_float: typing.Callable[[], float],
         log: logs.Logger,
@@ -67,17 +74,17 @@
         settings = get_settings()
         self._instance = settings.instance
         self._zone = settings.zone
-        self._is_first_start = settings.is_first_start
         self._zone_loads = zone_loads
         self._reservations = reservations
         self._limits = limits
         self._list_eligible = list_eligible
+        self._get_incarnation = get_incarnation
         self._timers = timer_service
         self._random_float = random_float
         self._log = log
         self._metrics = metrics
         self._peers: peers_module.Peers | None = None
-        self._demands = program_admission.DemandModel()
+        self._demands = program_demand.DemandModel()
         self._admission = program_admission.ProgramAdmission(self._demands)
         self._services: set[str] = set()
         # Programs that this instance has admitted.
@@ -85,8 +92,15 @@
             collections.OrderedDict()
         )
         # Programs that were refused, of those that this instance coordinates.
-        self._refused = program_admission.RefusedPrograms()
-        self._started_at = timer_service.now()
+        self._refused = refused_programs.RefusedPrograms()
+        # Until when programs may be under way that began at another
+        # coordinator, whose successor this instance is.
+        self._uncertain_until = -math.inf
+        if not settings.is_first_start:
+            self._uncertain_until = (
+                timer_service.now() + FORMER_COORDINATOR_SECONDS
+            )
+        self._incarnation: int | None = None
         self._eligible: typing.Sequence[rendezvous.Peer] = ()
         # When instances that may have been coordinators were removed.
         self._removed: dict[str, float] = {}
@@ -151,11 +165,16 @@
     def handle_query(
         self, query: peer_messages.ProgramQuery
     ) -> peer_messages.ProgramStatus:
-        """Return what is known of a program that this instance coordinates."""
+        """Return what is known of a program that this instance coordinates.
+
+        Of a program of another coordinator, only return whether it has begun.
+        """
         now = self._timers.now()
         name = query.program
         if self._reservations.is_begun(name):
             return peer_messages.ProgramStatus(True)
+        if query.is_second:
+            return peer_messages.ProgramStatus(False)
         if not self._knows_programs_like(name, now):
             return peer_messages.ProgramStatus(True)
         known = self._refused.find(name, now)
@@ -210,9 +229,9 @@
         is_known = name in self._begun or self._reservations.is_begun(name)
         return None if is_known else name
 
-    def _make_program(self, arrival: Arrival) -> program_admission.NewProgram:
+    def _make_program(self, arrival: Arrival) -> program_demand.NewProgram:
         organisation = arrival.organisation
-        return program_admission.NewProgram(
+        return program_demand.NewProgram(
             arrival.route.name,
             arrival.priority,
             arrival.call.program.time_left,
@@ -225,7 +244,7 @@
         self,
         arrival: Arrival,
         name: str,
-        program: program_admission.NewProgram,
+        program: program_demand.NewProgram,
         decision: program_admission.Refused,
     ) -> None:
         """Report a refusal, and raise ``RefusalError``."""
@@ -269,15 +288,32 @@
     # The coordinator of a program
 
     async def _query(self, name: str) -> peer_messages.ProgramStatus | None:
-        """Ask a program's coordinator; return ``None`` if it is silent."""
-        query = peer_messages.ProgramQuery(name)
-        coordinator = self._find_coordinator(name)
-        if coordinator is None:
-            return None
-        if coordinator.instance == self._instance:
+        """Ask a program's coordinator; return ``None`` if it is silent.
+
+        The second instance in rank is asked as well: turns reserve there if
+        the coordinator does not respond to them.
+        """
+        ranked = rendezvous.list_highest(name, self._list_eligible(), 2)
+        statuses = await asyncio.gather(
+            *(
+                self._query_instance(
+                    peer, peer_messages.ProgramQuery(name, rank > 0)
+                )
+                for rank, peer in enumerate(ranked)
+            )
+        )
+        for status in statuses:
+            if status is not None and status.is_begun:
+                return status
+        return statuses[0] if statuses else None
+
+    async def _query_instance(
+        self, peer: rendezvous.Peer, query: peer_messages.ProgramQuery
+    ) -> peer_messages.ProgramStatus | None:
+        if peer.instance == self._instance:
             return self.handle_query(query)
         response = await self._peers.send_request(
-            coordinator.address,
+            peer.address,
             query,
             self._timers.now() + sum(QUERY_TIMEOUTS_SECONDS),
             QUERY_TIMEOUTS_SECONDS,
@@ -314,14 +350,21 @@
         own_name = self._instance
         if coordinator is None or coordinator.instance != own_name:
             return False
-        is_new = now - self._started_at < FORMER_COORDINATOR_SECONDS
-        if is_new and not self._is_first_start:
+        if now < self._uncertain_until:
             return False
         candidates = (own_name, *self._removed)
         return rendezvous.find_highest(name, candidates) == own_name
 
     def _update_members(self, now: float) -> None:
-        """Note which instances can no longer be coordinators."""
+        """Note which instances can no longer be coordinators.
+
+        A new incarnation of this instance means that others had regarded it
+        as failed, so that programs began at other coordinators.
+        """
+        incarnation = self._get_incarnation()
+        if self._incarnation not in (None, incarnation):
+            self._uncertain_until = now + FORMER_COORDINATOR_SECONDS
+        self._incarnation = incarnation
         eligible = self._list_eligible()
         if eligible is not self._eligible:
             current = {peer.instance for peer in eligible}
