Sent the error for a refused request after all earlier responses.

Cause: if a request was refused by the connection (no memory for its body, an invalid head, a timeout) while earlier pipelined requests were still in the queue, the error was sent as soon as the running request had ended, or at once if the next one was held back for a slow reader. The caller took it as the response to a request that ran afterwards: a 503 for a request that has run, also for one that must not run twice. Change: the error is kept until the queue is empty, and dropped if an earlier response closes the connection.

--- a/libs/transport/vanillayoke/transport/server.py
+++ b/libs/transport/vanillayoke/transport/server.py
@@ -187,6 +187,8 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._is_closing = False
+        # Sent after the responses to all requests before the refused one.
+        self._error: http.HTTPStatus | None = None
         self._memory = server.memory
         # Memory for the body that is being read, for those of the requests in
         # the queue, and for that of the running request.
@@ -340,6 +342,7 @@
             if self._memory is not None:
                 self._release_queued(self._memory)
             self._is_closing = True
+            self._error = None
             self._linger()
 
     def abort(self) -> None:
@@ -495,11 +498,12 @@
             return
         self._is_closing = True
         self._server.on_refused(status)
-        # Responses must be sent in the order of the requests.
-        if self._task is None:
+        self._error = status
+        # Responses must be sent in the order of the requests. Requests in the
+        # queue run, so a refusal in the place of their responses would be
+        # wrong.
+        if self._task is None and not self._queue:
             self._send_error(status)
-        else:
-            self._task.add_done_callback(lambda task: self._send_error(status))
 
     def _send_error(self, status: http.HTTPStatus) -> None:
         retry_after = b''
@@ -553,6 +557,8 @@
             return
         if self._queue:
             self._begin_next()
+        elif self._error is not None:
+            self._send_error(self._error)
         elif not self._is_closing:
             self._set_timer(self._server.limits.idle_timeout)
 
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -264,6 +264,49 @@
     case.assertEqual(12 * BODY, caller.received.count(b'x'))
 
 
+async def test_refused_body_does_not_answer_an_earlier_request(
+    case, network, service
+):
+    """The request before it runs, so a 503 for it would be wrong."""
+    started = await _start(service)
+    service.delay = 1.5
+    caller = await _connect()
+    body = _post(b'b' * BODY)[:1000]
+    caller.transport.write(_get(7) + _post(b'second') + body)
+    started.account.add(memory.Kind.RESPONSES, CAPACITY // 2)
+    await asyncio.sleep(4.0)
+    case.assertEqual([server.BODY_COPIES * BODY], started.refused_bodies)
+    received = bytes(caller.received)
+    case.assertEqual(
+        [b'200', b'200', b'503'],
+        [part[:3] for part in received.split(b'HTTP/1.1 ')[1:]],
+    )
+    case.assertLess(received.index(b'second'), received.index(b'503'))
+    case.assertEqual(2, len(service.requests))
+
+
+async def test_invalid_request_waits_for_responses_that_are_held_back(
+    case, network, service
+):
+    """An error in the place of the queued response would be taken for it."""
+    started = await _start(service)
+    await _connect_slow_readers(2, BODY)
+    caller = await _connect()
+    caller.transport.pause_reading()
+    caller.transport.write(_get(BODY))
+    await asyncio.sleep(0.05)
+    caller.transport.write(_get(7) + b'invalid\r\n\r\n')
+    await asyncio.sleep(0.1)
+    case.assertEqual(3, len(service.requests))
+    started.account.add(memory.Kind.RESPONSES, -BODY)
+    caller.transport.resume_reading()
+    await asyncio.sleep(1.0)
+    case.assertEqual(
+        [b'200', b'200', b'400'],
+        [part[:3] for part in bytes(caller.received).split(b'HTTP/1.1 ')[1:]],
+    )
+
+
 async def test_without_limit_nothing_changes(case, network, service):
     started = await _start(service, None)
     slow = await _connect_slow_readers(20, BODY)
