Read a body at once if clearing caches made room for it.

Cause: the first one that waits for memory begins the pressure, which clears the cache of histories. If that made room, the waiter was called before its owner knew it: the client then paused the reading of the target's response until the attempt was cancelled, and the server answered 400 to a valid request, since the parser reports an exception of its callbacks as an error. If the pressure ended while the caches were cleared, a waiter could also be left that nothing served until the next pressure. Change: Account.wait returns None if there is room, and its callers then hold the bytes themselves; a waiter always comes with pressure.

--- a/libs/core/vanillayoke/core/memory.py
+++ b/libs/core/vanillayoke/core/memory.py
@@ -123,14 +123,23 @@
 
     def wait(
         self, kind: Kind, size: int, on_room: typing.Callable[[], None]
-    ) -> Waiter:
+    ) -> Waiter | None:
         """Call ``on_room`` once so many more bytes of a kind may be held.
 
-        It has to add them before it returns.
+        It has to add them before it returns. It is never called before
+        ``wait`` returns: return ``None`` if they may be held now, since the
+        begin of the pressure released others.
         """
+        if not self.is_under_pressure:
+            self._set_pressure(True)
+            if self.has_room(kind, size):
+                self._update_pressure()
+                return None
         waiter = Waiter(size, next(self._numbers), on_room)
         bisect.insort(self._waiters[kind], waiter)
         if not self.is_under_pressure:
+            # The pressure ended meanwhile, and waiters are served under
+            # pressure only. There is nothing left to release.
             self._set_pressure(True)
         return waiter
 
--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -303,6 +303,9 @@
         self._waiter = memory.wait(
             memory_module.Kind.TARGETS, max(1, size), read_on
         )
+        if self._waiter is None:
+            self._add_memory(memory, size)
+            return
         self._transport.pause_reading()
 
     def _stop_waiting(self, memory: memory_module.Account) -> None:
--- a/libs/transport/vanillayoke/transport/server.py
+++ b/libs/transport/vanillayoke/transport/server.py
@@ -424,6 +424,10 @@
             max(size, memory_module.LARGE_BYTES + 1),
             read_on,
         )
+        if self._waiter is None:
+            self._body_size += size
+            memory.add(memory_module.Kind.REQUESTS, size)
+            return
         self._wait_timer = self._loop.call_later(MAX_BODY_WAIT_SECONDS, refuse)
         self._update_reading()
 
--- a/tests/core/test_memory.py
+++ b/tests/core/test_memory.py
@@ -84,6 +84,50 @@
     case.assertFalse(account.has_room(TARGETS, 4 * LARGE))
 
 
+def test_waiter_is_not_served_while_it_begins_to_wait(case):
+    """Caches are cleared when pressure begins, which may make room.
+
+    A caller that is served before it knows its waiter would pause its reading
+    for ever.
+    """
+    served = []
+
+    def clear_caches(is_pressed):
+        cached = account.held[memory.Kind.HISTORIES]
+        if is_pressed and cached:
+            account.add(memory.Kind.HISTORIES, -cached)
+
+    account = memory.Account(CAPACITY, clear_caches)
+    account.add(memory.Kind.HISTORIES, CAPACITY // 2)
+    size = CAPACITY // 2
+    case.assertFalse(account.has_room(TARGETS, size))
+    waiter = account.wait(TARGETS, size, lambda: served.append(size))
+    case.assertIsNone(waiter)
+    case.assertTrue(account.has_room(TARGETS, size))
+    case.assertEqual([], served)
+    case.assertFalse(account.is_under_pressure)
+
+
+def test_waiter_is_served_although_caches_made_too_little_room(case):
+    """Pressure that ends meanwhile must not make it wait for ever."""
+    served = []
+
+    def clear_caches(is_pressed):
+        cached = account.held[memory.Kind.HISTORIES]
+        if is_pressed and cached:
+            account.add(memory.Kind.HISTORIES, -cached)
+
+    account = memory.Account(CAPACITY, clear_caches)
+    account.add(memory.Kind.HISTORIES, LARGE)
+    account.add(memory.Kind.RESPONSES, CAPACITY // 2)
+    size = CAPACITY // 2
+    waiter = account.wait(TARGETS, size, lambda: served.append(size))
+    case.assertIsNotNone(waiter)
+    case.assertTrue(account.is_under_pressure)
+    account.add(memory.Kind.RESPONSES, -CAPACITY // 2)
+    case.assertEqual([size], served)
+
+
 def test_bodies_of_requests_leave_memory_for_responses(case, account):
     """Requests that wait with their bodies for responses end late or never."""
     while account.has_room(memory.Kind.REQUESTS, LARGE):
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -264,6 +264,48 @@
     case.assertEqual(12 * BODY, caller.received.count(b'x'))
 
 
+def _add_cache(account):
+    """Hold a cache that is cleared when pressure begins."""
+
+    def clear(is_pressed):
+        cached = account.held[memory.Kind.HISTORIES]
+        if is_pressed and cached:
+            account.add(memory.Kind.HISTORIES, -cached)
+
+    account._on_pressure = clear
+    account.add(memory.Kind.HISTORIES, CAPACITY // 2)
+
+
+async def test_large_body_is_read_if_caches_make_room(case, network, service):
+    """Reading stayed paused until the body was refused."""
+    started = await _start(service)
+    _add_cache(started.account)
+    caller = await _connect()
+    body = b'b' * 700_000
+    await _ask(caller, _post(body)[:1000])
+    await _ask(caller, _post(body)[1000:])
+    case.assertIn(b'200 OK', caller.received)
+    caller.transport.abort()
+    await asyncio.sleep(0.1)
+    case.assertEqual({0}, set(started.account.held.values()))
+
+
+async def test_large_response_is_read_if_caches_make_room(
+    case, network, service
+):
+    """Reading stayed paused for ever."""
+    await _start(service, None)
+    account = memory.Account(CAPACITY)
+    _add_cache(account)
+    pool = client.Pool(1.0, memory=account)
+    connection = await _send(pool, 2 * BODY)
+    async with asyncio.timeout(1.0):
+        case.assertEqual(2 * BODY, len(await connection.read_body()))
+    _release(pool, connection)
+    case.assertEqual({0}, set(account.held.values()))
+    pool.close()
+
+
 async def test_refused_body_does_not_answer_an_earlier_request(
     case, network, service
 ):
