Checked the budget of second calls again after the choice of a target.

Cause: the budget was checked before the second target is chosen, which takes up to 8 ms, and used up afterwards. Calls that were late at the same time, as at a target that hangs, all passed the check. Change: it is checked again when the second call starts.

--- a/libs/gateway/vanillayoke/gateway/hedged_calls.py
+++ b/libs/gateway/vanillayoke/gateway/hedged_calls.py
@@ -214,6 +214,10 @@
         ):
             self._count('no_capacity')
             return None
+        # Other calls may have used up the budget during the choice.
+        if not self._state.budget.allows_call(timers.now()):
+            self._count('no_budget')
+            return None
         self._state.budget.record_second_call(timers.now())
         return Call(choice, target)
 
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -329,6 +329,30 @@
     case.assertLessEqual(hedged, hedging.BUDGET_RATIO * calls)
 
 
+async def test_calls_that_are_late_at_once_stay_within_the_budget(case, site):
+    """A target hangs, and the choice of second targets takes some time."""
+    await _start(site)
+    handler = site.instances['i1']._caller_server.handle.__self__
+    dispatcher = handler._unary._dispatcher
+    choose = dispatcher.choose
+
+    async def choose_later(progress, excluded):
+        if progress.may_have_run:
+            await asyncio.sleep(0.008)
+        return await choose(progress, excluded)
+
+    dispatcher.choose = choose_later
+    _change(site, _slow_first(0.3))
+    async with asyncio.TaskGroup() as group:
+        for number in range(6):
+            group.create_task(
+                site.call('i1', 'look', method=b'GET', request=f'd{number}')
+            )
+    hedged = len(site.list_events('i1', 'call_hedged'))
+    case.assertGreaterEqual(hedged, 1)
+    case.assertLessEqual(hedged, hedging.BUDGET_RATIO * (WARM_UP_CALLS + 6))
+
+
 async def test_no_second_call_without_capacity(case, site):
     """Both targets have more requests than slots, as under a burst."""
     await _start(site)
