Learned the latency of a second call for the target it was sent to.

Cause: completion_times.learn_latency reads the expected completion from the request's progress, which is that of the first call's target. For a second call the speed and contention of the wrong target corrected its latency. Change: a call learns with the progress that chose its target. Result: in the new test the response of t2 was learned with the estimate of t1, now with that of t2. It matters only with both hedging and contention.

--- a/libs/gateway/vanillayoke/gateway/unary.py
+++ b/libs/gateway/vanillayoke/gateway/unary.py
@@ -81,7 +81,7 @@
     ) -> Response:
         attempt = self._dispatcher.make_attempt(progress, target)
         options = self._dispatcher.make_forward_options(progress, target)
-        return await self._run_attempt(progress, attempt, options)
+        return await self._run_attempt(progress, progress, attempt, options)
 
     async def _send_hedged(
         self, progress: dispatch.Progress, call: hedged_calls.Call
@@ -91,7 +91,9 @@
         options = self._dispatcher.make_forward_options(
             call.choice, call.target
         )
-        response = await self._run_attempt(progress, call.attempt, options)
+        response = await self._run_attempt(
+            progress, call.choice, call.attempt, options
+        )
         seconds = self._context.timers.now() - call.attempt.started_at
         self._hedged_calls.get_route(progress.route.name).latency.learn(
             seconds
@@ -101,17 +103,19 @@
     async def _run_attempt(
         self,
         progress: dispatch.Progress,
+        choice: dispatch.Progress,
         attempt: forwarding.Attempt,
         options: messages.ForwardOptions,
     ) -> Response:
+        """Return the response; ``choice`` is what chose the target."""
         progress.attempts += 1
         async with attempt:
             progress.may_have_run = True
             if progress.route.kind is not messages.RouteKind.SAFE:
-                return await self._exchange(progress, attempt, options)
+                return await self._exchange(choice, attempt, options)
             try:
                 async with asyncio.timeout(self._compute_timeout(progress)):
-                    return await self._exchange(progress, attempt, options)
+                    return await self._exchange(choice, attempt, options)
             except TimeoutError as error:
                 if attempt.waits_for_memory:
                     # The target has responded, so it did not fail.
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -441,6 +441,28 @@
     case.assertEqual(1, len(site.list_runs('a')))
 
 
+async def test_latency_is_learned_for_the_target_of_its_call(case, site):
+    """The estimate of the first target would falsify that of the second."""
+    await _start(site)
+    for name in TOOLS:
+        site.targets[name].contention = 1.0
+    await site.call('i1', 'look', method=b'GET')
+    handler = site.instances['i1']._caller_server.handle.__self__
+    times = handler._unary._dispatcher.completion_times
+    learn = times.learn_latency
+    learned = []
+
+    def record(progress, attempt, latency):
+        learned.append((attempt.target.name, progress.estimate.target))
+        return learn(progress, attempt, latency)
+
+    times.learn_latency = record
+    _change(site, _slow_first(1.0))
+    await _time_call(site)
+    event = _get_event(case, site)
+    case.assertEqual([(event['second'], event['second'])], learned)
+
+
 async def test_slow_choice_of_second_target_does_not_delay_first(case, site):
     """The choice waits for a slot while the first call ends."""
     await _start(site)
