Recorded messages in tests of completion times before defaults are omitted.

Cause: the recorder replaced the encoder. Change: the recorder takes the messages before the fields are left out, and each check requires that there are messages of its kind.

--- a/tests/gateway/test_completion_times.py
+++ b/tests/gateway/test_completion_times.py
@@ -8,7 +8,6 @@
 from tests.gateway import site_fixtures
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import peer_messages
-from vanillayoke.gateway import peers as peers_module
 from vanillayoke.testing import fixtures
 
 INSTANCES = 4
@@ -74,21 +73,26 @@
 
 
 def _record_messages(case):
-    """Record all messages that any instance sends to another."""
+    """Record the notifications and responses that instances send."""
     sent = []
-    encode = peers_module._ENCODER.encode
+    omit_defaults = peer_messages.omit_defaults
 
-    class Encoder:
-        def encode(self, message):
-            sent.append(message)
-            return encode(message)
+    def record(message):
+        sent.append(message)
+        return omit_defaults(message)
 
-    peers_module._ENCODER = Encoder()
-    original = type('Original', (), {'encode': staticmethod(encode)})()
-    case.addCleanup(setattr, peers_module, '_ENCODER', original)
+    peer_messages.omit_defaults = record
+    case.addCleanup(setattr, peer_messages, 'omit_defaults', omit_defaults)
     return sent
 
 
+def _list_messages(case, sent, kind):
+    """Return the messages of a kind, of which there must be some."""
+    found = [message for message in sent if isinstance(message, kind)]
+    case.assertGreater(len(found), 0)
+    return found
+
+
 async def test_engines_of_unequal_speed_get_work_by_their_speed(case, site):
     """Engines take 0.7 and 1.7 times the usual time, and are nearly full."""
     await _start(site)
@@ -257,15 +261,11 @@
     await _run_turns(site, 20, 2)
     for number in range(20):
         await site.call(f'i{1 + number % 4}', 'look', method=b'GET')
-    ended = [m for m in sent if isinstance(m, peer_messages.RequestEnded)]
-    case.assertGreater(len(ended), 0)
-    for message in ended:
+    for message in _list_messages(case, sent, peer_messages.RequestEnded):
         case.assertIsNone(message.performance)
         case.assertNotEqual('', message.request)
-    for message in sent:
-        response = getattr(message, 'response', None)
-        if isinstance(response, peer_messages.LoadResponse):
-            case.assertIsNone(response.performance)
+    for message in _list_messages(case, sent, peer_messages.LoadResponse):
+        case.assertIsNone(message.performance)
     for view in ('own', 'coordinator'):
         case.assertEqual(0, _sum_choices(site, view))
 
@@ -278,9 +278,8 @@
     sent = _record_messages(case)
     await _start(site, 2.5)
     await _run_turns(site, 20, 2)
-    for message in sent:
-        if isinstance(message, peer_messages.RequestEnded):
-            case.assertIsNone(message.performance)
+    for message in _list_messages(case, sent, peer_messages.RequestEnded):
+        case.assertIsNone(message.performance)
     for view in ('own', 'coordinator'):
         case.assertEqual(0, _sum_choices(site, view))
 
