Cached no histories while memory is short.

Cause: the cache of histories, up to 8 MB, is cleared only when the pressure begins. While the pressure lasted it filled again, counted as held bytes, and so kept the pressure up: slow callers were disconnected and requests refused for bytes that the store has as well. Nothing cleared it a second time. Change: no text is added to the cache under pressure. The test of the empty account ends with a turn without pressure, so that it still compares the account with a cache that holds something.

--- a/libs/gateway/vanillayoke/gateway/histories.py
+++ b/libs/gateway/vanillayoke/gateway/histories.py
@@ -224,6 +224,9 @@
             self._memory.add(memory.Kind.HISTORIES, -size)
 
     def _add_to_cache(self, turn: str, text: bytes) -> None:
+        # The cache is cleared only when the pressure begins.
+        if self._memory is not None and self._memory.is_under_pressure:
+            return
         previous_bytes = self._cached_bytes
         old = self._cache.pop(turn, None)
         if old is not None:
--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -262,6 +262,17 @@
     case.assertTrue(run.body.endswith(b'more'))
 
 
+async def test_histories_are_not_cached_under_pressure(case, site):
+    """The cache would keep the pressure up, and is cleared only once."""
+    account = await _start(site)
+    account.add(memory.Kind.RESPONSES, int(0.72 * CAPACITY))
+    await site.turn('i1', 'a1', b'hello')
+    await site.turn('i1', 'a2', b'more', previous='a1')
+    await asyncio.sleep(0.5)
+    case.assertEqual(0, account.held[memory.Kind.HISTORIES])
+    case.assertEqual(2, len(site.list_runs('a1') + site.list_runs('a2')))
+
+
 async def test_account_is_empty_when_all_has_ended(case, site):
     """What is not released would refuse requests for ever."""
     account = await _start(site, has_overload_control=True)
@@ -292,6 +303,10 @@
     for caller in readers:
         caller.transport.abort()
     await asyncio.sleep(5.0)
+    # Under pressure nothing was cached.
+    case.assertFalse(account.is_under_pressure)
+    await site.turn('i1', 'last', b'hello')
+    await asyncio.sleep(0.5)
     held = {kind: size for kind, size in account.held.items() if size}
     cached = site.instances['i1']._histories._cached_bytes
     case.assertEqual({memory.Kind.HISTORIES: cached}, held)
