Bounded how much one absurd pace changes the mean of a service.

Cause: the first sample of a pace counts fully, and a new coordinator that stood still during a response measures a pace that is too high by any factor. The mean of the service followed it, so that all other targets appeared faster than they are, until the average had recovered after dozens of samples. Change: paces are clipped to the range of speeds around the median before the mean is computed.

--- a/libs/scheduling/vanillayoke/scheduling/target_load.py
+++ b/libs/scheduling/vanillayoke/scheduling/target_load.py
@@ -14,6 +14,7 @@
 """
 
 import math
+import statistics
 import typing
 
 # A report decays to 1.0 with this half-life. The contention of a machine
@@ -248,4 +249,11 @@
             del view.paces[target]
     if not view.paces:
         return None
-    return sum(pace for pace, _ in view.paces.values()) / len(view.paces)
+    # The pace of a target with few samples may be wrong by any factor, for
+    # example if an instance stood still while it measured them.
+    median = statistics.median_low(pace for pace, _ in view.paces.values())
+    lowest, highest = MIN_SPEED * median, MAX_SPEED * median
+    total = sum(
+        min(highest, max(lowest, pace)) for pace, _ in view.paces.values()
+    )
+    return total / len(view.paces)
--- a/tests/scheduling/test_target_load.py
+++ b/tests/scheduling/test_target_load.py
@@ -98,6 +98,21 @@
         case.assertEqual(1.0, view.compute_speed('s', wrong, 2.0))
 
 
+def test_one_absurd_pace_hardly_changes_the_speeds_of_others(case):
+    """The first sample at a new coordinator that had stood still for 3 s.
+
+    All other targets would appear twice as fast as they are.
+    """
+    view = target_load.PerformanceView()
+    for number in range(23):
+        pace = 3.0 if number == 5 else 0.04
+        sample = target_load.Sample(pace=pace)
+        view.record_estimate('s', f'e{number}', sample, 0.0)
+    speed = view.compute_speed('s', 0.04, 0.0)
+    case.assertAlmostEqual(1.0, speed, delta=0.2)
+    case.assertEqual(target_load.MAX_SPEED, view.compute_speed('s', 3.0, 0.0))
+
+
 def test_all_instances_compute_the_same_speeds(case):
     """Each learns other targets' speeds from their coordinators."""
     counts = load_counts.LoadCounts()
