Counted connections with unsent responses as active.

Cause: a stopping instance waits for its active connections, but those whose request had ended counted as idle although the caller had not yet taken the response. The process ended and the rest of the response was lost. Change: connections with unsent bytes are active. The wait still ends with the grace period, so a caller that does not read can't prolong it further.

--- a/libs/transport/vanillayoke/transport/server.py
+++ b/libs/transport/vanillayoke/transport/server.py
@@ -326,6 +326,10 @@
     def is_idle(self) -> bool:
         return self._task is None and not self._is_reading and not self._queue
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        return self._transport.get_write_buffer_size() > 0
+
     def write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
@@ -626,8 +630,11 @@
 
     @property
     def active_connections(self) -> int:
-        """The number of connections with a request in progress."""
-        return sum(not connection.is_idle for connection in self.connections)
+        """The number of connections with a request or unsent response."""
+        return sum(
+            not connection.is_idle or connection.has_unsent_bytes
+            for connection in self.connections
+        )
 
     def drain(self) -> None:
         """Close each connection after its next response."""
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -349,6 +349,22 @@
     )
 
 
+async def test_connection_with_unsent_response_is_active(
+    case, network, service
+):
+    """A process that stops would end before the caller has read it."""
+    for capacity in (CAPACITY, None):
+        started = await _start(service, capacity)
+        [slow] = await _connect_slow_readers(1, BODY)
+        started.server.drain()
+        case.assertEqual(1, started.server.active_connections)
+        slow.transport.resume_reading()
+        await asyncio.sleep(0.1)
+        case.assertEqual(BODY, slow.received.count(b'x'))
+        case.assertEqual(0, started.server.active_connections)
+        started.server.close()
+
+
 async def test_without_limit_nothing_changes(case, network, service):
     started = await _start(service, None)
     slow = await _connect_slow_readers(20, BODY)
