Split the HTTP server into the server, its connections and its responses.

Change: responses.py has the responder, server_connection.py one connection with its requests, timeouts and memory, and server.py listens and disconnects callers that do not read. Handlers still find Request, Responder and Limits in server. Without any change of behaviour.

--- /dev/null
+++ b/libs/transport/vanillayoke/transport/responses.py
@@ -0,0 +1,112 @@
+"""Responses of the HTTP server."""
+
+import http
+import typing
+
+from vanillayoke.transport import headers as headers_module
+
+if typing.TYPE_CHECKING:
+    from vanillayoke.transport import server_connection
+
+
+class Responder:
+    """Sends the response to one request."""
+
+    def __init__(
+        self,
+        connection: 'server_connection.Connection',
+        closes_connection: bool,
+    ) -> None:
+        self._connection = connection
+        self._is_chunked = False
+        self._closes_connection = closes_connection
+        self._unsent: int | None = None
+        self.written_bytes = 0
+        self.is_started = False
+        self.is_finished = False
+
+    def set_request_name(self, name: str) -> None:
+        """Set the name of the request for reports on the connection."""
+        self._connection.request_name = name
+
+    def close_connection_after(self) -> None:
+        """Close the connection after this response."""
+        self._closes_connection = True
+
+    def send(
+        self, status: int, headers: headers_module.Headers, body: bytes
+    ) -> None:
+        """Send a complete response."""
+        self.start(status, headers, len(body))
+        self.write(body)
+        self.finish()
+
+    def start(
+        self,
+        status: int,
+        headers: headers_module.Headers,
+        length: int | None,
+    ) -> None:
+        """Send the status and header.
+
+        The body is sent chunked if ``length`` is ``None``.
+        """
+        self.is_started = True
+        if self._connection.is_draining:
+            self._closes_connection = True
+        lines = [b'HTTP/1.1 %d %s\r\n' % (status, get_phrase(status))]
+        for name, value in headers:
+            lines.append(b'%s: %s\r\n' % (name, value))
+        if length is None:
+            self._is_chunked = True
+            lines.append(b'Transfer-Encoding: chunked\r\n')
+        else:
+            lines.append(b'Content-Length: %d\r\n' % length)
+            self._unsent = length
+        if self._closes_connection:
+            lines.append(b'Connection: close\r\n')
+        lines.append(b'\r\n')
+        self._connection.write(b''.join(lines))
+
+    def write(self, data: bytes) -> None:
+        """Send some bytes of the body."""
+        if not data:
+            return
+        self.written_bytes += len(data)
+        if self._is_chunked:
+            self._connection.write(b'%x\r\n%b\r\n' % (len(data), data))
+            return
+        self._unsent -= len(data)
+        self._connection.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the write buffer has room."""
+        await self._connection.drain()
+
+    def finish(self) -> None:
+        """End the response.
+
+        Aborts the connection if the body is shorter than announced.
+        """
+        if self.is_finished:
+            return
+        self.is_finished = True
+        if self._is_chunked:
+            self._connection.write(b'0\r\n\r\n')
+        elif self._unsent:
+            self._connection.abort()
+            return
+        self._connection.end_response(self._closes_connection)
+
+    def abort(self) -> None:
+        """Abort the connection, so that the client sees a truncated body."""
+        self.is_finished = True
+        self._connection.abort()
+
+
+def get_phrase(status: int) -> bytes:
+    """Return the reason phrase of a status code."""
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b'Unknown'
--- a/libs/transport/vanillayoke/transport/server.py
+++ b/libs/transport/vanillayoke/transport/server.py
@@ -6,25 +6,18 @@
 """
 
 import asyncio
-import collections
 import http
 import typing
 
-import httptools
-
 from vanillayoke.core import memory as memory_module
-from vanillayoke.transport import headers as headers_module
+from vanillayoke.transport import responses
+from vanillayoke.transport import server_connection
+
+# Names that handlers need.
+Request = server_connection.Request
+Responder = responses.Responder
+Limits = server_connection.Limits
 
-WRITE_BUFFER_BYTES = 256 * 1024
-MAX_PIPELINED_REQUESTS = 16
-# Closing a socket with unread data resets it, and the client could lose the
-# response. So the connection stays open for this time after the last one.
-LINGER_SECONDS = 0.5
-# The body as read and the copy that is written to the target.
-BODY_COPIES = 2
-# How long a large body waits for memory. The caller gives up after 2 s
-# without a response, and may have to repeat the request elsewhere.
-MAX_BODY_WAIT_SECONDS = 1.0
 # Under memory pressure a caller that took no byte for this time is
 # disconnected. Callers give up after 2 s without an event, so it no longer
 # reads; those that read slowly take some bytes at least every few seconds,
@@ -34,34 +27,6 @@
 # for this time is disconnected.
 FULL_STALL_SECONDS = 1.0
 CHECK_INTERVAL_SECONDS = 0.1
-# Protocol, parser, transport and buffers of a connection that is in use.
-CONNECTION_BYTES = 16 * 1024
-
-
-class Request(typing.NamedTuple):
-    """A complete request.
-
-    ``closes_connection`` is set if the client asked to close the connection
-    after the response.
-    """
-
-    method: bytes
-    target: bytes
-    headers: headers_module.Headers
-    body: bytes
-    closes_connection: bool
-
-
-class Limits(typing.NamedTuple):
-    """Limits on request sizes, in bytes, and on times, in seconds.
-
-    ``idle_timeout`` bounds the time between two requests.
-    """
-
-    header_bytes: int = 16384
-    body_bytes: int = 4 * 1024 * 1024
-    header_timeout: float = 3.0
-    idle_timeout: float = 15.0
 
 
 class StalledCaller(typing.NamedTuple):
@@ -77,515 +42,11 @@
     seconds: float
 
 
-class Responder:
-    """Sends the response to one request."""
-
-    def __init__(
-        self, connection: '_Connection', closes_connection: bool
-    ) -> None:
-        self._connection = connection
-        self._is_chunked = False
-        self._closes_connection = closes_connection
-        self._unsent: int | None = None
-        self.written_bytes = 0
-        self.is_started = False
-        self.is_finished = False
-
-    def set_request_name(self, name: str) -> None:
-        """Set the name of the request for reports on the connection."""
-        self._connection.request_name = name
-
-    def close_connection_after(self) -> None:
-        """Close the connection after this response."""
-        self._closes_connection = True
-
-    def send(
-        self, status: int, headers: headers_module.Headers, body: bytes
-    ) -> None:
-        """Send a complete response."""
-        self.start(status, headers, len(body))
-        self.write(body)
-        self.finish()
-
-    def start(
-        self,
-        status: int,
-        headers: headers_module.Headers,
-        length: int | None,
-    ) -> None:
-        """Send the status and header.
-
-        The body is sent chunked if ``length`` is ``None``.
-        """
-        self.is_started = True
-        if self._connection.is_draining:
-            self._closes_connection = True
-        lines = [b'HTTP/1.1 %d %s\r\n' % (status, _get_phrase(status))]
-        for name, value in headers:
-            lines.append(b'%s: %s\r\n' % (name, value))
-        if length is None:
-            self._is_chunked = True
-            lines.append(b'Transfer-Encoding: chunked\r\n')
-        else:
-            lines.append(b'Content-Length: %d\r\n' % length)
-            self._unsent = length
-        if self._closes_connection:
-            lines.append(b'Connection: close\r\n')
-        lines.append(b'\r\n')
-        self._connection.write(b''.join(lines))
-
-    def write(self, data: bytes) -> None:
-        """Send some bytes of the body."""
-        if not data:
-            return
-        self.written_bytes += len(data)
-        if self._is_chunked:
-            self._connection.write(b'%x\r\n%b\r\n' % (len(data), data))
-            return
-        self._unsent -= len(data)
-        self._connection.write(data)
-
-    async def drain(self) -> None:
-        """Wait until the write buffer has room."""
-        await self._connection.drain()
-
-    def finish(self) -> None:
-        """End the response.
-
-        Aborts the connection if the body is shorter than announced.
-        """
-        if self.is_finished:
-            return
-        self.is_finished = True
-        if self._is_chunked:
-            self._connection.write(b'0\r\n\r\n')
-        elif self._unsent:
-            self._connection.abort()
-            return
-        self._connection.end_response(self._closes_connection)
-
-    def abort(self) -> None:
-        """Abort the connection, so that the client sees a truncated body."""
-        self.is_finished = True
-        self._connection.abort()
-
-
 Handler = typing.Callable[
     [Request, Responder], typing.Coroutine[typing.Any, typing.Any, None]
 ]
 
 
-class _Connection(asyncio.Protocol):
-    def __init__(self, server: 'HttpServer') -> None:
-        self._server = server
-        self._loop = asyncio.get_running_loop()
-        self._parser = httptools.HttpRequestParser(self)
-        self._transport: asyncio.Transport | None = None
-        self._queue: collections.deque[Request] = collections.deque()
-        self._task: asyncio.Task | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._can_write = asyncio.Event()
-        self._can_write.set()
-        self._is_closing = False
-        # Sent after the responses to all requests before the refused one.
-        self._error: http.HTTPStatus | None = None
-        self._memory = server.memory
-        # Memory for the body that is being read, for those of the requests in
-        # the queue, and for that of the running request.
-        self._body_size = 0
-        self._queued_sizes: collections.deque[int] = collections.deque()
-        self._running_size = 0
-        self._waiter: memory_module.Waiter | None = None
-        self._wait_timer: asyncio.TimerHandle | None = None
-        self._holds_back = False
-        # The latest request with a response.
-        self.request_name = ''
-        self.unsent_bytes = 0
-        self._written_bytes = 0
-        self._taken_bytes = 0
-        self.last_progress_at = 0.0
-        self._reset_message()
-
-    # Called by the event loop
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        self._transport = transport
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._server.connections.add(self)
-        if self._memory is not None:
-            self._memory.add(memory_module.Kind.CONNECTIONS, CONNECTION_BYTES)
-        self._set_timer(self._server.limits.idle_timeout)
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self._server.connections.discard(self)
-        self._cancel_timer()
-        self._can_write.set()
-        self._queue.clear()
-        if self._memory is not None:
-            self._release_memory(self._memory)
-        if self._task is not None:
-            self._task.cancel()
-
-    def eof_received(self) -> bool:
-        return False
-
-    def pause_writing(self) -> None:
-        self._can_write.clear()
-
-    def resume_writing(self) -> None:
-        self._can_write.set()
-
-    def data_received(self, data: bytes) -> None:
-        if self._is_closing:
-            return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(http.HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError:
-            self._refuse(http.HTTPStatus.BAD_REQUEST)
-        if (
-            self._memory is not None
-            and self._queue
-            and self._memory.is_under_pressure
-        ):
-            self._holds_back = True
-            self._update_reading()
-            self._server.check_later(self)
-
-    # Called by the parser
-
-    def on_message_begin(self) -> None:
-        self._reset_message()
-        self._is_reading = True
-        if self._task is None:
-            self._set_timer(self._server.limits.header_timeout)
-
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-        self._add_header_size(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._has_head:
-            self._headers.append((name, value))
-        self._add_header_size(len(name) + len(value) + 4)
-
-    def on_headers_complete(self) -> None:
-        # Later fields are trailers. They must not be merged into the header
-        # (RFC 9110, section 6.5.1) and are dropped.
-        self._has_head = True
-        if self._is_closing:
-            return
-        expect = headers_module.find_header(self._headers, b'expect')
-        length = headers_module.find_header(self._headers, b'content-length')
-        if length and int(length) > self._server.limits.body_bytes:
-            self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif expect and expect.lower() == b'100-continue':
-            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-        if self._task is None:
-            self._set_timer(self._server.limits.idle_timeout)
-        if self._memory is not None and length and not self._is_closing:
-            self._has_length = True
-            self._hold_body(self._memory, BODY_COPIES * int(length))
-
-    def on_body(self, body: bytes) -> None:
-        self._body += body
-        if self._memory is not None and not self._has_length:
-            self._hold_chunk(self._memory, len(body))
-        if len(self._body) > self._server.limits.body_bytes:
-            self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-
-    def on_message_complete(self) -> None:
-        if self._is_closing:
-            return
-        self._is_reading = False
-        request = Request(
-            self._parser.get_method(),
-            bytes(self._target),
-            self._headers,
-            bytes(self._body),
-            not self._parser.should_keep_alive(),
-        )
-        self._body = bytearray()
-        if len(self._queue) >= MAX_PIPELINED_REQUESTS:
-            self._refuse(http.HTTPStatus.BAD_REQUEST)
-            return
-        self._queue.append(request)
-        if self._memory is not None:
-            self._queued_sizes.append(self._finish_body(self._memory))
-        if self._task is None:
-            self._begin_next()
-
-    # Called by responders
-
-    @property
-    def is_draining(self) -> bool:
-        return self._server.is_draining
-
-    @property
-    def is_idle(self) -> bool:
-        return self._task is None and not self._is_reading and not self._queue
-
-    @property
-    def has_unsent_bytes(self) -> bool:
-        return self._transport.get_write_buffer_size() > 0
-
-    def write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
-            if self._memory is not None:
-                self._written_bytes += len(data)
-                self._update_unsent(self._memory)
-
-    async def drain(self) -> None:
-        await self._can_write.wait()
-
-    def end_response(self, closes_connection: bool) -> None:
-        if closes_connection:
-            self._queue.clear()
-            if self._memory is not None:
-                self._release_queued(self._memory)
-            self._is_closing = True
-            self._error = None
-            self._linger()
-
-    def abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
-
-    def close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
-
-    # Called by the server where memory is limited
-
-    @property
-    def address(self) -> str:
-        """The caller's address, '' if it is unknown."""
-        name = self._transport.get_extra_info('peername')
-        return f'{name[0]}:{name[1]}' if name else ''
-
-    def check(self, memory: memory_module.Account, now: float) -> bool:
-        """Update what is unsent; return whether to check again later."""
-        self._update_unsent(memory)
-        taken = self._written_bytes - self.unsent_bytes
-        if taken > self._taken_bytes:
-            self._taken_bytes = taken
-            self.last_progress_at = now
-        if self._task is None and self._queue:
-            self._begin_next()
-        if self._holds_back and not (self._queue and memory.is_under_pressure):
-            self._holds_back = False
-            self._update_reading()
-        return bool(
-            self.unsent_bytes
-            or self._holds_back
-            or (self._task is None and self._queue)
-        )
-
-    # Internals
-
-    def _hold_body(self, memory: memory_module.Account, size: int) -> None:
-        """Hold memory for a body; pause reading if there is none."""
-        if size > memory_module.LARGE_BYTES and not memory.has_room(
-            memory_module.Kind.REQUESTS, size
-        ):
-            self._wait_for_memory(memory, size)
-            return
-        self._body_size += size
-        memory.add(memory_module.Kind.REQUESTS, size)
-
-    def _hold_chunk(self, memory: memory_module.Account, length: int) -> None:
-        """Hold memory for a part of a body of unknown length."""
-        size = BODY_COPIES * length
-        self._body_size += size
-        memory.add(memory_module.Kind.REQUESTS, size)
-        next_size = memory_module.LARGE_BYTES + 1
-        if (
-            self._body_size > memory_module.LARGE_BYTES
-            and self._waiter is None
-            and not memory.has_room(memory_module.Kind.REQUESTS, next_size)
-        ):
-            self._wait_for_memory(memory, 0)
-
-    def _wait_for_memory(
-        self, memory: memory_module.Account, size: int
-    ) -> None:
-        def read_on() -> None:
-            self._waiter = None
-            self._wait_timer.cancel()
-            self._body_size += size
-            memory.add(memory_module.Kind.REQUESTS, size)
-            self._update_reading()
-
-        def refuse() -> None:
-            self._server.on_body_refused(size)
-            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
-            self._stop_waiting(memory)
-
-        self._waiter = memory.wait(
-            memory_module.Kind.REQUESTS,
-            max(size, memory_module.LARGE_BYTES + 1),
-            read_on,
-        )
-        if self._waiter is None:
-            self._body_size += size
-            memory.add(memory_module.Kind.REQUESTS, size)
-            return
-        self._wait_timer = self._loop.call_later(MAX_BODY_WAIT_SECONDS, refuse)
-        self._update_reading()
-
-    def _finish_body(self, memory: memory_module.Account) -> int:
-        """Return the memory that is held for a complete body."""
-        if self._waiter is not None:
-            # All of it was already received when reading was paused.
-            self._stop_waiting(memory)
-            size = BODY_COPIES * len(self._queue[-1].body) - self._body_size
-            self._body_size += size
-            memory.add(memory_module.Kind.REQUESTS, size)
-        size, self._body_size = self._body_size, 0
-        return size
-
-    def _stop_waiting(self, memory: memory_module.Account) -> None:
-        if self._waiter is not None:
-            memory.cancel(self._waiter)
-            self._waiter = None
-            self._wait_timer.cancel()
-            self._update_reading()
-
-    def _update_reading(self) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        if self._waiter is not None or self._holds_back:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
-
-    def _update_unsent(self, memory: memory_module.Account) -> None:
-        unsent = self._transport.get_write_buffer_size()
-        if unsent and not self.unsent_bytes:
-            self.last_progress_at = self._loop.time()
-            self._server.check_later(self)
-        if unsent != self.unsent_bytes:
-            memory.add(
-                memory_module.Kind.RESPONSES, unsent - self.unsent_bytes
-            )
-            self.unsent_bytes = unsent
-
-    def _release_queued(self, memory: memory_module.Account) -> None:
-        memory.add(memory_module.Kind.REQUESTS, -sum(self._queued_sizes))
-        self._queued_sizes.clear()
-
-    def _release_memory(self, memory: memory_module.Account) -> None:
-        """Release all but the memory of the running request."""
-        self._server.forget(self)
-        self._stop_waiting(memory)
-        self._release_queued(memory)
-        memory.add(memory_module.Kind.REQUESTS, -self._body_size)
-        memory.add(memory_module.Kind.RESPONSES, -self.unsent_bytes)
-        memory.add(memory_module.Kind.CONNECTIONS, -CONNECTION_BYTES)
-        self._body_size = self.unsent_bytes = 0
-        self._memory = None
-
-    def _reset_message(self) -> None:
-        self._target = bytearray()
-        self._headers: headers_module.Headers = []
-        self._has_head = False
-        self._has_length = False
-        self._header_size = 0
-        self._body = bytearray()
-        self._is_reading = False
-
-    def _add_header_size(self, size: int) -> None:
-        self._header_size += size
-        if self._header_size > self._server.limits.header_bytes:
-            self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
-    def _refuse(self, status: http.HTTPStatus) -> None:
-        if self._is_closing:
-            return
-        self._is_closing = True
-        self._server.on_refused(status)
-        self._error = status
-        # Responses must be sent in the order of the requests. Requests in the
-        # queue run, so a refusal in the place of their responses would be
-        # wrong.
-        if self._task is None and not self._queue:
-            self._send_error(status)
-
-    def _send_error(self, status: http.HTTPStatus) -> None:
-        retry_after = b''
-        if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
-            retry_after = b'Retry-After: %.2f\r\n' % MAX_BODY_WAIT_SECONDS
-        self.write(
-            b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%bConnection: close\r\n'
-            b'\r\n' % (status, _get_phrase(status), retry_after)
-        )
-        self._linger()
-
-    def _linger(self) -> None:
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return
-        if transport.can_write_eof():
-            transport.write_eof()
-        self._cancel_timer()
-        self._timer = self._loop.call_later(LINGER_SECONDS, transport.close)
-
-    def _begin_next(self) -> None:
-        self._cancel_timer()
-        if self._memory is not None:
-            # Responses to pipelined requests must not add up.
-            if (
-                self._memory.is_under_pressure
-                and self.unsent_bytes > memory_module.LARGE_BYTES
-            ):
-                self._server.check_later(self)
-                return
-            self._running_size = self._queued_sizes.popleft()
-        request = self._queue.popleft()
-        responder = Responder(self, request.closes_connection)
-        self._task = self._loop.create_task(
-            self._server.handle(request, responder)
-        )
-        self._task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task) -> None:
-        self._task = None
-        if self._running_size:
-            self._server.memory.add(
-                memory_module.Kind.REQUESTS, -self._running_size
-            )
-            self._running_size = 0
-        if not task.cancelled() and task.exception() is not None:
-            self._server.on_failure(task.exception())
-            self.abort()
-            return
-        if self._transport is None or self._transport.is_closing():
-            return
-        if self._queue:
-            self._begin_next()
-        elif self._error is not None:
-            self._send_error(self._error)
-        elif not self._is_closing:
-            self._set_timer(self._server.limits.idle_timeout)
-
-    def _set_timer(self, delay: float) -> None:
-        self._cancel_timer()
-        self._timer = self._loop.call_later(delay, self._expire)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _expire(self) -> None:
-        if self._is_reading:
-            self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
-        else:
-            self.close()
-
-
 class HttpServer:
     """Listens on addresses and passes requests to a handler.
 
@@ -607,7 +68,7 @@
         ),
     ) -> None:
         self.limits = Limits()
-        self.connections: set[_Connection] = set()
+        self.connections: set[server_connection.Connection] = set()
         self.is_draining = False
         self.on_failure = on_failure
         self.on_refused = on_refused
@@ -616,7 +77,7 @@
         self.on_body_refused = on_body_refused
         self._on_stalled = on_stalled
         # Connections with unsent bytes or with requests that wait.
-        self._checked: set[_Connection] = set()
+        self._checked: set[server_connection.Connection] = set()
         self._check_timer: asyncio.TimerHandle | None = None
         self._servers: list[asyncio.Server] = []
 
@@ -624,7 +85,10 @@
         """Accept connections on an address."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: _Connection(self), host, port, backlog=1024
+            lambda: server_connection.Connection(self),
+            host,
+            port,
+            backlog=1024,
         )
         self._servers.append(server)
 
@@ -650,7 +114,7 @@
 
     # Where memory is limited
 
-    def check_later(self, connection: _Connection) -> None:
+    def check_later(self, connection: server_connection.Connection) -> None:
         """Check a connection regularly until it needs no check."""
         self._checked.add(connection)
         if self._check_timer is None:
@@ -658,7 +122,7 @@
                 CHECK_INTERVAL_SECONDS, self._check
             )
 
-    def forget(self, connection: _Connection) -> None:
+    def forget(self, connection: server_connection.Connection) -> None:
         """Do not check a connection any more."""
         self._checked.discard(connection)
 
@@ -699,10 +163,3 @@
                     )
                 )
                 connection.abort()
-
-
-def _get_phrase(status: int) -> bytes:
-    try:
-        return http.HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b'Unknown'
