Separated the memory for request bodies from the connection.

Cause: the connection had two jobs, requests with their timeouts and the memory that their bodies hold or wait for. Change: body_memory.BodyMemory holds that memory, and tells the connection when to pause reading and when to refuse. Without any change of behaviour.

--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -8,6 +8,7 @@
 import httptools
 
 from vanillayoke.core import memory as memory_module
+from vanillayoke.transport import body_memory
 from vanillayoke.transport import headers as headers_module
 from vanillayoke.transport import responses
 
@@ -19,11 +20,6 @@
 # Closing a socket with unread data resets it, and the client could lose the
 # response. So the connection stays open for this time after the last one.
 LINGER_SECONDS = 0.5
-# The body as read and the copy that is written to the target.
-BODY_COPIES = 2
-# How long a large body waits for memory. The caller gives up after 2 s
-# without a response, and may have to repeat the request elsewhere.
-MAX_BODY_WAIT_SECONDS = 1.0
 # Protocol, parser, transport and buffers of a connection that is in use.
 CONNECTION_BYTES = 16 * 1024
 
@@ -75,13 +71,11 @@
         # Sent after the responses to all requests before the refused one.
         self._error: http.HTTPStatus | None = None
         self._memory = server.memory
-        # Memory for the body that is being read, for those of the requests in
-        # the queue, and for that of the running request.
-        self._body_size = 0
-        self._queued_sizes: collections.deque[int] = collections.deque()
-        self._running_size = 0
-        self._waiter: memory_module.Waiter | None = None
-        self._wait_timer: asyncio.TimerHandle | None = None
+        self._bodies: body_memory.BodyMemory | None = None
+        if server.memory is not None:
+            self._bodies = body_memory.BodyMemory(
+                server.memory, self._update_reading, self._refuse_body
+            )
         self._holds_back = False
         # The latest request with a response.
         self.request_name = ''
@@ -169,14 +163,14 @@
             self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         if self._task is None:
             self._set_timer(self._server.limits.idle_timeout)
-        if self._memory is not None and length and not self._is_closing:
+        if self._bodies is not None and length and not self._is_closing:
             self._has_length = True
-            self._hold_body(self._memory, BODY_COPIES * int(length))
+            self._bodies.expect(int(length))
 
     def on_body(self, body: bytes) -> None:
         self._body += body
-        if self._memory is not None and not self._has_length:
-            self._hold_chunk(self._memory, len(body))
+        if self._bodies is not None and not self._has_length:
+            self._bodies.add(len(body))
         if len(self._body) > self._server.limits.body_bytes:
             self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
@@ -196,8 +190,8 @@
             self._refuse(http.HTTPStatus.BAD_REQUEST)
             return
         self._queue.append(request)
-        if self._memory is not None:
-            self._queued_sizes.append(self._finish_body(self._memory))
+        if self._bodies is not None:
+            self._bodies.enqueue(len(request.body))
         if self._task is None:
             self._begin_next()
 
@@ -228,8 +222,8 @@
     def end_response(self, closes_connection: bool) -> None:
         if closes_connection:
             self._queue.clear()
-            if self._memory is not None:
-                self._release_queued(self._memory)
+            if self._bodies is not None:
+                self._bodies.release_queued()
             self._is_closing = True
             self._error = None
             self._linger()
@@ -270,78 +264,10 @@
 
     # Internals
 
-    def _hold_body(self, memory: memory_module.Account, size: int) -> None:
-        """Hold memory for a body; pause reading if there is none."""
-        if size > memory_module.LARGE_BYTES and not memory.has_room(
-            memory_module.Kind.REQUESTS, size
-        ):
-            self._wait_for_memory(memory, size)
-            return
-        self._body_size += size
-        memory.add(memory_module.Kind.REQUESTS, size)
-
-    def _hold_chunk(self, memory: memory_module.Account, length: int) -> None:
-        """Hold memory for a part of a body of unknown length."""
-        size = BODY_COPIES * length
-        self._body_size += size
-        memory.add(memory_module.Kind.REQUESTS, size)
-        next_size = memory_module.LARGE_BYTES + 1
-        if (
-            self._body_size > memory_module.LARGE_BYTES
-            and self._waiter is None
-            and not memory.has_room(memory_module.Kind.REQUESTS, next_size)
-        ):
-            self._wait_for_memory(memory, 0)
-
-    def _wait_for_memory(
-        self, memory: memory_module.Account, size: int
-    ) -> None:
-        def read_on() -> None:
-            self._waiter = None
-            self._wait_timer.cancel()
-            self._body_size += size
-            memory.add(memory_module.Kind.REQUESTS, size)
-            self._update_reading()
-
-        def refuse() -> None:
-            self._server.on_body_refused(size)
-            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
-            self._stop_waiting(memory)
-
-        self._waiter = memory.wait(
-            memory_module.Kind.REQUESTS,
-            max(size, memory_module.LARGE_BYTES + 1),
-            read_on,
-        )
-        if self._waiter is None:
-            self._body_size += size
-            memory.add(memory_module.Kind.REQUESTS, size)
-            return
-        self._wait_timer = self._loop.call_later(MAX_BODY_WAIT_SECONDS, refuse)
-        self._update_reading()
-
-    def _finish_body(self, memory: memory_module.Account) -> int:
-        """Return the memory that is held for a complete body."""
-        if self._waiter is not None:
-            # All of it was already received when reading was paused.
-            self._stop_waiting(memory)
-            size = BODY_COPIES * len(self._queue[-1].body) - self._body_size
-            self._body_size += size
-            memory.add(memory_module.Kind.REQUESTS, size)
-        size, self._body_size = self._body_size, 0
-        return size
-
-    def _stop_waiting(self, memory: memory_module.Account) -> None:
-        if self._waiter is not None:
-            memory.cancel(self._waiter)
-            self._waiter = None
-            self._wait_timer.cancel()
-            self._update_reading()
-
     def _update_reading(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        if self._waiter is not None or self._holds_back:
+        if self._holds_back or self._bodies.is_waiting:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
@@ -357,19 +283,13 @@
             )
             self.unsent_bytes = unsent
 
-    def _release_queued(self, memory: memory_module.Account) -> None:
-        memory.add(memory_module.Kind.REQUESTS, -sum(self._queued_sizes))
-        self._queued_sizes.clear()
-
     def _release_memory(self, memory: memory_module.Account) -> None:
         """Release all but the memory of the running request."""
         self._server.forget(self)
-        self._stop_waiting(memory)
-        self._release_queued(memory)
-        memory.add(memory_module.Kind.REQUESTS, -self._body_size)
+        self._bodies.release()
         memory.add(memory_module.Kind.RESPONSES, -self.unsent_bytes)
         memory.add(memory_module.Kind.CONNECTIONS, -CONNECTION_BYTES)
-        self._body_size = self.unsent_bytes = 0
+        self.unsent_bytes = 0
         self._memory = None
 
     def _reset_message(self) -> None:
@@ -398,10 +318,16 @@
         if self._task is None and not self._queue:
             self._send_error(status)
 
+    def _refuse_body(self, size: int) -> None:
+        self._server.on_body_refused(size)
+        self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
+
     def _send_error(self, status: http.HTTPStatus) -> None:
         retry_after = b''
         if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
-            retry_after = b'Retry-After: %.2f\r\n' % MAX_BODY_WAIT_SECONDS
+            retry_after = (
+                b'Retry-After: %.2f\r\n' % body_memory.MAX_BODY_WAIT_SECONDS
+            )
         self.write(
             b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%bConnection: close\r\n'
             b'\r\n' % (status, responses.get_phrase(status), retry_after)
@@ -427,7 +353,7 @@
             ):
                 self._server.check_later(self)
                 return
-            self._running_size = self._queued_sizes.popleft()
+            self._bodies.begin_next()
         request = self._queue.popleft()
         responder = responses.Responder(self, request.closes_connection)
         self._task = self._loop.create_task(
@@ -437,11 +363,8 @@
 
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._task = None
-        if self._running_size:
-            self._server.memory.add(
-                memory_module.Kind.REQUESTS, -self._running_size
-            )
-            self._running_size = 0
+        if self._bodies is not None:
+            self._bodies.end_running()
         if not task.cancelled() and task.exception() is not None:
             self._server.on_failure(task.exception())
             self.abort()
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -5,9 +5,9 @@
 from vanillayoke.core import memory
 from vanillayoke.testing import fixtures
 from vanillayoke.testing import networks
+from vanillayoke.transport import body_memory
 from vanillayoke.transport import client
 from vanillayoke.transport import server
-from vanillayoke.transport import server_connection
 
 ADDRESS = ('10.0.0.1', 80)
 CAPACITY = 4_000_000
@@ -229,9 +229,7 @@
     case.assertIn(b' 503 ', caller.received)
     case.assertIn(b'Retry-After', caller.received)
     case.assertEqual(3, len(service.requests))
-    case.assertEqual(
-        [server_connection.BODY_COPIES * BODY], started.refused_bodies
-    )
+    case.assertEqual([body_memory.BODY_COPIES * BODY], started.refused_bodies)
     caller.transport.abort()
     await asyncio.sleep(1.0)
     case.assertEqual(0, started.account.held[memory.Kind.REQUESTS])
@@ -320,9 +318,7 @@
     caller.transport.write(_get(7) + _post(b'second') + body)
     started.account.add(memory.Kind.RESPONSES, CAPACITY // 2)
     await asyncio.sleep(4.0)
-    case.assertEqual(
-        [server_connection.BODY_COPIES * BODY], started.refused_bodies
-    )
+    case.assertEqual([body_memory.BODY_COPIES * BODY], started.refused_bodies)
     received = bytes(caller.received)
     case.assertEqual(
         [b'200', b'200', b'503'],
