Counted what the kernel has delivered as progress of a slow caller.

Cause: under memory pressure a caller is disconnected if the transport's buffer has not become smaller for 5 s (1 s if the account is full). The kernel takes more bytes only when a third of its send buffer, up to some MB, is free, so callers that read slowly were disconnected although they read. Change: progress is counted in bytes that the caller's side has acknowledged, from the length of the socket's send queue. Result: with both bounds at 0.5 s on real sockets, a caller that reads 16 KB each 0.1 s was disconnected, now it is not; without reading it still is.

--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import collections
+import fcntl
 import http
+import sys
+import termios
 import typing
 
 import httptools
@@ -247,10 +250,14 @@
     def check(self, memory: memory_module.Account, now: float) -> bool:
         """Update what is unsent; return whether to check again later."""
         self._update_unsent(memory)
-        taken = self._written_bytes - self.unsent_bytes
-        if taken > self._taken_bytes:
-            self._taken_bytes = taken
-            self.last_progress_at = now
+        if self.unsent_bytes:
+            # The kernel takes more only when a third of its buffer is free,
+            # which may need many seconds while the caller reads slowly.
+            unacknowledged = _count_unacknowledged(self._transport)
+            taken = self._written_bytes - self.unsent_bytes - unacknowledged
+            if taken > self._taken_bytes:
+                self._taken_bytes = taken
+                self.last_progress_at = now
         if self._task is None and self._queue:
             self._begin_next()
         if self._holds_back and not (self._queue and memory.is_under_pressure):
@@ -392,3 +399,16 @@
             self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.close()
+
+
+def _count_unacknowledged(transport: asyncio.Transport) -> int:
+    """Return the bytes in the kernel that the peer has not acknowledged."""
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() < 0:
+        return 0
+    count = bytearray(4)
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -1,6 +1,7 @@
 """Tests of the server and the client with a memory limit."""
 
 import asyncio
+import socket
 
 from vanillayoke.core import memory
 from vanillayoke.testing import fixtures
@@ -485,4 +486,44 @@
     http_server.close()
 
 
+@fixtures.on_real_loop
+async def test_slow_reading_that_only_the_kernel_sees_is_progress(
+    case, service
+):
+    """The kernel takes more bytes only when a third of its buffer is free."""
+    account = memory.Account(BODY)
+    stalled = []
+    http_server = server.HttpServer(
+        service.handle,
+        lambda error: None,
+        lambda status: None,
+        account,
+        on_stalled=stalled.append,
+    )
+    bound = 0.5
+    for name in ('MAX_STALL_SECONDS', 'FULL_STALL_SECONDS'):
+        case.addCleanup(setattr, server, name, getattr(server, name))
+        setattr(server, name, bound)
+    await http_server.listen('127.0.0.1', 0)
+    address = http_server._servers[0].sockets[0].getsockname()
+    loop = asyncio.get_running_loop()
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        caller.setblocking(False)
+        await loop.sock_connect(caller, address)
+        await loop.sock_sendall(caller, _get(8 * BODY))
+        for _ in range(20):
+            await asyncio.sleep(bound / 5)
+            await loop.sock_recv(caller, 16 * 1024)
+        case.assertEqual([], stalled)
+        case.assertTrue(account.is_under_pressure)
+        # Without reading it is disconnected.
+        await asyncio.sleep(3 * bound)
+        case.assertEqual(1, len(stalled))
+    async with asyncio.timeout(10.0):
+        while account.total:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    http_server.close()
+
+
 load_tests = fixtures.adapt(__name__)
