Clipped times to the first event in the learned read time.

Cause: unlike the other averages, the read time took each sample as it was. An instance that stood still for 3 s during a turn then expected far too much time for prompts that are not cached, for a hundred turns. Change: a time to the first event is clipped to four times the expected one, and at least to four usual events. Result: after 100 usual samples and one of 3 s the read time was 18 times too high; now it is within a factor of 2, and engines that become three times slower are still learned.

--- a/libs/scheduling/vanillayoke/scheduling/completion.py
+++ b/libs/scheduling/vanillayoke/scheduling/completion.py
@@ -27,6 +27,10 @@
 INITIAL_READ_WEIGHT = 5 * 1000.0**2
 # The learned read time is within this factor of the initial one.
 MAX_READ_CHANGE = 20.0
+# Times to the first event are clipped to the expected one multiplied by this
+# factor. A single one, measured by an instance that stood still for 3 s,
+# would raise the learned read time by a factor of 18.
+MAX_READ_RATIO = 4.0
 # Weight of all earlier samples of the read time relative to a new one.
 READ_DECAY_FACTOR = 0.99
 # A round trip between zones takes 1 to 3 ms.
@@ -262,6 +266,13 @@
 
     def learn(self, tokens: float, seconds: float) -> None:
         """Add the time to the first event of a response."""
+        if self._weight > 0.0:
+            mean_tokens = self._tokens / self._weight
+            mean_seconds = self._seconds / self._weight
+            expected = mean_seconds + self.value * (tokens - mean_tokens)
+            # The line through few samples may be far too low.
+            expected = max(expected, INITIAL_EVENT_SECONDS)
+            seconds = min(seconds, MAX_READ_RATIO * expected)
         decay = READ_DECAY_FACTOR
         self._weight = self._weight * decay + 1.0
         self._tokens = self._tokens * decay + tokens
--- a/tests/scheduling/test_completion.py
+++ b/tests/scheduling/test_completion.py
@@ -269,4 +269,21 @@
     case.assertGreater(read_time.value, 0.0)
 
 
+def test_standstill_hardly_changes_the_read_time(case):
+    """An instance that stood still for 3 s measures it in a first event."""
+    rng = random.Random(4)
+    read_time = completion.ReadTime()
+    actual = completion.INITIAL_READ_SECONDS
+    for _ in range(100):
+        tokens = rng.uniform(0.0, 2000.0)
+        read_time.learn(tokens, 0.04 + tokens * actual)
+    read_time.learn(2000.0, 3.0)
+    case.assertLess(read_time.value, 2 * actual)
+    # Engines that have become three times slower are still noticed.
+    for _ in range(300):
+        tokens = rng.uniform(0.0, 2000.0)
+        read_time.learn(tokens, 0.04 + 3 * tokens * actual)
+    case.assertGreater(read_time.value, 2.5 * actual)
+
+
 load_tests = fixtures.adapt(__name__)
