Sent 100 Continue after the responses to all earlier requests.

Cause: the interim response to a pipelined request was written as soon as its head was read, also within the body of the stream that was being sent. Change: it waits until all earlier requests have their responses. Result: in the new test 100 Continue came before or within the first response, now after it.

--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -163,7 +163,8 @@
         if length and int(length) > self._server.limits.body_bytes:
             self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         elif expect and expect.lower() == b'100-continue':
-            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self._must_continue = True
+            self._send_continue()
         if self._task is None:
             self._set_timer(self._server.limits.idle_timeout)
         if self._bodies is not None and length and not self._is_closing:
@@ -307,6 +308,17 @@
         self._header_size = 0
         self._body = bytearray()
         self._is_reading = False
+        self._must_continue = False
+
+    def _send_continue(self) -> None:
+        """Send the interim response to the request that is being read.
+
+        It comes after the responses to all earlier requests.
+        """
+        if self._must_continue and self._task is None and not self._queue:
+            self._must_continue = False
+            if self._is_reading:
+                self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _add_header_size(self, size: int) -> None:
         self._header_size += size
@@ -384,6 +396,7 @@
             self._send_error(self._error)
         elif not self._is_closing:
             self._set_timer(self._server.limits.idle_timeout)
+            self._send_continue()
 
     def _set_timer(self, delay: float) -> None:
         self._cancel_timer()
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -351,6 +351,39 @@
     )
 
 
+async def test_interim_response_waits_for_an_earlier_one(
+    case, network, service
+):
+    """Within the body of a stream, the caller would take it for data."""
+    for capacity in (CAPACITY, None):
+        await _start_stream(service, capacity)
+        caller = await _connect()
+        head = _post(b'after')[:-9] + b'\r\nExpect: 100-continue\r\n\r\n'
+        await _ask(caller, _get(7) + head, 0.05)
+        case.assertNotIn(b' 100 ', caller.received)
+        await asyncio.sleep(0.2)
+        case.assertLess(
+            caller.received.index(b'0\r\n\r\n'),
+            caller.received.index(b' 100 '),
+        )
+        await _ask(caller, b'after')
+        case.assertEqual(2, caller.received.count(b'200 OK'))
+
+
+async def _start_stream(service, capacity):
+    """Start a server that streams its responses for 0.2 s."""
+
+    async def handle(request, responder):
+        responder.start(200, [], None)
+        responder.write(b'first')
+        await asyncio.sleep(0.2)
+        responder.write(b'last')
+        responder.finish()
+
+    service.handle = handle
+    await _start(service, capacity)
+
+
 async def test_connection_with_unsent_response_is_active(
     case, network, service
 ):
