--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -1,10 +1,12 @@
 """Tests of the server and the client with a memory limit."""
 
 import asyncio
+import socket
 
 from vanillayoke.core import memory
 from vanillayoke.testing import fixtures
 from vanillayoke.testing import networks
+from vanillayoke.transport import body_memory
 from vanillayoke.transport import client
 from vanillayoke.transport import server
 
@@ -228,7 +230,7 @@
     case.assertIn(b' 503 ', caller.received)
     case.assertIn(b'Retry-After', caller.received)
     case.assertEqual(3, len(service.requests))
-    case.assertEqual([server.BODY_COPIES * BODY], started.refused_bodies)
+    case.assertEqual([body_memory.BODY_COPIES * BODY], started.refused_bodies)
     caller.transport.abort()
     await asyncio.sleep(1.0)
     case.assertEqual(0, started.account.held[memory.Kind.REQUESTS])
@@ -264,6 +266,140 @@
     case.assertEqual(12 * BODY, caller.received.count(b'x'))
 
 
+def _add_cache(account):
+    """Hold a cache that is cleared when pressure begins."""
+
+    def clear(is_pressed):
+        cached = account.held[memory.Kind.HISTORIES]
+        if is_pressed and cached:
+            account.add(memory.Kind.HISTORIES, -cached)
+
+    account._on_pressure = clear
+    account.add(memory.Kind.HISTORIES, CAPACITY // 2)
+
+
+async def test_large_body_is_read_if_caches_make_room(case, network, service):
+    """Reading stayed paused until the body was refused."""
+    started = await _start(service)
+    _add_cache(started.account)
+    caller = await _connect()
+    body = b'b' * 700_000
+    await _ask(caller, _post(body)[:1000])
+    await _ask(caller, _post(body)[1000:])
+    case.assertIn(b'200 OK', caller.received)
+    caller.transport.abort()
+    await asyncio.sleep(0.1)
+    case.assertEqual({0}, set(started.account.held.values()))
+
+
+async def test_large_response_is_read_if_caches_make_room(
+    case, network, service
+):
+    """Reading stayed paused for ever."""
+    await _start(service, None)
+    account = memory.Account(CAPACITY)
+    _add_cache(account)
+    pool = client.Pool(1.0, memory=account)
+    connection = await _send(pool, 2 * BODY)
+    async with asyncio.timeout(1.0):
+        case.assertEqual(2 * BODY, len(await connection.read_body()))
+    _release(pool, connection)
+    case.assertEqual({0}, set(account.held.values()))
+    pool.close()
+
+
+async def test_refused_body_does_not_answer_an_earlier_request(
+    case, network, service
+):
+    """The request before it runs, so a 503 for it would be wrong."""
+    started = await _start(service)
+    service.delay = 1.5
+    caller = await _connect()
+    body = _post(b'b' * BODY)[:1000]
+    caller.transport.write(_get(7) + _post(b'second') + body)
+    started.account.add(memory.Kind.RESPONSES, CAPACITY // 2)
+    await asyncio.sleep(4.0)
+    case.assertEqual([body_memory.BODY_COPIES * BODY], started.refused_bodies)
+    received = bytes(caller.received)
+    case.assertEqual(
+        [b'200', b'200', b'503'],
+        [part[:3] for part in received.split(b'HTTP/1.1 ')[1:]],
+    )
+    case.assertLess(received.index(b'second'), received.index(b'503'))
+    case.assertEqual(2, len(service.requests))
+
+
+async def test_invalid_request_waits_for_responses_that_are_held_back(
+    case, network, service
+):
+    """An error in the place of the queued response would be taken for it."""
+    started = await _start(service)
+    await _connect_slow_readers(2, BODY)
+    caller = await _connect()
+    caller.transport.pause_reading()
+    caller.transport.write(_get(BODY))
+    await asyncio.sleep(0.05)
+    caller.transport.write(_get(7) + b'invalid\r\n\r\n')
+    await asyncio.sleep(0.1)
+    case.assertEqual(3, len(service.requests))
+    started.account.add(memory.Kind.RESPONSES, -BODY)
+    caller.transport.resume_reading()
+    await asyncio.sleep(1.0)
+    case.assertEqual(
+        [b'200', b'200', b'400'],
+        [part[:3] for part in bytes(caller.received).split(b'HTTP/1.1 ')[1:]],
+    )
+
+
+async def test_interim_response_waits_for_an_earlier_one(
+    case, network, service
+):
+    """Within the body of a stream, the caller would take it for data."""
+    for capacity in (CAPACITY, None):
+        await _start_stream(service, capacity)
+        caller = await _connect()
+        head = _post(b'after')[:-9] + b'\r\nExpect: 100-continue\r\n\r\n'
+        await _ask(caller, _get(7) + head, 0.05)
+        case.assertNotIn(b' 100 ', caller.received)
+        await asyncio.sleep(0.2)
+        case.assertLess(
+            caller.received.index(b'0\r\n\r\n'),
+            caller.received.index(b' 100 '),
+        )
+        await _ask(caller, b'after')
+        case.assertEqual(2, caller.received.count(b'200 OK'))
+
+
+async def _start_stream(service, capacity):
+    """Start a server that streams its responses for 0.2 s."""
+
+    async def handle(request, responder):
+        responder.start(200, [], None)
+        responder.write(b'first')
+        await asyncio.sleep(0.2)
+        responder.write(b'last')
+        responder.finish()
+
+    service.handle = handle
+    await _start(service, capacity)
+
+
+async def test_connection_with_unsent_response_is_active(
+    case, network, service
+):
+    """A process that stops would end before the caller has read it."""
+    for capacity in (CAPACITY, None):
+        started = await _start(service, capacity)
+        [slow] = await _connect_slow_readers(1, BODY)
+        started.server.drain()
+        case.assertEqual(1, started.server.active_connections)
+        slow.transport.resume_reading()
+        await asyncio.sleep(0.1)
+        case.assertEqual(BODY, slow.received.count(b'x'))
+        case.assertEqual(0, started.server.active_connections)
+        started.server.close()
+
+
 async def test_without_limit_nothing_changes(case, network, service):
     started = await _start(service, None)
     slow = await _connect_slow_readers(20, BODY)
@@ -383,4 +519,44 @@
     http_server.close()
 
 
+@fixtures.on_real_loop
+async def test_slow_reading_that_only_the_kernel_sees_is_progress(
+    case, service
+):
+    """The kernel takes more bytes only when a third of its buffer is free."""
+    account = memory.Account(BODY)
+    stalled = []
+    http_server = server.HttpServer(
+        service.handle,
+        lambda error: None,
+        lambda status: None,
+        account,
+        on_stalled=stalled.append,
+    )
+    bound = 0.5
+    for name in ('MAX_STALL_SECONDS', 'FULL_STALL_SECONDS'):
+        case.addCleanup(setattr, server, name, getattr(server, name))
+        setattr(server, name, bound)
+    await http_server.listen('127.0.0.1', 0)
+    address = http_server._servers[0].sockets[0].getsockname()
+    loop = asyncio.get_running_loop()
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        caller.setblocking(False)
+        await loop.sock_connect(caller, address)
+        await loop.sock_sendall(caller, _get(8 * BODY))
+        for _ in range(20):
+            await asyncio.sleep(bound / 5)
+            await loop.sock_recv(caller, 16 * 1024)
+        case.assertEqual([], stalled)
+        case.assertTrue(account.is_under_pressure)
+        # Without reading it is disconnected.
+        await asyncio.sleep(3 * bound)
+        case.assertEqual(1, len(stalled))
+    async with asyncio.timeout(10.0):
+        while account.total:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    http_server.close()
+
+
 load_tests = fixtures.adapt(__name__)
