Removed an unused property of the capacity of a service.

Nothing used whether there is a recent load; the share is 1 without one. No change of behaviour: the 33 tests of the admission of programs pass.

--- a/libs/scheduling/vanillayoke/scheduling/service_capacity.py
+++ b/libs/scheduling/vanillayoke/scheduling/service_capacity.py
@@ -70,11 +70,6 @@
         self.utilisation = 0.0
         self.load_age = 0.0
 
-    @property
-    def is_known(self) -> bool:
-        """Whether there is a recent load."""
-        return self._sample is not None
-
     def update(
         self,
         loads: dict[str, zone_loads.ZoneLoad],
