Let every second seed of the soak play overload.

The soak's sites did not enable overload control, a memory limit or reports of contention, so none of their failures was played. Odd seeds now start instances with pressure and 64 MB, two zones, targets with two slots and contention, and six slow readers; bursts of an organisation come with faults that hit coordinators and targets while requests wait. Checked are the attempts of safe requests, the memory, and that all slots of the idle site are used in the end.

--- a/libs/soak/vanillayoke/soak/budgets.py
+++ b/libs/soak/vanillayoke/soak/budgets.py
@@ -7,7 +7,9 @@
 from vanillayoke.soak import violations
 
 # Kinds of faults that lose grants of an instance, which then count as used.
-_GRANT_LOSS_KINDS = frozenset(('kill', 'freeze', 'clock', 'replace'))
+_GRANT_LOSS_KINDS = frozenset(
+    ('kill', 'freeze', 'clock', 'replace', 'isolate')
+)
 # A coordinator that takes a program over within this time of a store failure
 # charges the credit that its predecessors may have granted.
 _CREDIT_MEMORY_SECONDS = 8.0
--- a/libs/soak/vanillayoke/soak/callers.py
+++ b/libs/soak/vanillayoke/soak/callers.py
@@ -1,11 +1,14 @@
 """Emulates callers: programs with turns, tool calls and retries."""
 
 import asyncio
+import contextlib
 import itertools
 import random
+import socket
 import typing
 
 from vanillayoke.soak import control
+from vanillayoke.soak import load
 from vanillayoke.soak import organisations
 from vanillayoke.soak import records
 from vanillayoke.standins import calls
@@ -24,6 +27,11 @@
 MAX_RESUME_ATTEMPTS = 8
 DEADLINE_MS = 3000
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
+# Probes are enough to fill the slots of their service several times.
+PROBE_COUNTS = {'chat': 18, 'look': 12}
+PROBE_ORGANISATION = organisations.NAMES[0]
+SLOW_READ_BYTES = 16 * 1024
+SLOW_READ_SECONDS = 0.08
 _FINAL_STATUSES = frozenset((200, 400, 401, 402, 404, 413, 431, 500))
 
 
@@ -72,14 +80,76 @@
         finally:
             caller.pool.close()
 
-    async def _run_program(self, caller: 'Caller') -> None:
+    async def run_burst(self, subject: int, end: float) -> None:
+        """Run programs of one organisation until a time."""
+        organisation = organisations.NAMES[subject % len(organisations.NAMES)]
+        caller = Caller(self)
+        try:
+            while not self.is_over and control.read_now() < end:
+                await self._run_program(caller, organisation)
+        finally:
+            caller.pool.close()
+
+    async def run_slow_reader(self) -> None:
+        """Make calls with large responses and read these slowly."""
+        caller = SlowReader(self)
+        while not self.is_over:
+            number = next(self._numbers)
+            conversation = Conversation(
+                f'r{number}', '0', 'order', 0, self._get_key('red')
+            )
+            await self._send_attempt(
+                caller,
+                'order',
+                'unsafe',
+                conversation,
+                padding='.' * load.LARGE_BODY_BYTES,
+            )
+            await asyncio.sleep(self._rng.uniform(0.2, 1.0))
+
+    async def probe(self) -> tuple[str, ...]:
+        """Send probes at once; return the last request of each one."""
+        self.abandon_ratio = 0.0
+
+        async def send(route: str, kind: str) -> str:
+            caller = Caller(self)
+            program = f'probe{next(self._numbers)}'
+            budget = 2 * TURN_TOKENS
+            conversation = Conversation(
+                program, '0', route, budget, self._get_key(PROBE_ORGANISATION)
+            )
+            options = {}
+            if kind == 'stream':
+                options = {'session': '0', 'budget': budget, 'previous': ''}
+            try:
+                answered = await self.call(
+                    caller, route, kind, conversation, **options
+                )
+            finally:
+                caller.pool.close()
+            return answered.request
+
+        kinds = {'chat': 'stream', 'look': 'safe'}
+        requests = [
+            send(route, kinds[route])
+            for route, count in PROBE_COUNTS.items()
+            for _ in range(count)
+        ]
+        return tuple(await asyncio.gather(*requests))
+
+    async def _run_program(
+        self, caller: 'Caller', organisation: str = ''
+    ) -> None:
         rng = self._rng
         number = next(self._numbers)
-        organisation = organisations.NAMES[number % len(organisations.NAMES)]
+        own_name = organisations.NAMES[number % len(organisations.NAMES)]
+        organisation = organisation or own_name
         # Programs keep their key, even after it is replaced.
         key = self._get_key(organisation)
         # Organisations use the same program names.
         program = f'p{number // len(organisations.NAMES)}'
+        if organisation != own_name:
+            program = f'b{number}'
         route = rng.choice(('chat', 'chat', 'plan'))
         turns = rng.randint(2, 5)
         is_runaway = rng.random() < RUNAWAY_RATIO
@@ -214,6 +284,7 @@
         method = 'GET' if kind == 'safe' else 'POST'
         target = f'/{route}/{name}'
         body = '' if kind == 'safe' else f'input of {name};'
+        body += options.get('padding', '')
         headers = calls.make_headers(name, DEADLINE_MS)
         headers.append(
             (b'Authorization', f'Bearer {conversation.key}'.encode())
@@ -249,7 +320,7 @@
         )
         answered = await caller.send(
             name,
-            self._find_caller_link(address),
+            caller.find_connection_address(address),
             method,
             target,
             headers,
@@ -282,6 +353,10 @@
             await self._resolve_addresses()
         return self._rng.choice(self._addresses)
 
+    def find_connection_address(self, address: str) -> str:
+        """Return where to connect for an instance's address."""
+        return self._callers._find_caller_link(address)
+
     async def _resolve_addresses(self) -> None:
         directories = self._callers._list_directories()
         self._rng.shuffle(directories)
@@ -338,6 +413,69 @@
         )
 
 
+class SlowReader(Caller):
+    """A caller that reads responses slowly, on connections of its own."""
+
+    def find_connection_address(self, address: str) -> str:
+        """Return the address itself, as links read quickly."""
+        return address
+
+    async def send(
+        self,
+        name: str,
+        address: str,
+        method: str,
+        target: str,
+        headers: list,
+        body: str,
+    ) -> records.Answered:
+        """Send a request once and return its outcome."""
+        lines = [f'{method} {target} HTTP/1.1'.encode()]
+        lines += [key + b': ' + value for key, value in headers]
+        lines += [b'Connection: close', b'Content-Length: %d' % len(body)]
+        data = b'\r\n'.join(lines) + b'\r\n\r\n' + body.encode()
+        received = bytearray()
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                await self._exchange(address, data, received)
+        return _parse_response(name, bytes(received))
+
+    async def _exchange(
+        self, address: str, data: bytes, received: bytearray
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        with socket.socket() as connection:
+            connection.setblocking(False)
+            # A larger buffer would take the whole response at once.
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READ_BYTES
+            )
+            await loop.sock_connect(connection, (host, int(port)))
+            await loop.sock_sendall(connection, data)
+            while chunk := await loop.sock_recv(connection, SLOW_READ_BYTES):
+                received += chunk
+                await asyncio.sleep(SLOW_READ_SECONDS)
+
+
+def _parse_response(name: str, received: bytes) -> records.Answered:
+    """Return the outcome of a request on a connection that was closed."""
+    now = control.read_now()
+    head, _, body = received.partition(b'\r\n\r\n')
+    first, *lines = head.split(b'\r\n')
+    parts = first.split(b' ')
+    status = int(parts[1]) if len(parts) > 1 and parts[1].isdigit() else 0
+    size = -1
+    for line in lines:
+        key, _, value = line.partition(b':')
+        if key.lower() == b'content-length' and value.strip().isdigit():
+            size = int(value)
+    is_whole = len(body) == size
+    return records.Answered(
+        now, name, status, is_whole, body.decode('latin-1')
+    )
+
+
 class _PartialResponse:
     """The part of a response that was received."""
 
--- a/libs/soak/vanillayoke/soak/checks.py
+++ b/libs/soak/vanillayoke/soak/checks.py
@@ -11,6 +11,7 @@
 
 from vanillayoke.soak import budgets
 from vanillayoke.soak import histories
+from vanillayoke.soak import load
 from vanillayoke.soak import organisations
 from vanillayoke.soak import records
 from vanillayoke.soak import violations
@@ -404,6 +405,9 @@
     'own organisation': organisations.check_organisations,
     'key in force': organisations.check_keys,
     'limit': organisations.check_limit,
+    'attempts': load.check_attempts,
+    'memory limit': load.check_memory,
+    'idle site': load.check_idle_site,
     'graceful stop': check_graceful_stops,
     'no crash': check_crashes,
     'recovery': check_recovery,
@@ -455,6 +459,7 @@
         'keys taken away': len({k for a in history.accepted for k in a.keys})
         - len(organisations.NAMES),
         'refused over the limit': statuses.count(429),
+        **load.count_subjects(history),
         'planned stops': sum(
             record.event == 'told' for record in history.processes
         ),
--- a/libs/soak/vanillayoke/soak/control.py
+++ b/libs/soak/vanillayoke/soak/control.py
@@ -28,6 +28,12 @@
     gap: float
 
 
+class Contend(msgspec.Struct, frozen=True, tag=True):
+    """Set how much longer than usual work takes on a server's machine."""
+
+    contention: float
+
+
 class Store(msgspec.Struct, frozen=True, tag=True):
     """Set how the store handles calls; ``delay`` in seconds."""
 
@@ -77,7 +83,7 @@
     to: str
 
 
-Command = Fail | Pace | Store | Put | Spoil | Link | Forward
+Command = Fail | Pace | Contend | Store | Put | Spoil | Link | Forward
 _DECODER = msgspec.json.Decoder(Command)
 
 
--- a/libs/soak/vanillayoke/soak/histories.py
+++ b/libs/soak/vanillayoke/soak/histories.py
@@ -23,6 +23,10 @@
         self.started: dict[str, list[records.Started]] = (
             collections.defaultdict(list)
         )
+        self.ended: list[records.Ended] = []
+        # By instance, the record with the highest peak.
+        self.memory: dict[str, records.Memory] = {}
+        self.probed: records.Probed | None = None
         self.leaving: dict[str, float] = {}
         self.accepted: list[records.Accepted] = []
         self.processes: list[records.Process] = []
@@ -37,6 +41,14 @@
                 self.answered[record.request] = record
             case records.Started():
                 self.started[record.request].append(record)
+            case records.Ended():
+                self.ended.append(record)
+            case records.Memory():
+                before = self.memory.get(record.instance, record)
+                if record.peak >= before.peak:
+                    self.memory[record.instance] = record
+            case records.Probed():
+                self.probed = record
             case records.Leaving():
                 self.leaving.setdefault(record.server, record.at)
             case records.Accepted():
--- a/libs/soak/vanillayoke/soak/instances.py
+++ b/libs/soak/vanillayoke/soak/instances.py
@@ -1,6 +1,8 @@
-"""Runs an instance with an adjustable wall clock.
+"""Runs an instance with an adjustable wall clock that can be isolated.
 
-The offset of the wall clock, in seconds, is read from a file.
+The offset of the wall clock, in seconds, is read from a file. While a file
+with the same name and ``ISOLATED_SUFFIX`` exists, datagrams to and from other
+instances are lost.
 """
 
 import pathlib
@@ -8,6 +10,9 @@
 import time
 
 from vanillayoke.adapter import process
+from vanillayoke.transport import datagrams
+
+ISOLATED_SUFFIX = '.isolated'
 
 
 def shift_clock(path: pathlib.Path) -> None:
@@ -27,9 +32,28 @@
     timers.LoopTimers.__init__.__defaults__ = (read_shifted,)
 
 
+def drop_datagrams(path: pathlib.Path) -> None:
+    """Lose all datagrams while a file exists."""
+    send = datagrams.DatagramSocket.send
+    receive = datagrams.DatagramSocket.datagram_received
+
+    def send_unless_isolated(self, address: str, data: bytes) -> None:
+        if not path.exists():
+            send(self, address, data)
+
+    def receive_unless_isolated(self, data: bytes, sender: tuple) -> None:
+        if not path.exists():
+            receive(self, data, sender)
+
+    datagrams.DatagramSocket.send = send_unless_isolated
+    datagrams.DatagramSocket.datagram_received = receive_unless_isolated
+
+
 def run(arguments: list[str]) -> int:
     """Run the instance; the first argument is the clock offset file."""
-    shift_clock(pathlib.Path(arguments[0]))
+    path = pathlib.Path(arguments[0])
+    shift_clock(path)
+    drop_datagrams(path.with_suffix(ISOLATED_SUFFIX))
     return process.run()
 
 
--- a/libs/soak/vanillayoke/soak/plans.py
+++ b/libs/soak/vanillayoke/soak/plans.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from vanillayoke.soak import load
+
 
 class Fault(msgspec.Struct, frozen=True):
     """A fault to inject.
@@ -34,6 +36,7 @@
     faulty: float
     calm: float
     faults: tuple[Fault, ...]
+    has_overload: bool = False
 
 
 # Maximum duration in seconds, maximum strength and weight of each kind.
@@ -128,8 +131,20 @@
     faults += _generate_additional(seed, faulty)
     faults += _generate_many_routes(seed, faulty)
     faults += _generate_access(seed, faulty)
+    if load.has_overload(seed):
+        faults += [
+            Fault(*fault) for fault in load.generate_faults(seed, faulty)
+        ]
     faults.sort(key=lambda fault: fault.at)
-    return Plan(seed, instances, callers, faulty, calm, tuple(faults))
+    return Plan(
+        seed,
+        instances,
+        callers,
+        faulty,
+        calm,
+        tuple(faults),
+        load.has_overload(seed),
+    )
 
 
 def _generate_additional(seed: int, faulty: float) -> list[Fault]:
--- a/libs/soak/vanillayoke/soak/processes.py
+++ b/libs/soak/vanillayoke/soak/processes.py
@@ -49,6 +49,22 @@
         """Whether the process is still running."""
         return self._process.returncode is None
 
+    def read_peak_memory(self) -> int:
+        """Return the peak resident size in bytes, 0 if it has ended."""
+        if not self.is_running:
+            return 0
+        try:
+            text = pathlib.Path(
+                f'/proc/{self._process.pid}/status'
+            ).read_text()
+        except OSError:
+            return 0
+        for line in text.splitlines():
+            name, _, size = line.partition(':')
+            if name == 'VmHWM':
+                return int(size.split()[0]) * 1024
+        return 0
+
     def send_command(self, command: control.Command) -> None:
         """Send a command, unless the process has ended."""
         if self.is_running:
--- a/libs/soak/vanillayoke/soak/records.py
+++ b/libs/soak/vanillayoke/soak/records.py
@@ -96,6 +96,28 @@
     status: int = 0
 
 
+class Memory(msgspec.Struct, frozen=True, tag=True):
+    """The peak resident size and the limit of an instance, in bytes."""
+
+    at: float
+    instance: str
+    peak: int
+    limit: int
+
+
+class Probed(msgspec.Struct, frozen=True, tag=True):
+    """Probes were sent to an idle site, from ``at`` to ``until``.
+
+    ``requests`` has the last request of each probe, ``slots`` the slots of
+    each server that the probes are enough to fill.
+    """
+
+    at: float
+    until: float
+    requests: tuple[str, ...]
+    slots: dict[str, int]
+
+
 class Disturbed(msgspec.Struct, frozen=True, tag=True):
     """A fault that affects ``where`` from ``at`` to ``until``."""
 
@@ -107,7 +129,7 @@
 
 Record = (
     Sent | Answered | Started | Ended | Leaving | Accepted | Process
-    | Disturbed
+    | Memory | Probed | Disturbed
 )  # fmt: skip
 
 DECODER = msgspec.json.Decoder(Record)
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -12,6 +12,7 @@
 from vanillayoke.soak import checks
 from vanillayoke.soak import control
 from vanillayoke.soak import histories
+from vanillayoke.soak import load
 from vanillayoke.soak import plans
 from vanillayoke.soak import records
 from vanillayoke.soak import sites
@@ -21,6 +22,8 @@
 CHECK_INTERVAL_SECONDS = 2.0
 # Maximum delay of records of servers and the store.
 RECORD_DELAY_SECONDS = 1.0
+MIN_PROBE_SECONDS = 3.0
+PROBE_INTERVAL_SECONDS = 0.5
 
 
 class Result(msgspec.Struct):
@@ -47,17 +50,20 @@
     ) -> None:
         self._plan = plan
         self._is_timed = is_timed
-        self._site = sites.Site(folder, network, plan.instances)
+        self._site = sites.Site(
+            folder, network, plan.instances, plan.has_overload
+        )
         self._folder = folder
         self._history = histories.History(records.Bounds())
         self._rng = random.Random(plan.seed)
         self._tasks: set[asyncio.Task] = set()
+        self._caller_tasks: list[asyncio.Task] = []
         self._violations: list[checks.Violation] = []
 
     async def run(self) -> Result:
         """Run the plan and return the result."""
         site = self._site
-        callers = callers_module.Callers(
+        callers = self._callers = callers_module.Callers(
             site.list_directories,
             site.find_caller_link,
             lambda: site.version,
@@ -70,7 +76,10 @@
             await asyncio.sleep(STARTUP_SECONDS)
             traffic_start = control.read_now()
             for _ in range(self._plan.callers):
-                self._spawn(callers.run())
+                self._caller_tasks.append(self._spawn(callers.run()))
+            if self._plan.has_overload:
+                for _ in range(load.SLOW_READER_COUNT):
+                    self._spawn(callers.run_slow_reader())
             for fault in self._plan.faults:
                 self._spawn(self._inject(fault, traffic_start))
             end = traffic_start + self._plan.faulty + self._plan.calm
@@ -78,6 +87,8 @@
                 await asyncio.sleep(CHECK_INTERVAL_SECONDS)
                 self._check()
             callers.is_over = True
+            if self._plan.has_overload and not self._violations:
+                await self._probe()
             await self._stop_instances()
             self._check()
         finally:
@@ -87,10 +98,11 @@
             await site.stop()
         return self._make_result()
 
-    def _spawn(self, work: typing.Coroutine) -> None:
+    def _spawn(self, work: typing.Coroutine) -> asyncio.Task:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._handle_completion)
+        return task
 
     def _handle_completion(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
@@ -98,9 +110,35 @@
             error = repr(task.exception())
             self._violations.append(checks.Violation('soak', 'run', error))
 
-    def _check(self) -> None:
+    async def _probe(self) -> None:
+        """Probe the idle site until a round succeeds or it must have."""
+        history, site = self._history, self._site
+        await asyncio.gather(*self._caller_tasks, return_exceptions=True)
+        last = max((one.until for one in history.disturbed), default=0.0)
+        deadline = max(
+            last + history.bounds.recovery,
+            control.read_now() + MIN_PROBE_SECONDS,
+        )
+        while True:
+            at = control.read_now()
+            slots = site.list_slots(('models', site.get_tool_service()))
+            requests = await self._callers.probe()
+            until = control.read_now()
+            # Records of servers arrive later.
+            await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+            self._collect_records()
+            history.add(records.Probed(at, until, requests, slots))
+            if not load.check_idle_site(history, until) or until > deadline:
+                return
+
+    def _collect_records(self) -> None:
         for record in self._site.collect_records():
             self._history.add(record)
+        for record in self._site.measure_memory():
+            self._history.add(record)
+
+    def _check(self) -> None:
+        self._collect_records()
         cutoff = control.read_now() - RECORD_DELAY_SECONDS
         if not self._violations:
             self._violations = checks.check_all(
@@ -154,8 +192,14 @@
         )
         family, _, variant = fault.kind.partition('_')
         match family:
+            case 'burst':
+                self._start_burst(fault)
             case 'kill' | 'freeze' | 'term' | 'replace' | 'hup' | 'clock':
                 await self._inject_instance_fault(fault)
+            case 'isolate':
+                await self._isolate(
+                    self._site.choose_host(fault.subject), fault
+                )
             case 'store':
                 await self._inject_store_fault(fault, variant)
             case 'server':
@@ -179,6 +223,13 @@
                     self._site.configure()
                     await asyncio.sleep(0.15)
 
+    def _start_burst(self, fault: plans.Fault) -> None:
+        end = control.read_now() + fault.seconds
+        for _ in range(int(fault.strength)):
+            self._caller_tasks.append(
+                self._spawn(self._callers.run_burst(fault.subject, end))
+            )
+
     async def _inject_instance_fault(self, fault: plans.Fault) -> None:
         site = self._site
         if fault.kind.endswith('_all'):
@@ -229,6 +280,12 @@
         child.signal(signal.SIGKILL)
         await self._site.start_instance(self._site.choose_new_host())
 
+    async def _isolate(self, host: str, fault: plans.Fault) -> None:
+        if host:
+            self._site.isolate(host, True)
+            await asyncio.sleep(fault.seconds)
+            self._site.isolate(host, False)
+
     async def _freeze(self, child: typing.Any, fault: plans.Fault) -> None:
         if child is None:
             return
@@ -291,6 +348,10 @@
                     site.unregister(key)
             case 'freeze':
                 await self._freeze(child, fault)
+            case 'contend':
+                child.send_command(control.Contend(fault.strength))
+                await asyncio.sleep(fault.seconds)
+                child.send_command(control.Contend(1.0))
             case 'leave':
                 await self._replace_server(server)
             case _:
--- a/libs/soak/vanillayoke/soak/servers.py
+++ b/libs/soak/vanillayoke/soak/servers.py
@@ -67,6 +67,8 @@
                 target.faults.extend([targets.Fault(fault)] * times)
             case control.Pace(gap):
                 target.event_interval = gap
+            case control.Contend(contention):
+                target.contention = contention
 
 
 async def run_store(address: str) -> None:
--- a/libs/soak/vanillayoke/soak/sites.py
+++ b/libs/soak/vanillayoke/soak/sites.py
@@ -6,9 +6,12 @@
 import pathlib
 import signal
 import time
+import typing
 
 from vanillayoke.adapter import process as process_module
 from vanillayoke.soak import control
+from vanillayoke.soak import instances as instances_module
+from vanillayoke.soak import load
 from vanillayoke.soak import organisations
 from vanillayoke.soak import processes
 from vanillayoke.soak import records
@@ -51,11 +54,21 @@
     """The processes of a run."""
 
     def __init__(
-        self, folder: pathlib.Path, network: int, instances: int
+        self,
+        folder: pathlib.Path,
+        network: int,
+        instances: int,
+        has_overload: bool = False,
     ) -> None:
         self.folder = folder
         self._network = network
         self._count = instances
+        self.has_overload = has_overload
+        self._slot_count = SERVER_SLOT_COUNT
+        self._zones = ZONES
+        if has_overload:
+            self._slot_count = load.SLOT_COUNT
+            self._zones = load.ZONES
         self.instances: dict[str, processes.Child] = {}
         self.servers = [Server(n, 'models') for n in range(MODEL_SERVER_COUNT)]
         for service in TOOL_SERVICES:
@@ -138,20 +151,22 @@
             [
                 *('-m', 'vanillayoke.soak', 'target'),
                 *(server.name, server.service, address),
-                *(str(SERVER_SLOT_COUNT), str(events)),
+                *(str(self._slot_count), str(events)),
             ],
         )
+        if self.has_overload:
+            server.child.send_command(control.Contend(1.0))
         self.links.send_command(control.Forward(link, address))
         self.register(server, 'ready')
 
     def register(self, server: Server, state: str) -> None:
         """Write a server's row, with a record if the server is draining."""
         link = f'{self._make_host(_SERVER_BASE + server.number, True)}:{_PORT}'
-        zone = ZONES[server.number % len(ZONES)]
+        zone = self._zones[server.number % len(self._zones)]
         row = calls.make_server_row(
             server.service,
             link,
-            SERVER_SLOT_COUNT,
+            self._slot_count,
             state,
             zone,
             server.started_ms,
@@ -172,7 +187,7 @@
         link = f'{self._make_host(_SERVER_BASE + server.number, True)}:{_PORT}'
         others = {'models', *TOOL_SERVICES} - {server.service}
         valid_row = calls.make_server_row(
-            min(others), link, SERVER_SLOT_COUNT, 'ready', ZONES[0], 1
+            min(others), link, self._slot_count, 'ready', ZONES[0], 1
         )
         rows = [
             {**valid_row, 'state': 'resting'},
@@ -196,8 +211,11 @@
     def configure(self) -> None:
         """Write the next configuration, with the other service for tools."""
         self.version += 1
-        tools = TOOL_SERVICES[self.version % len(TOOL_SERVICES)]
+        tools = self.get_tool_service()
         routes = calls.make_routes(tools)
+        if self.has_overload:
+            for route in routes:
+                route['priority'] = load.ROUTE_PRIORITIES[route['name']]
         routes += calls.make_version_routes(self.version, TOOL_SERVICES[0])
         routes += [
             calls.make_route(f'grown{number}', tools, 'safe')
@@ -254,9 +272,24 @@
 
     def _make_settings(self, host: str, store: str) -> dict:
         number = int(host.rpartition('.')[2])
-        return calls.make_settings_file(
-            f'i{number}', host, ZONES[number % len(ZONES)], store
-        )
+        zone = self._zones[number % len(self._zones)]
+        settings = calls.make_settings_file(f'i{number}', host, zone, store)
+        if self.has_overload:
+            settings['active_rules'] = ['pressure']
+            settings['limits'] = {'memory_mb': load.MEMORY_LIMIT_MB}
+        return settings
+
+    def list_slots(self, services: typing.Container[str]) -> dict[str, int]:
+        """Return the slots of the current servers of some services."""
+        return {
+            server.name: self._slot_count
+            for server in self.servers
+            if server.service in services
+        }
+
+    def get_tool_service(self) -> str:
+        """Return the service of the routes of tools."""
+        return TOOL_SERVICES[self.version % len(TOOL_SERVICES)]
 
     def choose_host(self, subject: int) -> str:
         """Return the address of a running instance, or an empty string."""
@@ -282,6 +315,16 @@
         number = int(host.rpartition('.')[2])
         (self.folder / f'clock-{number}').write_text(str(seconds))
 
+    def isolate(self, host: str, is_isolated: bool) -> None:
+        """Cut an instance off from all others, or end this."""
+        number = int(host.rpartition('.')[2])
+        path = self.folder / f'clock-{number}'
+        path = path.with_suffix(instances_module.ISOLATED_SUFFIX)
+        if is_isolated:
+            path.touch()
+        else:
+            path.unlink(missing_ok=True)
+
     def request_stop(self, host: str) -> None:
         """Ask an instance to stop gracefully."""
         child = self.instances.get(host)
@@ -299,6 +342,18 @@
                 found += child.read_records()
         return found
 
+    def measure_memory(self) -> list[records.Memory]:
+        """Return the peak sizes of running instances with a limit."""
+        if not self.has_overload:
+            return []
+        now = control.read_now()
+        limit = load.MEMORY_LIMIT_MB * 1024 * 1024
+        return [
+            records.Memory(now, host, peak, limit)
+            for host, child in self.instances.items()
+            if (peak := child.read_peak_memory())
+        ]
+
     async def stop(self) -> None:
         """Kill all processes."""
         self.is_stopping = True
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -93,6 +93,33 @@
     )
 
 
+def test_refusal_of_a_first_turn_that_ran_is_found(case):
+    """A caller starts the program again, and it would run twice."""
+    for status in (429, 503):
+        with case.subTest(status=status):
+            answer = _answer('t1', status, '')
+            case.assertEqual([], _check(_turn('t1'), answer))
+            found = _check(_turn('t1'), answer, _start_turn('t1', at=9.0))
+            case.assertEqual(['true refusal'], found)
+
+
+def test_checks_of_overload_are_run(case):
+    """The checks themselves are tested in ``test_load``."""
+    runs = [
+        _start('a', name, method='GET', target='/look/x', body='')
+        for name in ('s1', 's2', 's3')
+    ]
+    sent = _send('a', 'safe', 'look')
+    case.assertEqual(
+        ['attempts', 'memory limit', 'all slots'],
+        _check(
+            *(sent, *runs, _answer('a', body='done ')),
+            records.Memory(2.0, 'i1', 101, 100),
+            records.Probed(1.0, 3.0, (), {'s1': 2}),
+        ),
+    )
+
+
 def test_response_to_another_request_is_found(case):
     wrong = _answer('a', body='done in b;')
     case.assertEqual(['own answer'], _check(_send('a'), _start('a'), wrong))
--- a/tests/soak/test_plans.py
+++ b/tests/soak/test_plans.py
@@ -1,5 +1,6 @@
 """Tests of the generation of fault plans."""
 
+from vanillayoke.soak import load
 from vanillayoke.soak import plans
 from vanillayoke.testing import fixtures
 
@@ -20,6 +21,8 @@
         *plans.ADDITIONAL_KINDS,
         *plans.ACCESS_KINDS,
         plans.MANY_ROUTES_KIND,
+        load.BURST_KIND,
+        *load.KINDS,
     }
     case.assertEqual(expected, generated)
 
