Crowded one instance of the soak with slow readers.

The six slow readers held too little to exceed a memory limit: with the feature disabled the largest instance took 34 MB of 64. Bursts may now come with 100 to 150 slow readers at one instance. Records keep the length of a body's padding instead of the padding, which still tells different bodies apart.

--- a/libs/soak/vanillayoke/soak/callers.py
+++ b/libs/soak/vanillayoke/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import random
 import socket
 import typing
@@ -90,10 +91,15 @@
         finally:
             caller.pool.close()
 
-    async def run_slow_reader(self) -> None:
-        """Make calls with large responses and read these slowly."""
-        caller = SlowReader(self)
-        while not self.is_over:
+    async def run_slow_reader(
+        self, address: str = '', end: float = math.inf
+    ) -> None:
+        """Make calls with large responses and read these slowly.
+
+        They go to one instance if an address is given, until ``end``.
+        """
+        caller = SlowReader(self, address)
+        while not self.is_over and control.read_now() < end:
             number = next(self._numbers)
             conversation = Conversation(
                 f'r{number}', '0', 'order', 0, self._get_key('red')
@@ -103,7 +109,7 @@
                 'order',
                 'unsafe',
                 conversation,
-                padding='.' * load.LARGE_BODY_BYTES,
+                padding=records.PADDING * load.LARGE_BODY_BYTES,
             )
             await asyncio.sleep(self._rng.uniform(0.2, 1.0))
 
@@ -308,7 +314,7 @@
                 address.partition(':')[0],
                 method,
                 target,
-                body,
+                records.shorten(body),
                 f'{organisations.parse_organisation(conversation.key)}/'
                 f'{conversation.program}',
                 options.get('budget', 0),
@@ -416,6 +422,14 @@
 class SlowReader(Caller):
     """A caller that reads responses slowly, on connections of its own."""
 
+    def __init__(self, callers: Callers, address: str) -> None:
+        super().__init__(callers)
+        self._fixed_address = address
+
+    async def choose_address(self) -> str:
+        """Return the fixed address or choose one."""
+        return self._fixed_address or await super().choose_address()
+
     def find_connection_address(self, address: str) -> str:
         """Return the address itself, as links read quickly."""
         return address
@@ -472,7 +486,7 @@
             size = int(value)
     is_whole = len(body) == size
     return records.Answered(
-        now, name, status, is_whole, body.decode('latin-1')
+        now, name, status, is_whole, records.shorten(body.decode('latin-1'))
     )
 
 
--- a/libs/soak/vanillayoke/soak/load.py
+++ b/libs/soak/vanillayoke/soak/load.py
@@ -52,6 +52,9 @@
     'server_reborn': 1.5,
     'server_freeze': 2.0,
 }
+# Slow readers at one instance, which would need more than its memory.
+CROWD_KIND = 'crowd_instance'
+CROWD_READER_RANGE = 100, 150
 BURST_INTERVAL_SECONDS = 2.0
 MAX_FAULT_DELAY_SECONDS = 1.0
 # A probe of an idle site is answered within this time; targets need 60 ms.
@@ -90,6 +93,15 @@
                 callers,
             )
         )
+        crowd = BurstFault(
+            round(at + rng.uniform(0.3, MAX_FAULT_DELAY_SECONDS), 2),
+            CROWD_KIND,
+            rng.randrange(1000),
+            round(rng.uniform(1.0, 2.0), 2),
+            rng.randint(*CROWD_READER_RANGE),
+        )
+        if rng.randrange(2):
+            faults.append(crowd)
         for _ in range(rng.randint(1, 2)):
             kind = rng.choice(list(KINDS))
             delay = rng.uniform(0.3, MAX_FAULT_DELAY_SECONDS)
@@ -225,7 +237,7 @@
             if name in history.sent
         ),
         'large responses read slowly': sum(
-            answered.is_whole and len(sent.body) >= LARGE_BODY_BYTES
+            answered.is_whole and sent.body.endswith('>')
             for sent, answered in pairs
             if answered.status == 200
         ),
--- a/libs/soak/vanillayoke/soak/records.py
+++ b/libs/soak/vanillayoke/soak/records.py
@@ -8,6 +8,19 @@
 
 import msgspec
 
+MIN_PADDING = 1000
+PADDING = '.'
+
+
+def shorten(body: str) -> str:
+    """Return a body with the length of its padding instead of the padding.
+
+    Bodies that differ still differ, so that they can be compared.
+    """
+    start = body.rstrip(PADDING)
+    size = len(body) - len(start)
+    return body if size < MIN_PADDING else f'{start}<padding of {size}>'
+
 
 class Sent(msgspec.Struct, frozen=True, tag=True):
     """A caller starts to send a request; ``kind`` is that of the route."""
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -79,7 +79,8 @@
                 self._caller_tasks.append(self._spawn(callers.run()))
             if self._plan.has_overload:
                 for _ in range(load.SLOW_READER_COUNT):
-                    self._spawn(callers.run_slow_reader())
+                    work = callers.run_slow_reader()
+                    self._caller_tasks.append(self._spawn(work))
             for fault in self._plan.faults:
                 self._spawn(self._inject(fault, traffic_start))
             end = traffic_start + self._plan.faulty + self._plan.calm
@@ -192,7 +193,7 @@
         )
         family, _, variant = fault.kind.partition('_')
         match family:
-            case 'burst':
+            case 'burst' | 'crowd':
                 self._start_burst(fault)
             case 'kill' | 'freeze' | 'term' | 'replace' | 'hup' | 'clock':
                 await self._inject_instance_fault(fault)
@@ -225,10 +226,16 @@
 
     def _start_burst(self, fault: plans.Fault) -> None:
         end = control.read_now() + fault.seconds
+        host = self._site.choose_host(fault.subject)
         for _ in range(int(fault.strength)):
-            self._caller_tasks.append(
-                self._spawn(self._callers.run_burst(fault.subject, end))
-            )
+            if fault.kind == load.BURST_KIND:
+                work = self._callers.run_burst(fault.subject, end)
+            elif host:
+                address = self._site.find_address(host)
+                work = self._callers.run_slow_reader(address, end)
+            else:
+                return
+            self._caller_tasks.append(self._spawn(work))
 
     async def _inject_instance_fault(self, fault: plans.Fault) -> None:
         site = self._site
--- a/libs/soak/vanillayoke/soak/servers.py
+++ b/libs/soak/vanillayoke/soak/servers.py
@@ -35,7 +35,7 @@
                 run.request,
                 run.method.decode(),
                 run.target.decode(),
-                run.body.decode('latin-1'),
+                records.shorten(run.body.decode('latin-1')),
                 run.headers.get(_ORGANISATION, b'').decode('latin-1'),
                 fields.AUTHORIZATION in run.headers,
             )
--- a/libs/soak/vanillayoke/soak/sites.py
+++ b/libs/soak/vanillayoke/soak/sites.py
@@ -97,6 +97,10 @@
         number = int(address.partition(':')[0].rpartition('.')[2])
         return f'{self._make_host(number, True)}:8149'
 
+    def find_address(self, host: str) -> str:
+        """Return the address at which an instance serves callers."""
+        return f'{host}:8149'
+
     def list_directories(self) -> list[str]:
         """Return the directory addresses of running instances."""
         return [
--- a/tests/soak/test_load.py
+++ b/tests/soak/test_load.py
@@ -77,6 +77,19 @@
     case.assertEqual(['memory limit'], found)
 
 
+def test_shortened_bodies_differ_where_bodies_do(case):
+    """Lost, added and changed bytes of a large body must still be found."""
+    body = 'input of a;' + 5000 * records.PADDING
+    others = (body[:-1], body + '.', body[1:], body[:99] + 'x' + body[100:])
+    short = {records.shorten(one) for one in (body, *others)}
+    case.assertEqual(1 + len(others), len(short))
+    case.assertLess(len(records.shorten(body)), 100)
+    case.assertEqual(
+        records.shorten('done ' + body), 'done ' + records.shorten(body)
+    )
+    case.assertEqual('a...', records.shorten('a...'))
+
+
 PROBED = records.Probed(1.0, 2.0, ('a', 'b'), {'s1': 2})
 END = records.Ended(1.3, 's1', 'a', False)
 PROBES = (
--- a/tests/soak/test_plans.py
+++ b/tests/soak/test_plans.py
@@ -22,6 +22,7 @@
         *plans.ACCESS_KINDS,
         plans.MANY_ROUTES_KIND,
         load.BURST_KIND,
+        load.CROWD_KIND,
         *load.KINDS,
     }
     case.assertEqual(expected, generated)
