--- a/libs/soak/vanillayoke/soak/load.py
+++ b/libs/soak/vanillayoke/soak/load.py
@@ -41,6 +41,9 @@
 BURST_CALLER_RANGE = 12, 40
 BURST_SECONDS_RANGE = 1.5, 3.0
 CONTENTION_RANGE = 1.5, 4.0
+# Slows a server of tools so that its calls are hedged.
+STALL_RANGE = 4.0, 12.0
+TOOL_SERVERS = range(3, 7)
 # Faults while requests wait, with their maximum duration in seconds. Each
 # instance coordinates targets and one of each zone the loads of the zone.
 KINDS: dict[str, float] = {
@@ -114,7 +117,19 @@
                     round(rng.uniform(*CONTENTION_RANGE), 2),
                 )
             )
-        at += seconds + rng.expovariate(1 / BURST_INTERVAL_SECONDS)
+        at += seconds
+        # Calls are hedged only where other targets have capacity, as after a
+        # burst.
+        faults.append(
+            BurstFault(
+                round(min(faulty, at), 2),
+                'server_contend',
+                rng.choice(TOOL_SERVERS),
+                round(rng.uniform(1.0, 2.0), 2),
+                round(rng.uniform(*STALL_RANGE), 2),
+            )
+        )
+        at += rng.expovariate(1 / BURST_INTERVAL_SECONDS)
     return faults
 
 
