--- a/libs/soak/vanillayoke/soak/servers.py
+++ b/libs/soak/vanillayoke/soak/servers.py
@@ -35,7 +35,7 @@
                 run.request,
                 run.method.decode(),
                 run.target.decode(),
-                run.body.decode('latin-1'),
+                records.shorten(run.body.decode('latin-1')),
                 run.headers.get(_ORGANISATION, b'').decode('latin-1'),
                 fields.AUTHORIZATION in run.headers,
             )
@@ -67,6 +67,8 @@
                 target.faults.extend([targets.Fault(fault)] * times)
             case control.Pace(gap):
                 target.event_interval = gap
+            case control.Contend(contention):
+                target.contention = contention
 
 
 async def run_store(address: str) -> None:
