--- a/libs/gateway/vanillayoke/gateway/features.py
+++ b/libs/gateway/vanillayoke/gateway/features.py
@@ -1,16 +1,17 @@
-"""Decoding of the list of disabled features."""
+"""Decoding of the lists of enabled and disabled features."""
 
 from vanillayoke.gateway import messages
 
-VARIABLE = 'VANILLAYOKE_DISABLED_FEATURES'
+ENABLED_VARIABLE = 'VANILLAYOKE_ENABLED_FEATURES'
+DISABLED_VARIABLE = 'VANILLAYOKE_DISABLED_FEATURES'
 
 
 class UnknownFeatureError(ValueError):
     """The list contains a name that is not the name of a feature."""
 
 
-def decode_disabled(value: str) -> frozenset[messages.Feature]:
-    """Return the features named in a comma-separated list.
+def decode_features(variable: str, value: str) -> frozenset[messages.Feature]:
+    """Return the features named in the comma-separated list of a variable.
 
     Raise ``UnknownFeatureError`` with a hint if a name is unknown.
     """
@@ -20,5 +21,5 @@
     except ValueError as error:
         known = ', '.join(feature.value for feature in messages.Feature)
         raise UnknownFeatureError(
-            f'{VARIABLE}: {error}. HINT: Use some of: {known}.'
+            f'{variable}: {error}. HINT: Use some of: {known}.'
         ) from error
--- a/libs/gateway/vanillayoke/gateway/messages.py
+++ b/libs/gateway/vanillayoke/gateway/messages.py
@@ -306,11 +306,12 @@
         Feature.SLOT_QUEUE,
         Feature.PROGRAM_ADMISSION,
         Feature.ROUTE_PRIORITY,
-        Feature.ZONE_BALANCING,
         Feature.HEDGING,
     )
 )
-# Also enabled for targets that report how slow their machine is.
+# Enabled for targets that report how slow their machine is. Zone balancing is
+# not enabled for others: when equal engines were lost during a burst, programs
+# stayed in the zone that had lost most of them.
 CONTENTION_FEATURES = frozenset(
     (Feature.COMPLETION_TIME, Feature.ZONE_BALANCING)
 )
@@ -322,8 +323,8 @@
     ``is_first_start`` says that the whole system starts for the first time.
     ``has_overload_control`` says that callers compete for capacity.
     ``memory_limit`` is that of the process; ``None`` means that there is no
-    limit. ``disabled_features`` are not used even if the deployment calls for
-    them.
+    limit. ``enabled_features`` are used and ``disabled_features`` are not,
+    whatever the deployment calls for.
     """
 
     instance: str
@@ -340,6 +341,7 @@
     has_overload_control: bool = False
     memory_limit: int | None = None
     disabled_features: frozenset[Feature] = frozenset()
+    enabled_features: frozenset[Feature] = frozenset()
 
     def has_feature(
         self, feature: Feature, reports_contention: bool = False
@@ -351,6 +353,8 @@
         """
         if feature in self.disabled_features:
             return False
+        if feature in self.enabled_features:
+            return True
         if feature is Feature.MEMORY_LIMIT:
             return self.memory_limit is not None
         if reports_contention and feature in CONTENTION_FEATURES:
--- a/libs/gateway/vanillayoke/gateway/process.py
+++ b/libs/gateway/vanillayoke/gateway/process.py
@@ -10,7 +10,6 @@
 from vanillayoke.core import logs
 from vanillayoke.core import timers
 from vanillayoke.gateway import dialect as dialect_module
-from vanillayoke.gateway import features
 from vanillayoke.gateway import instance as instance_module
 from vanillayoke.gateway import messages
 from vanillayoke.transport import server
@@ -33,8 +32,8 @@
 
     ``read_settings`` decodes the file at a path and raises ``SettingsError``
     if it is invalid. Log lines are written to the file descriptor
-    ``descriptor`` without blocking. ``disabled_features`` are names separated
-    by commas.
+    ``descriptor`` without blocking. ``enabled_features`` and
+    ``disabled_features`` go before what the file calls for.
     """
 
     def __init__(
@@ -43,11 +42,13 @@
         descriptor: int,
         read_settings: typing.Callable[[str], messages.Settings],
         dialect: dialect_module.Dialect,
-        disabled_features: str = '',
+        enabled_features: frozenset[messages.Feature] = frozenset(),
+        disabled_features: frozenset[messages.Feature] = frozenset(),
     ) -> None:
         self._path = path
         self._decode_settings = read_settings
-        self._disabled_features = features.decode_disabled(disabled_features)
+        self._enabled_features = enabled_features
+        self._disabled_features = disabled_features
         self._settings = self._read_settings()
         # The error of the settings file as last read, None if it was valid.
         self._settings_error: str | None = None
@@ -115,7 +116,10 @@
 
     def _read_settings(self) -> messages.Settings:
         settings = self._decode_settings(self._path)
-        return settings._replace(disabled_features=self._disabled_features)
+        return settings._replace(
+            enabled_features=self._enabled_features,
+            disabled_features=self._disabled_features,
+        )
 
     def _reload(self, cause: str) -> None:
         try:
--- a/tests/gateway/test_zone_loads.py
+++ b/tests/gateway/test_zone_loads.py
@@ -21,10 +21,12 @@
 KNOWN_SECONDS = 1.01
 _DECODER = msgspec.msgpack.Decoder()
 
+ENABLED = frozenset((messages.Feature.ZONE_BALANCING,))
+
 
 async def _start(site, **settings):
     """Start a deployment with zones; ``settings`` are as in ``Settings``."""
-    site.settings_changes = settings or {'has_overload_control': True}
+    site.settings_changes = settings or {'enabled_features': ENABLED}
     # Starts the engines m1 and m2 and the tools in zone z1.
     await site.start(0)
     for name in ('m3', 'm4', 'm5', 'm6'):
@@ -248,10 +250,10 @@
 ):
     """Settings may change at any time, at one instance after the other."""
     await _start(site)
-    for has_overload_control in (False, True):
+    for enabled_features in (frozenset(), ENABLED):
         for instance in site.instances.values():
             instance.settings = instance.settings._replace(
-                has_overload_control=has_overload_control
+                enabled_features=enabled_features
             )
         for _ in range(30):
             await asyncio.sleep(0.1)
