Logged the software version of targets, and streams that continue.

The logs could not tell a stream that continued at another software version of its service from one that stayed at its version: neither the version of a target nor the request that began a resumed stream was written. Lines about requests, attempts and servers now have them, stream_continued names each target that a stream continues at, and explain follows a stream over the attempts of its caller. The choice of targets is unchanged.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -590,7 +590,9 @@
     'budget',
     'most',
     'route',
+    'resumes',
     'target',
+    'software',
     'outcome',
     'status',
     'ms',
@@ -632,10 +634,23 @@
     'The attempt at {target} failed: {error}.',
     'request',
     'target',
+    'software',
     'address',
     'error',
     'tries',
 )
+STREAM_CONTINUED = _define(
+    1006,
+    'stream_continued',
+    _INFO,
+    'The stream continues after event {last_event} at {target} ({software}).',
+    'request',
+    'resumes',
+    'program',
+    'target',
+    'software',
+    'last_event',
+)
 CONNECTION_REFUSED = _define(
     1004,
     'connection_refused',
@@ -695,6 +710,7 @@
     'Target {target} of {service} is {state} as of version {version}.',
     'target',
     'service',
+    'software',
     'state',
     'version',
 )
--- a/libs/core/vanillayoke/core/request_logs.py
+++ b/libs/core/vanillayoke/core/request_logs.py
@@ -53,6 +53,7 @@
     instance: str = '?'
     ms: float | None = None
     request: str | None = None
+    resumes: str | None = None
     program: str | None = None
     target: str | None = None
 
@@ -89,7 +90,10 @@
 def select_lines(
     lines: typing.Sequence[LogLine], subject: str
 ) -> list[LogLine]:
-    """Return the lines of a request or program with related events."""
+    """Return the lines of a request or program with related events.
+
+    Those of a request include the requests that resumed its stream.
+    """
     requests = {
         line.fields.get('request')
         for line in lines
@@ -137,7 +141,11 @@
 
 
 def _mentions(line: LogLine, subject: str) -> bool:
-    return subject in (line.fields.get('request'), line.fields.get('program'))
+    return subject in (
+        line.fields.get('request'),
+        line.fields.get('resumes'),
+        line.fields.get('program'),
+    )
 
 
 def _is_context(line: LogLine, targets: typing.Container[str]) -> bool:
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -45,6 +45,8 @@
         self.strips_key = False
         self.service = ''
         self.target: str | None = None
+        # The software version of the target.
+        self.software_version: str | None = None
         self.coordinator: str | None = None
         # The target likely to have most of the prompt in its cache.
         self.affinity_target: str | None = None
@@ -267,6 +269,7 @@
                 progress.queue_seconds += now - started_at
                 progress.queue_seconds += timers.now() - asked_at
                 progress.target = candidate.name
+                progress.software_version = target.software_version
                 return target
             await timers.sleep(
                 SLOT_RETRY_SECONDS * (0.5 + self._context.random_float())
@@ -353,6 +356,7 @@
             log_events.ATTEMPT_FAILED,
             request=progress.call.request,
             target=target.name,
+            software=target.software_version,
             address=target.address,
             error=f'{type(error).__name__}: {error}',
             tries=progress.attempts,
--- a/libs/gateway/vanillayoke/gateway/messages.py
+++ b/libs/gateway/vanillayoke/gateway/messages.py
@@ -117,6 +117,8 @@
 
     ``started`` is the start of the process in milliseconds since 1970. It
     tells a restarted server, which has lost its state, from its predecessor.
+    ``software_version`` is that of the server's software, not of its model.
+    Versions have no order.
     """
 
     name: str
@@ -126,6 +128,7 @@
     slots: int
     is_leaving: bool
     started: int = 0
+    software_version: str = ''
 
 
 class Program(typing.NamedTuple):
@@ -146,6 +149,8 @@
 
     ``prefix`` lists the parts of the prompt with their lengths, the request's
     own part last. ``key`` is the digest of the caller's key, if it sent one.
+    A request that resumes a stream after ``last_event`` names in ``resumes``
+    the request that brought the stream's first event.
     """
 
     request: str
@@ -164,6 +169,7 @@
     previous_turn: str | None
     last_event: bytes | None
     key: bytes | None = None
+    resumes: str | None = None
 
 
 class ForwardOptions(typing.NamedTuple):
--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -137,7 +137,7 @@
     def _change_target(self, row: messages.Row) -> None:
         if row.value is None:
             state = 'gone'
-            service = None
+            service = software = None
             changed = self._catalog.mark_target_missing(
                 row.where.key, row.version, self._find_grace_deadline()
             )
@@ -148,6 +148,7 @@
                 return
             state = 'leaving' if target.is_leaving else 'ready'
             service = target.service
+            software = target.software_version
             self._report_restart(target)
             changed = self._catalog.put_target(target, row.version)
         if changed:
@@ -155,6 +156,7 @@
                 log_events.SERVER_CHANGED,
                 target=row.where.key,
                 service=service,
+                software=software,
                 state=state,
                 version=row.version,
             )
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from vanillayoke.core import events as log_events
 from vanillayoke.core import memory
 from vanillayoke.gateway import context as context_module
 from vanillayoke.gateway import dispatch
@@ -298,6 +299,8 @@
                 progress, target, turn.last_event
             )
             progress.may_have_run = True
+            if turn.last_event is not None:
+                self._log_continued(turn, target)
             head = await attempt.send(
                 turn.call, options, not progress.route.is_idempotent
             )
@@ -321,6 +324,18 @@
             await self._save(turn)
         responder.finish()
 
+    def _log_continued(self, turn: _Turn, target: messages.Target) -> None:
+        call = turn.progress.call
+        self._context.log.write(
+            log_events.STREAM_CONTINUED,
+            request=call.request,
+            resumes=call.resumes,
+            program=call.program.name if call.program else None,
+            target=target.name,
+            software=target.software_version,
+            last_event=turn.last_event.decode('latin-1'),
+        )
+
     async def _relay(
         self,
         turn: _Turn,
--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -132,6 +132,24 @@
     case.assertEqual((1840, 290), (call.prompt_tokens, call.max_tokens))
     case.assertEqual((('5c', 800), ('91', 410)), call.prefix)
     case.assertEqual('r0', call.previous_turn)
+    case.assertIsNone(call.resumes)
+
+
+def test_fields_of_a_resumed_stream_are_decoded(case):
+    call = _decode(
+        (b'X-Vanillayoke-Request-Id', b'r2'),
+        (b'Last-Event-Id', b'7'),
+        (b'Resumes', b'r1'),
+    )
+    case.assertEqual((b'7', 'r1'), (call.last_event, call.resumes))
+
+
+def test_software_version_of_a_server_is_decoded(case):
+    row = calls.make_server_row(
+        'models', '10.8.0.1:8080', 4, 'ready', software_version='v1.1'
+    )
+    target = configuration.decode_target('m1', msgspec.json.encode(row))
+    case.assertEqual('v1.1', target.software_version)
 
 
 def _decode_report(report):
--- a/tests/core/test_request_logs.py
+++ b/tests/core/test_request_logs.py
@@ -58,6 +58,14 @@
     case.assertEqual({request}, requests)
 
 
+def test_selection_for_a_request_includes_those_that_resumed_it(case):
+    """A stream over several attempts must be found by its first id."""
+    texts = [_make_line(), _make_line(request='r2', resumes='r1')]
+    selected = request_logs.select_lines(request_logs.parse_lines(texts), 'r1')
+    requests = [line.fields['request'] for line in selected]
+    case.assertEqual(['r1', 'r2'], requests)
+
+
 def test_invalid_lines_are_ignored(case):
     text = ['', 'Traceback', '{"broken', '12.5 host {"message_type":"x"}']
     case.assertEqual(
@@ -83,6 +91,7 @@
         {'timestamp': [1]},
         {'ms': 'long'},
         {'request': ['r1']},
+        {'resumes': 7},
         {'instance': None},
     ):
         with case.subTest(**changes):
