--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -64,6 +64,7 @@
         # Fields of the settings that differ from those of make_settings.
         self.settings_changes: dict[str, typing.Any] = {}
         self._target_zones: dict[str, str] = {}
+        self._software_versions: dict[str, str] = {}
 
     async def start(self, instances: int = 2) -> None:
         """Start the store, two model servers, two tools, and instances."""
@@ -84,10 +85,15 @@
         await self.timers.sleep(3.0)
 
     async def add_target(
-        self, name: str, host: str | None = None, zone: str = 'z1'
+        self,
+        name: str,
+        host: str | None = None,
+        zone: str = 'z1',
+        software_version: str = 'v1',
     ) -> targets_module.FakeTarget:
         """Start a target and register it."""
         self._target_zones[name] = zone
+        self._software_versions[name] = software_version
         target = targets_module.FakeTarget(name)
         target.event_count = 4 if name.startswith('m') else 0
         self.targets[name] = target
@@ -108,6 +114,7 @@
             state,
             self._target_zones[name],
             born,
+            self._software_versions[name],
         )
         self.store.put(fields.SERVER_TABLE, name, row)
 
