Continued broken streams only at targets of the same software version.

Callers got one response whose events came from two software versions. An instance that resumed a broken stream chose among all targets of the service. max_attempts keeps it at the target that has run it in most cases, but a refused connection takes that target out of the count, as it can't run the request any more; the next choice then was free.

The origin of a stream is now part of the state of its request from the first event on, and limits every later choice. If no target of the version accepts connections, the response is broken off at once: waiting for one would hold the caller up, whose retry of the turn can be served. A stream none of whose events was sent has no origin and may still run anywhere.

--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -56,6 +56,10 @@
         self.attempts = 0
         # Attempts that a target rejected without running the request.
         self.sheds = 0
+        # Where the stream began, once an event of it has been sent.
+        self.origin: messages.StreamOrigin | None = None
+        # Targets that refused the connection.
+        self.unreachable_targets: set[str] = set()
         # Targets at which the request may have run.
         self.started_targets: set[str] = set()
         # Attempts that failed after the request may have run.
@@ -240,14 +244,16 @@
         """Return a target with a free slot, waiting for one if necessary.
 
         ``excluded`` holds names of targets not to use; it is cleared after
-        each wait. Raise ``RefusalError`` if the service has no targets, or if
-        no slot is free in time.
+        each wait. Raise ``RefusalError`` if the service has no targets, if
+        none can continue the stream, or if no slot is free in time.
         """
         timers = self._context.timers
         started_at = timers.now()
         criteria = self._make_criteria(progress)
         while True:
             targets = self._list_allowed(progress)
+            if progress.origin is not None:
+                targets = self._list_continuing(progress, targets)
             now = timers.now()
             if not targets and now - started_at > NO_TARGET_TIMEOUT_SECONDS:
                 raise refusals.RefusalError(refusals.Reason.NO_TARGET)
@@ -364,6 +370,7 @@
         if isinstance(error, client.NotSent):
             # The server has ended, so the request can no longer run there.
             # An earlier attempt may still have run.
+            progress.unreachable_targets.add(target.name)
             progress.started_targets.discard(target.name)
             progress.may_have_run = progress.broken_attempts > 0
             return
@@ -394,6 +401,30 @@
             if target.name in progress.started_targets
         ]
 
+    def _list_continuing(
+        self, progress: Progress, targets: list[messages.Target]
+    ) -> list[messages.Target]:
+        """Return the targets that can continue the request's stream.
+
+        Raise ``RefusalError`` if there is none. The first target of the
+        version to accept connections again may be minutes away, so there is
+        no wait as for a service without targets.
+        """
+        version = progress.origin.software_version
+        continuing = [
+            target for target in targets if target.software_version == version
+        ]
+        if all(
+            target.name in progress.unreachable_targets
+            for target in continuing
+        ):
+            raise refusals.RefusalError(
+                refusals.Reason.VERSION_GONE,
+                f'{len(continuing)} targets of {progress.origin.service}'
+                f' with software {version}, none reachable',
+            )
+        return continuing
+
     def record_success(
         self, progress: Progress, target: messages.Target
     ) -> None:
--- a/libs/gateway/vanillayoke/gateway/messages.py
+++ b/libs/gateway/vanillayoke/gateway/messages.py
@@ -131,6 +131,17 @@
     software_version: str = ''
 
 
+class StreamOrigin(typing.NamedTuple):
+    """The service and software version whose target began a stream.
+
+    Only targets of both can continue it: other versions number and format
+    their events differently, and targets do not check this.
+    """
+
+    service: str
+    software_version: str
+
+
 class Program(typing.NamedTuple):
     """The program of a request, as the request's headers describe it.
 
--- a/libs/gateway/vanillayoke/gateway/refusals.py
+++ b/libs/gateway/vanillayoke/gateway/refusals.py
@@ -25,6 +25,7 @@
     OVER_LIMIT = 'over_limit'
     OVER_LIMIT_URGENT = 'over_limit_urgent'
     NO_TARGET = 'no_target'
+    VERSION_GONE = 'version_gone'
     BUSY = 'busy'
     NO_CAPACITY = 'no_capacity'
     LATE = 'late'
@@ -47,6 +48,7 @@
     Reason.OVER_LIMIT: 429,
     Reason.OVER_LIMIT_URGENT: 429,
     Reason.NO_TARGET: 503,
+    Reason.VERSION_GONE: 503,
     Reason.BUSY: 503,
     Reason.NO_CAPACITY: 503,
     Reason.LATE: 503,
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -354,6 +354,7 @@
             for event in parser.feed(chunk):
                 if not responder.is_started:
                     self._start(turn, head, responder)
+                    self._record_origin(turn, attempt.target)
                 responder.write(event.raw)
                 if event.event_id is not None:
                     turn.last_event = event.event_id
@@ -369,6 +370,13 @@
         if not responder.is_started:
             self._start(turn, head, responder)
 
+    def _record_origin(self, turn: _Turn, target: messages.Target) -> None:
+        """Record which target sent the first event of a stream."""
+        if turn.progress.origin is None:
+            turn.progress.origin = messages.StreamOrigin(
+                target.service, target.software_version
+            )
+
     def _start(
         self, turn: _Turn, head: client.Head, responder: server.Responder
     ) -> None:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -34,6 +34,7 @@
         site.turn(instance, request, route='plan', program=request)
     )
     while target not in _list_servers(site, request):
+        assert not task.done()
         await asyncio.sleep(0.001)
     for other in others:
         other.queue_limit = 8
