Resumed streams of callers only at the software version that began them.

Callers held the events of two software versions after they had resumed a stream: no instance knew which version had begun it, and the field that names the first attempt was not read.

The instance that sends the first event of a resumable stream now tells two others, of different zones if there are several, which service and version it is from. An instance at which a stream is resumed takes the origin from its own record or asks three instances. Where no record is left, the version is known if the service had no other for as long as a stream can last, by the rows of the targets that this instance or one of those asked has followed. Everything else is refused at once and truly: origin_unknown, or version_gone if no target of the version takes connections or the route leads elsewhere. A resumed stream also stays at the service that began it.

--- a/libs/gateway/vanillayoke/gateway/catalog.py
+++ b/libs/gateway/vanillayoke/gateway/catalog.py
@@ -112,13 +112,15 @@
             self.mark_target_missing(name, version, deadline)
         self.has_read_targets = True
 
-    def expire(self, now: float) -> list[str]:
-        """Drop missing targets whose deadline is over; return their names."""
+    def expire(self, now: float) -> list[messages.Target]:
+        """Drop missing targets whose deadline is over, and return them."""
         expired = [
-            name for name, deadline in self._missing.items() if now >= deadline
+            self._targets[name]
+            for name, deadline in self._missing.items()
+            if now >= deadline
         ]
-        for name in expired:
-            self._drop(name)
+        for target in expired:
+            self._drop(target.name)
         return expired
 
     def list_targets(self, service: str) -> list[messages.Target]:
--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -15,6 +15,7 @@
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import program_admission
 from vanillayoke.gateway import reservations as reservations_module
+from vanillayoke.gateway import resumptions as resumptions_module
 from vanillayoke.gateway import slot_requests as slot_requests_module
 from vanillayoke.gateway import store as store_module
 from vanillayoke.gateway import zone_loads
@@ -53,6 +54,7 @@
     zone_loads: zone_loads.ZoneLoads
     memory_limit: memory_limit_module.MemoryLimit
     program_admission: program_admission.ProgramAdmission
+    resumptions: resumptions_module.Resumptions
     get_settings: typing.Callable[[], messages.Settings]
 
     @property
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -33,6 +33,7 @@
 from vanillayoke.gateway import program_admission
 from vanillayoke.gateway import rendezvous
 from vanillayoke.gateway import reservations as reservations_module
+from vanillayoke.gateway import resumptions as resumptions_module
 from vanillayoke.gateway import slot_queues
 from vanillayoke.gateway import slot_requests
 from vanillayoke.gateway import store as store_module
@@ -42,6 +43,7 @@
 from vanillayoke.gateway import zone_loads
 from vanillayoke.scheduling import occupancy
 from vanillayoke.scheduling import shared_health
+from vanillayoke.scheduling import software_versions
 from vanillayoke.transport import client
 from vanillayoke.transport import datagrams
 from vanillayoke.transport import server
@@ -96,6 +98,7 @@
             self._handle_target_restart,
             self._access.record_confirmation,
             self._version_gossip.publish,
+            self._software_versions,
         )
 
     @classmethod
@@ -190,6 +193,9 @@
         settings = self.settings
         random_float = self._rng.random
         self._catalog = catalog_module.Catalog()
+        self._software_versions = software_versions.SoftwareVersions(
+            settings.is_first_start
+        )
         self._access = access_module.Access(
             lambda: self.settings.bounds, self._timers
         )
@@ -366,6 +372,14 @@
             self._log,
             self.metrics,
         )
+        self._resumptions = resumptions_module.Resumptions(
+            settings.instance,
+            self._catalog,
+            self._software_versions,
+            lambda: self._members.list_eligible(),
+            self._timers,
+            self.metrics,
+        )
         self._peers = peers_module.Peers(
             self._timers,
             self._handle_peer_request,
@@ -383,6 +397,7 @@
         self._slot_requests.set_peers(self._peers)
         self._zone_loads.set_peers(self._peers)
         self._program_admission.set_peers(self._peers)
+        self._resumptions.set_peers(self._peers)
         self._health_gossip.set_peers(self._peers)
         self._members = members_module.Members(
             self._row,
@@ -416,6 +431,7 @@
             self._zone_loads,
             self._memory_limit,
             self._program_admission,
+            self._resumptions,
             lambda: self.settings,
         )
         handler = calls.CallHandler(context)
@@ -460,6 +476,8 @@
                 return self._slot_queues.handle_request(request)
             case peer_messages.ProgramQuery():
                 return self._program_admission.handle_query(request)
+            case peer_messages.OriginQuery():
+                return self._resumptions.handle_query(request)
         return self._reservations.handle_request(request)
 
     def _has_slot_queues(self) -> bool:
@@ -475,6 +493,8 @@
                 self._zone_loads.receive(notification)
             case peer_messages.ProgramRefused():
                 self._program_admission.receive(notification)
+            case peer_messages.StreamBegun():
+                self._resumptions.receive(notification)
             case _:
                 self._load_queries.handle(notification)
 
@@ -522,8 +542,11 @@
 
     def _run_maintenance(self) -> None:
         now = self._timers.now()
-        for name in self._catalog.expire(now):
-            self._log.write(log_events.SERVER_EXPIRED, target=name)
+        for target in self._catalog.expire(now):
+            self._software_versions.record_use(
+                target.service, target.software_version, now
+            )
+            self._log.write(log_events.SERVER_EXPIRED, target=target.name)
         self._apply_caller_limits()
         self._memory_limit.update_metrics()
         self._pool.prune()
@@ -532,6 +555,7 @@
         self._limits.prune()
         self._limit_accounts.prune()
         self._program_admission.maintain()
+        self._resumptions.prune()
         self._occupancy.retain(self._catalog.target_names)
         self._slot_queues.retain(self._catalog.target_names)
         self._load_queries.retain(self._catalog.target_names)
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -44,6 +44,10 @@
     'outcome',
     ('first', 'second', 'failed', 'cancelled', 'no_capacity', 'no_budget'),
 )
+_ORIGIN_SOURCE = metrics.Label(
+    'source',
+    ('own_record', 'peer_record', 'only_version', 'peer_version', 'unknown'),
+)
 _MEMORY_KIND = metrics.Label('kind', tuple(kind.label for kind in memory.Kind))
 _MEMORY_REFUSAL = metrics.Label('kind', ('request', 'body', 'caller'))
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
@@ -160,6 +164,12 @@
             'target_connections_total',
             'Connections opened to targets.',
         )
+        self.resumed_streams = metrics.Counter(
+            registry,
+            'resumed_streams_total',
+            'Streams that callers resumed, by where the origin was found.',
+            _ORIGIN_SOURCE,
+        )
         self._define_slot_queues(registry)
         self._define_zones(registry)
         self.hedged_calls = metrics.Counter(
--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -321,6 +321,43 @@
     wait_ms: int | None = None
 
 
+class StreamBegun(msgspec.Struct, frozen=True, array_like=True, tag='b'):
+    """A caller gets the first event of a resumable stream.
+
+    ``request`` is the one that began it. ``service`` and ``software_version``
+    are its target's. It may be resumed for at most ``lifetime_ms``.
+    """
+
+    request: str
+    service: str
+    software_version: str
+    lifetime_ms: int
+
+
+class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag='q'):
+    """Ask which software version began a stream that a caller resumes.
+
+    ``request`` is the one that began it, empty if unknown. ``service`` is the
+    only one that ``route`` leads to, empty if there are several. Streams that
+    began more than ``window_ms`` ago have ended.
+    """
+
+    request: str
+    route: str
+    service: str
+    window_ms: int
+
+
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True, tag='o'):
+    """The service and software version that began a stream, if known.
+
+    ``only_version`` is set if the service had no other within the window.
+    """
+
+    origin: tuple[str, str] | None
+    only_version: str | None
+
+
 class ConfigurationVersion(msgspec.Struct, frozen=True, array_like=True):
     """The newest version of the configuration that the sender knows.
 
@@ -384,6 +421,7 @@
     | UsageReport
     | SlotRequest
     | ProgramQuery
+    | OriginQuery
 )
 Response = (
     Granted
@@ -396,8 +434,10 @@
     | SlotGranted
     | SlotRefused
     | ProgramStatus
+    | StreamOrigin
 )
-# Not acknowledged; a lost one only makes the load less exact for a time.
+# Not acknowledged. A lost one makes the load less exact for a time, or leaves
+# one holder fewer of a stream's origin.
 Notification = (
     RequestStarted
     | RequestEnded
@@ -405,4 +445,5 @@
     | TargetLoads
     | ZoneLoads
     | ProgramRefused
+    | StreamBegun
 )
--- a/libs/gateway/vanillayoke/gateway/refusals.py
+++ b/libs/gateway/vanillayoke/gateway/refusals.py
@@ -10,7 +10,7 @@
 
 _SHORT_RETRY_SECONDS = 0.25
 _STORE_RETRY_SECONDS = 1.0
-# Another instance can serve the request immediately.
+# Another instance may serve the request immediately.
 _OTHER_INSTANCE_RETRY_SECONDS = 0.02
 
 
@@ -26,6 +26,7 @@
     OVER_LIMIT_URGENT = 'over_limit_urgent'
     NO_TARGET = 'no_target'
     VERSION_GONE = 'version_gone'
+    ORIGIN_UNKNOWN = 'origin_unknown'
     BUSY = 'busy'
     NO_CAPACITY = 'no_capacity'
     LATE = 'late'
@@ -49,6 +50,7 @@
     Reason.OVER_LIMIT_URGENT: 429,
     Reason.NO_TARGET: 503,
     Reason.VERSION_GONE: 503,
+    Reason.ORIGIN_UNKNOWN: 503,
     Reason.BUSY: 503,
     Reason.NO_CAPACITY: 503,
     Reason.LATE: 503,
@@ -66,6 +68,7 @@
     Reason.NO_CONFIGURATION: _STORE_RETRY_SECONDS,
     Reason.UNCONFIRMED: _OTHER_INSTANCE_RETRY_SECONDS,
     Reason.NO_TARGET: _SHORT_RETRY_SECONDS,
+    Reason.ORIGIN_UNKNOWN: _OTHER_INSTANCE_RETRY_SECONDS,
     Reason.BUSY: _SHORT_RETRY_SECONDS,
     Reason.NO_CAPACITY: _SHORT_RETRY_SECONDS,
     Reason.LATE: _SHORT_RETRY_SECONDS,
--- a/libs/gateway/vanillayoke/gateway/rendezvous.py
+++ b/libs/gateway/vanillayoke/gateway/rendezvous.py
@@ -5,6 +5,7 @@
 
 import functools
 import heapq
+import itertools
 import typing
 
 import xxhash
@@ -73,6 +74,41 @@
     )
 
 
+class ZoneRanking:
+    """Ranks instances for a key so that the first ones differ in their zones.
+
+    A large deployment has far fewer zones than instances, so that this takes
+    fewer scores than a ranking of all instances.
+    """
+
+    def __init__(self) -> None:
+        self._peers: typing.Sequence[Peer] = ()
+        self._by_zone: dict[str, list[Peer]] = {}
+
+    def list_highest(
+        self, key: str, peers: typing.Sequence[Peer], count: int
+    ) -> list[Peer]:
+        """Return ``count`` instances, of as many zones as possible.
+
+        All instances that know the same peers choose the same ones.
+        """
+        if peers is not self._peers:
+            self._peers = peers
+            self._by_zone = {}
+            for peer in peers:
+                self._by_zone.setdefault(peer.zone, []).append(peer)
+        zones = heapq.nlargest(
+            count, self._by_zone, key=lambda zone: compute_score(key, zone)
+        )
+        ranked = [
+            list_highest(key, self._by_zone[zone], count) for zone in zones
+        ]
+        # The first of each zone, then the second of each.
+        rounds = itertools.zip_longest(*ranked)
+        highest = [peer for peers in rounds for peer in peers if peer]
+        return highest[:count]
+
+
 class Coordinators:
     """The coordinators of many keys, updated when the instances change.
 
--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -13,6 +13,7 @@
 from vanillayoke.gateway import members as members_module
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import store as store_module
+from vanillayoke.scheduling import software_versions
 
 # How long the store may hold a call for changes, as a ratio of the time within
 # which an instance must recover from an unresponsive connection.
@@ -36,7 +37,9 @@
         on_restart: typing.Callable[[messages.Target], None],
         on_confirmed: typing.Callable[[], None],
         on_configuration: typing.Callable[[], None],
+        versions: software_versions.SoftwareVersions,
     ) -> None:
+        self._versions = versions
         self._on_configuration = on_configuration
         self._on_restart = on_restart
         self._store = store
@@ -47,9 +50,6 @@
         self._log = log
         wait = bounds.recovery_timeout * WAIT_RATIO
 
-        def make_feed(table, on_read, on_change):
-            return feeds.TableFeed(store, table, on_read, on_change, wait)
-
         self._configuration = feeds.TableFeed(
             store,
             dialect.configuration_table,
@@ -58,11 +58,20 @@
             min(wait, bounds.revocation_timeout * WAIT_RATIO),
             on_confirmed,
         )
-        self._targets = make_feed(
-            dialect.target_table, self._read_targets, self._change_target
+        self._targets = feeds.TableFeed(
+            store,
+            dialect.target_table,
+            self._read_targets,
+            self._change_target,
+            wait,
+            lambda: versions.record_news(timer_service.now()),
         )
-        self._instances = make_feed(
-            members_module.TABLE, self._read_instances, self._change_instance
+        self._instances = feeds.TableFeed(
+            store,
+            members_module.TABLE,
+            self._read_instances,
+            self._change_instance,
+            wait,
         )
 
     def start(self, spawn: typing.Callable[[typing.Coroutine], None]) -> None:
@@ -117,17 +126,31 @@
                 version=configuration.version,
                 routes=len(configuration.routes),
             )
+            self._record_routes(configuration)
             self._on_configuration()
 
+    def _record_routes(self, configuration: messages.Configuration) -> None:
+        destinations = {
+            route.name: (
+                route.host,
+                route.prefix,
+                frozenset(share.service for share in route.shares),
+            )
+            for route in configuration.routes
+        }
+        self._versions.record_routes(destinations, self._timers.now())
+
     # Targets
 
     def _read_targets(self, page: messages.Page) -> None:
+        self._versions.record_read(self._timers.now())
         targets = []
         for row in page.rows:
             target = self._decode_target(row)
             if target is None:
                 self._drop_unreadable(row)
                 continue
+            self._record_use(target)
             self._report_restart(target)
             targets.append((target, row.version))
         self._catalog.replace_targets(
@@ -138,6 +161,7 @@
         if row.value is None:
             state = 'gone'
             service = software = None
+            self._record_use(self._catalog.get_target(row.where.key))
             changed = self._catalog.mark_target_missing(
                 row.where.key, row.version, self._find_grace_deadline()
             )
@@ -149,6 +173,7 @@
             state = 'leaving' if target.is_leaving else 'ready'
             service = target.service
             software = target.software_version
+            self._record_use(target)
             self._report_restart(target)
             changed = self._catalog.put_target(target, row.version)
         if changed:
@@ -161,6 +186,12 @@
                 version=row.version,
             )
 
+    def _record_use(self, target: messages.Target | None) -> None:
+        if target is not None:
+            self._versions.record_use(
+                target.service, target.software_version, self._timers.now()
+            )
+
     def _decode_target(self, row: messages.Row) -> messages.Target | None:
         try:
             return self._dialect.decode_target(row.where.key, row.value)
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -77,6 +77,7 @@
         self, progress: dispatch.Progress, responder: server.Responder
     ) -> None:
         """Serve a turn."""
+        await self._find_origin(progress)
         turn = _Turn(progress, self._get_event_tokens(progress.service))
         account = self._context.memory_limit.account
         if account is None:
@@ -88,6 +89,18 @@
         finally:
             turn.held.release()
 
+    async def _find_origin(self, progress: dispatch.Progress) -> None:
+        """Bind a request that resumes a stream to the stream's origin."""
+        call = progress.call
+        if call.resumes is None and call.last_event is None:
+            return
+        progress.origin = await self._context.resumptions.find_origin(
+            call.request,
+            progress.qualify(call.resumes) if call.resumes else None,
+            progress.route,
+        )
+        progress.service = progress.origin.service
+
     async def _serve_turn(
         self, turn: _Turn, responder: server.Responder
     ) -> None:
@@ -372,9 +385,17 @@
 
     def _record_origin(self, turn: _Turn, target: messages.Target) -> None:
         """Record which target sent the first event of a stream."""
-        if turn.progress.origin is None:
-            turn.progress.origin = messages.StreamOrigin(
-                target.service, target.software_version
+        progress = turn.progress
+        if progress.origin is not None:
+            return
+        progress.origin = messages.StreamOrigin(
+            target.service, target.software_version
+        )
+        if progress.route.is_resumable:
+            self._context.resumptions.record_begun(
+                progress.qualify(progress.call.request),
+                progress.origin,
+                max(progress.call.time_left or 0.0, progress.route.timeout),
             )
 
     def _start(
--- /dev/null
+++ b/libs/scheduling/vanillayoke/scheduling/software_versions.py
@@ -0,0 +1,100 @@
+"""The software versions that the targets of each service had recently.
+
+If a service had one version for as long as a stream can last, that version
+began every stream that may still be resumed. Versions have no order.
+"""
+
+import collections
+import typing
+
+# An unchanged table is confirmed every two and a half seconds. A longer time
+# without news may hide a version whose targets came and went.
+MAX_NEWS_AGE_SECONDS = 3.0
+# Longer than any stream lasts.
+RETENTION_SECONDS = 600.0
+
+
+class SoftwareVersions:
+    """A record of versions, for the time that the targets were followed.
+
+    Times are in seconds. ``is_first_start`` says that there were no targets
+    before the first read.
+    """
+
+    def __init__(self, is_first_start: bool = False) -> None:
+        self._starts_at = float('-inf') if is_first_start else None
+        self._followed_since = float('inf')
+        self._news_at = float('-inf')
+        # When a target of each version was last in use, by service.
+        self._used_at: dict[str, dict[str, float]] = collections.defaultdict(
+            dict
+        )
+        # The services of each route, and when these last changed.
+        self._destinations: dict[str, typing.Hashable] = {}
+        self._rerouted_at: dict[str, float] = {}
+
+    def record_read(self, now: float) -> None:
+        """Record that the present targets were read, without the past."""
+        starts_at, self._starts_at = self._starts_at, None
+        self._followed_since = now if starts_at is None else starts_at
+        self._news_at = now
+
+    def record_news(self, now: float) -> None:
+        """Record that all changes of the targets until now are known."""
+        if now - self._news_at > MAX_NEWS_AGE_SECONDS:
+            self._followed_since = now
+        self._news_at = now
+
+    def record_use(self, service: str, version: str, now: float) -> None:
+        """Record that a target of a version was in use until now."""
+        self._used_at[service][version] = now
+
+    def record_routes(
+        self, destinations: typing.Mapping[str, typing.Hashable], now: float
+    ) -> None:
+        """Record the services that each route leads to."""
+        if self._destinations:
+            for route, destination in destinations.items():
+                if self._destinations.get(route) != destination:
+                    self._rerouted_at[route] = now
+        self._destinations = dict(destinations)
+
+    def find_only_version(
+        self,
+        route: str,
+        service: str,
+        present: typing.Iterable[str],
+        window: float,
+        now: float,
+    ) -> str | None:
+        """Return the only version that a service had within ``window``.
+
+        ``present`` has the versions of the present targets. Return ``None`` if
+        there were several or none, if the record does not cover the time, or
+        if the route did not lead to the service all the time.
+        """
+        since = now - window
+        if (
+            now - self._news_at > MAX_NEWS_AGE_SECONDS
+            or self._followed_since > since
+            or self._rerouted_at.get(route, float('-inf')) > since
+        ):
+            return None
+        versions = set(present)
+        for version, used_at in self._used_at.get(service, {}).items():
+            if used_at > since:
+                versions.add(version)
+        return versions.pop() if len(versions) == 1 else None
+
+    def prune(self, now: float) -> None:
+        """Forget what no stream can depend on any more."""
+        cutoff = now - RETENTION_SECONDS
+        for service, used_at in list(self._used_at.items()):
+            recent = {v: at for v, at in used_at.items() if at > cutoff}
+            if recent:
+                self._used_at[service] = recent
+            else:
+                del self._used_at[service]
+        self._rerouted_at = {
+            route: at for route, at in self._rerouted_at.items() if at > cutoff
+        }
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -3,12 +3,17 @@
 import asyncio
 
 from tests.gateway import site_fixtures
+from vanillayoke.gateway import messages
+from vanillayoke.standins import calls
+from vanillayoke.standins import store as store_module
 from vanillayoke.standins import targets as targets_module
 from vanillayoke.testing import fixtures
 from vanillayoke.transport import client
 
 # How often a request is repeated where a wrong choice depends on chance.
 ATTEMPT_COUNT = 12
+# All turns are of one program.
+BUDGET = 9999
 
 
 async def _start(site, versions, instances=2):
@@ -31,7 +36,7 @@
     for other in others:
         other.queue_limit = 0
     task = asyncio.ensure_future(
-        site.turn(instance, request, route='plan', program=request)
+        site.turn(instance, request, route='plan', budget=BUDGET)
     )
     while target not in _list_servers(site, request):
         assert not task.done()
@@ -56,7 +61,7 @@
         instance,
         request,
         route='plan',
-        program=request,
+        budget=BUDGET,
         extra_headers=extra_headers,
     )
 
@@ -94,4 +99,193 @@
         case.assertEqual(['m3'], _list_servers(site, resumed))
 
 
+async def test_broken_stream_continues_at_its_version(case, site):
+    """A server crashes amid a stream; another of its version takes over."""
+    await _start(site, {'m3': 'v1', 'm4': 'v2', 'm5': 'v1'})
+    target = site.targets['m3']
+    target.faults.append(targets_module.Fault.TRUNCATE_ANSWER)
+    task = await _begin_at(site, 'i1', 'm3', 'a')
+    _refuse_connections(target)
+    response = await task
+    case.assertEqual(4, response.body.count(b'data: '))
+    case.assertEqual(['m3', 'm5'], _list_servers(site, 'a'))
+
+
+async def test_stream_without_events_runs_at_any_version(case, site):
+    """A server crashes before the first event, so nothing is to be joined."""
+    await _start(site, {'m3': 'v1', 'm4': 'v2'})
+    target = site.targets['m3']
+    target.faults.append(targets_module.Fault.LOSE_ANSWER)
+    task = await _begin_at(site, 'i1', 'm3', 'a')
+    _refuse_connections(target)
+    response = await task
+    case.assertEqual(4, response.body.count(b'data: '))
+    case.assertEqual(['m3', 'm4'], _list_servers(site, 'a'))
+
+
+async def test_resumption_without_its_version_is_refused_at_once(case, site):
+    """The last server of the version has left.
+
+    The caller can only begin anew, so it must not wait.
+    """
+    await _start(site, {'m3': 'v1', 'm4': 'v2'})
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    site.store.put('servers', 'm3', None)
+    await asyncio.sleep(0.2)
+    started_at = site.timers.now()
+    response = await _resume(site, 'i2', 'b', 'a')
+    case.assertEqual(503, response.status)
+    case.assertNotIn(b'retry-after', response.headers)
+    case.assertEqual([], _list_servers(site, 'b'))
+    case.assertLess(site.timers.now() - started_at, 0.1)
+
+
+async def test_resumption_at_crashed_servers_is_refused_at_once(case, site):
+    """The last server of the version has crashed and is still registered."""
+    await _start(site, {'m3': 'v1', 'm4': 'v2'})
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    _refuse_connections(site.targets['m3'])
+    for connection in list(site.targets['m3']._server.connections):
+        connection.abort()
+    started_at = site.timers.now()
+    response = await _resume(site, 'i2', 'b', 'a')
+    case.assertEqual(503, response.status)
+    case.assertEqual([], _list_servers(site, 'b'))
+    case.assertLess(site.timers.now() - started_at, 0.1)
+
+
+async def test_origin_outlives_the_instance_that_began_a_stream(
+    case, site, network
+):
+    """A caller resumes since the instance that served it has failed."""
+    await _start(site, {'m3': 'v1', 'm4': 'v2', 'm5': 'v3'}, 4)
+    for number in range(ATTEMPT_COUNT):
+        await (await _begin_at(site, 'i1', 'm3', f'a{number}'))
+    site_fixtures.kill(site, network, 'i1')
+    for number in range(ATTEMPT_COUNT):
+        instance = f'i{2 + number % 3}'
+        response = await _resume(site, instance, f'b{number}', f'a{number}')
+        case.assertEqual(200, response.status)
+        case.assertEqual(['m3'], _list_servers(site, f'b{number}'))
+
+
+async def test_resumption_is_refused_if_the_origin_is_lost(
+    case, site, network
+):
+    """All instances fail at once, and several versions serve."""
+    await _start(site, {'m3': 'v1', 'm4': 'v2'})
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    for name in ('i1', 'i2'):
+        site_fixtures.kill(site, network, name)
+    for name in ('i3', 'i4'):
+        await site.add_instance(name)
+    await asyncio.sleep(1.0)
+    started_at = site.timers.now()
+    response = await _resume(site, 'i3', 'b', 'a')
+    case.assertEqual(503, response.status)
+    case.assertIn(b'retry-after', response.headers)
+    case.assertEqual([], _list_servers(site, 'b'))
+    case.assertLess(site.timers.now() - started_at, 0.2)
+
+
+async def test_former_version_counts_while_its_streams_may_be_resumed(
+    case, site, network
+):
+    """The origin is lost, and all servers of the version have just left.
+
+    Until no stream of them can be left, the one version that serves must not
+    be taken for the origin.
+    """
+    await _start(site, {'m3': 'v1', 'm4': 'v2'}, 3)
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    for name in ('i1', 'i2'):
+        site_fixtures.kill(site, network, name)
+    site.store.put('servers', 'm3', None)
+    site.instances['i3']._resumptions._origins.prune(float('inf'))
+    await asyncio.sleep(1.0)
+    response = await _resume(site, 'i3', 'b', 'a')
+    case.assertEqual(503, response.status)
+    case.assertEqual([], _list_servers(site, 'b'))
+    await asyncio.sleep(6.0)
+    response = await _resume(site, 'i3', 'c', 'a')
+    case.assertEqual(200, response.status)
+
+
+async def test_unnamed_stream_is_resumed_where_one_version_serves(case, site):
+    """A caller that does not say what it resumes is served as before."""
+    await _start(site, {'m3': 'v1', 'm4': 'v1'})
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    response = await _resume(site, 'i2', 'b', None)
+    case.assertEqual(200, response.status)
+
+
+async def test_unnamed_stream_is_refused_where_versions_differ(case, site):
+    """Its version is unknown, and another one would be joined to it."""
+    await _start(site, {'m3': 'v1', 'm4': 'v2'})
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    response = await _resume(site, 'i1', 'b', None)
+    case.assertEqual(503, response.status)
+    case.assertEqual([], _list_servers(site, 'b'))
+
+
+async def test_new_instance_learns_the_only_version_from_others(case, site):
+    """An instance that has just started does not know former versions."""
+    await _start(site, {'m3': 'v1', 'm4': 'v1'})
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    await site.add_instance('i3')
+    await asyncio.sleep(1.0)
+    response = await _resume(site, 'i3', 'b', None)
+    case.assertEqual(200, response.status)
+
+
+async def test_instance_without_news_does_not_trust_its_versions(
+    case, site, network
+):
+    """An instance can't reach the store, so it may have missed a version."""
+    await _start(site, {'m3': 'v1', 'm4': 'v1'}, 1)
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    site.store.mode = store_module.Mode.UNAVAILABLE
+    await asyncio.sleep(7.0)
+    response = await _resume(site, 'i1', 'b', None)
+    case.assertEqual(503, response.status)
+    case.assertEqual([], _list_servers(site, 'b'))
+    # It knows the origin of a stream that began here.
+    await (await _begin_at(site, 'i1', 'm3', 'c'))
+    response = await _resume(site, 'i1', 'd', 'c')
+    case.assertEqual(200, response.status)
+
+
+async def test_resumed_stream_stays_at_its_service(case, site):
+    """Two services of one route have servers of the same version."""
+    await _start(site, {'m3': 'v1'})
+    route = calls.make_route(
+        'plan',
+        'models',
+        'stream',
+        resumable=True,
+        backends=[{'service': 'tools', 'weight': 1000}],
+    )
+    site.configure(2, routes=[route])
+    await asyncio.sleep(0.2)
+    origin = messages.StreamOrigin('models', 'v1')
+    site.instances['i1']._resumptions.record_begun('a', origin, 3.0)
+    for number in range(ATTEMPT_COUNT):
+        response = await _resume(site, 'i2', f'b{number}', 'a')
+        case.assertEqual(200, response.status)
+        case.assertEqual(['m3'], _list_servers(site, f'b{number}'))
+
+
+async def test_stream_of_a_moved_route_is_refused_at_once(case, site):
+    """The route leads to another service since the stream began."""
+    await _start(site, {'m3': 'v1', 'm4': 'v1'})
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    route = calls.make_route('plan', 'tools', 'stream', resumable=True)
+    site.configure(2, routes=[route])
+    await asyncio.sleep(0.2)
+    for resumes in ('a', None):
+        response = await _resume(site, 'i2', f'b-{resumes}', resumes)
+        case.assertEqual(503, response.status)
+        case.assertEqual([], _list_servers(site, f'b-{resumes}'))
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
