Found the origin of an unnamed stream by its session.

Such a resumption depended on the versions that the instances had followed, which are not known for some seconds after an interruption that all of them share: a reread of the table, an outage of the store or a restart of all instances. A burst of resumptions in that time would have been refused.

Holders now follow from the session of the stream, and keep the newest stream of each session beside the streams by request; no message is added. If the instances asked know different origins, the resumption is refused. The record of versions now also outlasts outages of the store: changes that arrive late are complete unless a target is removed that was never seen.

--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -324,11 +324,13 @@
 class StreamBegun(msgspec.Struct, frozen=True, array_like=True, tag='b'):
     """A caller gets the first event of a resumable stream.
 
-    ``request`` is the one that began it. ``service`` and ``software_version``
-    are its target's. It may be resumed for at most ``lifetime_ms``.
+    ``request`` is the one that began it, ``session`` its program and session,
+    empty without a program. ``service`` and ``software_version`` are its
+    target's. It may be resumed for at most ``lifetime_ms``.
     """
 
     request: str
+    session: str
     service: str
     software_version: str
     lifetime_ms: int
@@ -337,12 +339,14 @@
 class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag='q'):
     """Ask which software version began a stream that a caller resumes.
 
-    ``request`` is the one that began it, empty if unknown. ``service`` is the
-    only one that ``route`` leads to, empty if there are several. Streams that
-    began more than ``window_ms`` ago have ended.
+    ``request`` is the one that began it, empty if the caller does not say;
+    ``session`` is as in ``StreamBegun``. ``service`` is the only one that
+    ``route`` leads to, empty if there are several. Streams that began more
+    than ``window_ms`` ago have ended.
     """
 
     request: str
+    session: str
     route: str
     service: str
     window_ms: int
--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -3,12 +3,12 @@
 A caller may resume at any instance. The instance that sends the first event of
 a resumable stream therefore tells two others, the stream's holders, which
 version it is from. Holders are in different zones if possible, and follow from
-the name of the request that began the stream. Nothing is stored: a stream
-whose origin is lost with its holders can't continue, and the caller begins
-anew.
+the session of the stream. Nothing is stored: a stream whose origin is lost
+with its holders can't continue, and the caller begins anew.
 """
 
 import asyncio
+import typing
 
 from vanillayoke.core import timers
 from vanillayoke.gateway import catalog as catalog_module
@@ -32,6 +32,23 @@
 LIFETIME_MARGIN_SECONDS = 1.0
 
 
+class StreamName(typing.NamedTuple):
+    """What identifies a stream among instances.
+
+    ``request`` is the one that began it, empty if the caller that resumes it
+    does not say; then it is the newest one of its session. ``session`` names
+    the program and the session, and is empty for requests without a program.
+    """
+
+    request: str
+    session: str
+
+    @property
+    def key(self) -> str:
+        """What the stream's holders follow from."""
+        return self.session or self.request
+
+
 class Resumptions:
     """Records the origins of streams, and finds those of resumed streams."""
 
@@ -51,7 +68,10 @@
         self._timers = timer_service
         self._metrics = metrics
         self._peers: peers_module.Peers | None = None
-        self._origins: origin_cache.OriginCache[messages.StreamOrigin] = (
+        self._by_request: origin_cache.OriginCache[messages.StreamOrigin] = (
+            origin_cache.OriginCache()
+        )
+        self._by_session: origin_cache.OriginCache[messages.StreamOrigin] = (
             origin_cache.OriginCache()
         )
         self._zones = rendezvous.ZoneRanking()
@@ -61,44 +81,47 @@
         self._peers = peers
 
     def record_begun(
-        self, request: str, origin: messages.StreamOrigin, lifetime: float
+        self,
+        stream: StreamName,
+        origin: messages.StreamOrigin,
+        lifetime: float,
     ) -> None:
         """Record the origin of a stream whose first event is sent now.
 
         The caller may resume it within ``lifetime`` seconds.
         """
         begun = peer_messages.StreamBegun(
-            request, *origin, round(1000 * lifetime)
+            *stream, *origin, round(1000 * lifetime)
         )
         self.receive(begun)
-        for holder in self._list_others(request, HOLDER_COUNT):
+        for holder in self._list_others(stream.key, HOLDER_COUNT):
             self._peers.notify(holder.address, begun)
 
     def receive(self, begun: peer_messages.StreamBegun) -> None:
         """Record the origin of a stream that began at any instance."""
-        self._origins.record(
-            begun.request,
-            messages.StreamOrigin(begun.service, begun.software_version),
-            self._timers.now(),
-            begun.lifetime_ms / 1000 + LIFETIME_MARGIN_SECONDS,
-        )
+        origin = messages.StreamOrigin(begun.service, begun.software_version)
+        lifetime = begun.lifetime_ms / 1000 + LIFETIME_MARGIN_SECONDS
+        now = self._timers.now()
+        self._by_request.record(begun.request, origin, now, lifetime)
+        if begun.session:
+            self._by_session.record(begun.session, origin, now, lifetime)
 
     async def find_origin(
-        self, request: str, resumes: str | None, route: messages.Route
+        self, stream: StreamName, route: messages.Route
     ) -> messages.StreamOrigin:
-        """Return the origin of the stream that a request resumes.
+        """Return the origin of a stream that a caller resumes.
 
-        ``resumes`` is the request that began it, ``None`` if the caller does
-        not say. Raise ``RefusalError`` if the origin is unknown, or if the
-        route no longer leads to its service.
+        Raise ``RefusalError`` if it is unknown, or if the route no longer
+        leads to its service.
         """
-        origin, source = await self._search(request, resumes, route)
+        origin, source = await self._search(stream, route)
         self._metrics.resumed_streams.add(1, source=source)
         services = {share.service for share in route.shares}
         if origin is None:
             raise refusals.RefusalError(
                 refusals.Reason.ORIGIN_UNKNOWN,
-                f'stream of {resumes} at any of {sorted(services)}',
+                f'stream of {stream.request or "an unnamed request"}'
+                f' at any of {sorted(services)}',
             )
         if origin.service not in services:
             raise refusals.RefusalError(
@@ -108,21 +131,27 @@
         return origin
 
     async def _search(
-        self, request: str, resumes: str | None, route: messages.Route
+        self, stream: StreamName, route: messages.Route
     ) -> tuple[messages.StreamOrigin | None, str]:
         """Return an origin and where it was found."""
-        origin = self._origins.find(resumes or '', self._timers.now())
-        if origin is not None:
-            return origin, 'own_record'
-        query = _make_query(resumes or '', route)
+        query = _make_query(stream, route)
+        own = self._find_recorded(query)
+        if own is not None and stream.request:
+            return own, 'own_record'
         only_version = self._find_only_version(query)
-        # Without a name there is no record to ask for.
-        if only_version is not None and resumes is None:
-            return only_version, 'only_version'
-        responses = await self._query_holders(resumes or request, query)
-        for response in responses:
-            if response.origin is not None:
-                return messages.StreamOrigin(*response.origin), 'peer_record'
+        responses = await self._query_holders(stream.key, query)
+        recorded = {
+            messages.StreamOrigin(*response.origin)
+            for response in responses
+            if response.origin is not None
+        }
+        if len(recorded | {own} - {None}) > 1:
+            # Some know only an older stream of the session.
+            return None, 'unknown'
+        if recorded:
+            return recorded.pop(), 'peer_record'
+        if own is not None:
+            return own, 'own_record'
         if only_version is not None:
             return only_version, 'only_version'
         for response in responses:
@@ -137,16 +166,25 @@
         """Respond with what this instance knows of a stream's origin."""
         only_version = self._find_only_version(query)
         return peer_messages.StreamOrigin(
-            self._origins.find(query.request, self._timers.now()),
+            self._find_recorded(query),
             None if only_version is None else only_version.software_version,
         )
 
     def prune(self) -> None:
         """Forget streams that callers can't resume any more."""
         now = self._timers.now()
-        self._origins.prune(now)
+        self._by_request.prune(now)
+        self._by_session.prune(now)
         self._versions.prune(now)
 
+    def _find_recorded(
+        self, query: peer_messages.OriginQuery
+    ) -> messages.StreamOrigin | None:
+        now = self._timers.now()
+        if query.request:
+            return self._by_request.find(query.request, now)
+        return self._by_session.find(query.session, now)
+
     def _find_only_version(
         self, query: peer_messages.OriginQuery
     ) -> messages.StreamOrigin | None:
@@ -167,7 +205,10 @@
     async def _query_holders(
         self, key: str, query: peer_messages.OriginQuery
     ) -> list[peer_messages.StreamOrigin]:
-        """Return the responses of holders, up to one that knows the origin."""
+        """Return the responses of holders.
+
+        The first one that knows the origin of a named stream is enough.
+        """
         tasks = [
             asyncio.ensure_future(
                 self._peers.send_request(
@@ -186,23 +227,21 @@
                 if not isinstance(response, peer_messages.StreamOrigin):
                     continue
                 responses.append(response)
-                if response.origin is not None:
+                if response.origin is not None and query.request:
                     break
         finally:
             for task in tasks:
                 task.cancel()
         return responses
 
-    def _list_others(self, request: str, count: int) -> list[rendezvous.Peer]:
+    def _list_others(self, key: str, count: int) -> list[rendezvous.Peer]:
         """Return the holders of a stream except this instance."""
-        holders = self._zones.list_highest(
-            request, self._list_eligible(), count
-        )
+        holders = self._zones.list_highest(key, self._list_eligible(), count)
         return [peer for peer in holders if peer.instance != self._instance]
 
 
 def _make_query(
-    request: str, route: messages.Route
+    stream: StreamName, route: messages.Route
 ) -> peer_messages.OriginQuery:
     """Return the query about a stream of a route.
 
@@ -210,7 +249,7 @@
     """
     services = {share.service for share in route.shares}
     return peer_messages.OriginQuery(
-        request,
+        *stream,
         route.name,
         services.pop() if len(services) == 1 else '',
         round(1000 * LIFETIME_FACTOR * route.timeout),
--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -187,9 +187,12 @@
             )
 
     def _record_use(self, target: messages.Target | None) -> None:
-        if target is not None:
+        now = self._timers.now()
+        if target is None:
+            self._versions.record_missed(now)
+        else:
             self._versions.record_use(
-                target.service, target.software_version, self._timers.now()
+                target.service, target.software_version, now
             )
 
     def _decode_target(self, row: messages.Row) -> messages.Target | None:
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -11,6 +11,7 @@
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import peer_messages
 from vanillayoke.gateway import refusals
+from vanillayoke.gateway import resumptions
 from vanillayoke.gateway import sse
 from vanillayoke.gateway import store as store_module
 from vanillayoke.gateway import store_waiting
@@ -59,6 +60,19 @@
         )
 
 
+def _name_stream(
+    progress: dispatch.Progress, request: str
+) -> resumptions.StreamName:
+    """Return the name of the stream that ``request`` began."""
+    program = progress.call.program
+    return resumptions.StreamName(
+        progress.qualify(request) if request else '',
+        progress.qualify(f'{program.name}/{program.session}')
+        if program
+        else '',
+    )
+
+
 class Turns:
     """Serves requests on routes that stream."""
 
@@ -95,9 +109,7 @@
         if call.resumes is None and call.last_event is None:
             return
         progress.origin = await self._context.resumptions.find_origin(
-            call.request,
-            progress.qualify(call.resumes) if call.resumes else None,
-            progress.route,
+            _name_stream(progress, call.resumes or ''), progress.route
         )
         progress.service = progress.origin.service
 
@@ -393,7 +405,7 @@
         )
         if progress.route.is_resumable:
             self._context.resumptions.record_begun(
-                progress.qualify(progress.call.request),
+                _name_stream(progress, progress.call.request),
                 progress.origin,
                 max(progress.call.time_left or 0.0, progress.route.timeout),
             )
--- a/libs/scheduling/vanillayoke/scheduling/origin_cache.py
+++ b/libs/scheduling/vanillayoke/scheduling/origin_cache.py
@@ -11,7 +11,7 @@
 
 
 class OriginCache(typing.Generic[Origin]):
-    """The origins of recent streams, by the request that began them.
+    """The origins of recent streams, the newest of each key.
 
     Times are in seconds.
     """
@@ -26,29 +26,25 @@
         return len(self._entries)
 
     def record(
-        self, request: str, origin: Origin, now: float, lifetime: float
+        self, key: str, origin: Origin, now: float, lifetime: float
     ) -> None:
-        """Remember an origin for ``lifetime``, or until there are too many.
-
-        The first record of a request is kept: its stream has one beginning.
-        """
-        if self.find(request, now) is None:
-            self._entries[request] = now + lifetime, origin
-            self._entries.move_to_end(request)
+        """Remember an origin for ``lifetime``, or until there are too many."""
+        self._entries[key] = now + lifetime, origin
+        self._entries.move_to_end(key)
         while len(self._entries) > self._max_streams:
             self._entries.popitem(last=False)
 
-    def find(self, request: str, now: float) -> Origin | None:
-        """Return the origin of a request's stream, ``None`` if unknown."""
-        expires_at, origin = self._entries.get(request, (now, None))
+    def find(self, key: str, now: float) -> Origin | None:
+        """Return the origin of a key's stream, ``None`` if unknown."""
+        expires_at, origin = self._entries.get(key, (now, None))
         return origin if expires_at > now else None
 
     def prune(self, now: float) -> None:
         """Forget the streams whose lifetime has passed."""
         expired = [
-            request
-            for request, (expires_at, _) in self._entries.items()
+            key
+            for key, (expires_at, _) in self._entries.items()
             if expires_at <= now
         ]
-        for request in expired:
-            del self._entries[request]
+        for key in expired:
+            del self._entries[key]
--- a/libs/scheduling/vanillayoke/scheduling/software_versions.py
+++ b/libs/scheduling/vanillayoke/scheduling/software_versions.py
@@ -7,9 +7,11 @@
 import collections
 import typing
 
-# An unchanged table is confirmed every two and a half seconds. A longer time
-# without news may hide a version whose targets came and went.
+# An unchanged table is confirmed every two and a half seconds. With older news
+# the targets of a new version may be in use elsewhere.
 MAX_NEWS_AGE_SECONDS = 3.0
+# Targets that start and leave take longer, as they drain before they leave.
+MAX_GAP_SECONDS = 5.0
 # Longer than any stream lasts.
 RETENTION_SECONDS = 600.0
 
@@ -34,17 +36,21 @@
         self._rerouted_at: dict[str, float] = {}
 
     def record_read(self, now: float) -> None:
-        """Record that the present targets were read, without the past."""
-        starts_at, self._starts_at = self._starts_at, None
-        self._followed_since = now if starts_at is None else starts_at
+        """Record that the present targets were read, without the changes."""
+        if self._starts_at is not None:
+            self._followed_since, self._starts_at = self._starts_at, None
+        elif now - self._news_at > MAX_GAP_SECONDS:
+            self._followed_since = now
         self._news_at = now
 
     def record_news(self, now: float) -> None:
         """Record that all changes of the targets until now are known."""
-        if now - self._news_at > MAX_NEWS_AGE_SECONDS:
-            self._followed_since = now
         self._news_at = now
 
+    def record_missed(self, now: float) -> None:
+        """Record that a target has come and gone, its version unknown."""
+        self._followed_since = now
+
     def record_use(self, service: str, version: str, now: float) -> None:
         """Record that a target of a version was in use until now."""
         self._used_at[service][version] = now
