Taught the soak software versions and resumed streams.

Neither the soak nor the stand-ins knew that servers have versions, and no caller of the soak resumed a stream, so nothing here could have found the incident. Model servers now alternate between two versions, callers resume broken streams at any instance, and two checks look at what servers and callers saw: no stream over two versions, and resumed streams served at least half as often as new ones. Faults that break streams have a family of their own, so that checks which allow for late updates are not weakened by them.

--- a/libs/soak/vanillayoke/soak/callers.py
+++ b/libs/soak/vanillayoke/soak/callers.py
@@ -12,6 +12,7 @@
 from vanillayoke.soak import load
 from vanillayoke.soak import organisations
 from vanillayoke.soak import records
+from vanillayoke.soak import streams
 from vanillayoke.standins import calls
 from vanillayoke.transport import client
 
@@ -26,6 +27,7 @@
 # Less than two turns, so that a loss of tokens leads to a refusal.
 SMALL_BUDGET = TURN_TOKENS * 7 // 4
 MAX_RESUME_ATTEMPTS = 8
+RESUMABLE_ROUTE = 'plan'
 DEADLINE_MS = 3000
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 # Probes are enough to fill the slots of their service several times.
@@ -265,12 +267,28 @@
         conversation: Conversation,
         **options: typing.Any,
     ) -> records.Answered:
-        """Send a request and retry it where that is safe."""
+        """Send a request and retry it where that is safe.
+
+        A broken stream is resumed where the route allows it.
+        """
+        resumption = None
         for _ in range(3):
             answered = await self._send_attempt(
-                caller, route, kind, conversation, **options
+                caller,
+                route,
+                kind,
+                conversation,
+                resumption=resumption,
+                **options,
             )
-            if answered.gave_up or answered.status in _FINAL_STATUSES:
+            if answered.gave_up:
+                break
+            if route == RESUMABLE_ROUTE and not answered.is_whole:
+                resumption = streams.make_resumption(resumption, answered)
+                if resumption is not None:
+                    await asyncio.sleep(self._rng.uniform(0.0, 0.3))
+                    continue
+            if answered.status in _FINAL_STATUSES:
                 break
             was_not_executed = answered.status in _NOT_EXECUTED_STATUSES
             if kind != 'safe' and not was_not_executed:
@@ -305,6 +323,11 @@
                 TURN_TOKENS,
                 options['previous'],
             )
+        resumption = options.get('resumption')
+        if resumption is not None:
+            headers.append((b'Last-Event-Id', b'%d' % resumption.last_event))
+            if self._rng.random() >= streams.UNNAMED_RATIO:
+                headers.append((b'Resumes', resumption.begun.encode()))
         address = await caller.choose_address()
         self._add_record(
             records.Sent(
@@ -320,8 +343,9 @@
                 options.get('budget', 0),
                 TURN_TOKENS if kind == 'stream' else 0,
                 options.get('previous', ''),
-                route == 'plan',
+                route == RESUMABLE_ROUTE,
                 conversation.key,
+                *(resumption or ()),
             )
         )
         answered = await caller.send(
--- a/libs/soak/vanillayoke/soak/checks.py
+++ b/libs/soak/vanillayoke/soak/checks.py
@@ -14,6 +14,7 @@
 from vanillayoke.soak import load
 from vanillayoke.soak import organisations
 from vanillayoke.soak import records
+from vanillayoke.soak import streams
 from vanillayoke.soak import violations
 
 _NOT_EXECUTED_STATUSES = frozenset((402, 408, 421, 429, 503))
@@ -82,12 +83,14 @@
     sent: records.Sent, answered: records.Answered
 ) -> list[Violation]:
     events = histories.parse_events(answered.body)
-    expected = [(n, f'{sent.request}:{n}') for n in range(1, len(events) + 1)]
+    first = sent.last_event + 1
+    numbers = range(first, first + len(events))
+    expected = [(n, f'{sent.request}:{n}') for n in numbers]
     if events != expected:
         detail = f'events {[number for number, _ in events]}'
         return [Violation('order of a stream', sent.request, detail)]
     # Turns of a run generate as many tokens as they may.
-    if len(events) * 10 != sent.most:
+    if (sent.last_event + len(events)) * 10 != sent.most:
         detail = f'{len(events)} events in a whole answer'
         return [Violation('whole answer', sent.request, detail)]
     return []
@@ -405,6 +408,8 @@
     'own organisation': organisations.check_organisations,
     'key in force': organisations.check_keys,
     'limit': organisations.check_limit,
+    'one software version': streams.check_versions,
+    'resumed streams': streams.check_resumptions,
     'attempts': load.check_attempts,
     'memory limit': load.check_memory,
     'idle site': load.check_idle_site,
@@ -423,6 +428,7 @@
         'key in force',
         'graceful stop',
         'recovery',
+        'resumed streams',
     )
 )
 
@@ -460,6 +466,7 @@
         - len(organisations.NAMES),
         'refused over the limit': statuses.count(429),
         **load.count_subjects(history),
+        **streams.count_subjects(history),
         'planned stops': sum(
             record.event == 'told' for record in history.processes
         ),
--- a/libs/soak/vanillayoke/soak/load.py
+++ b/libs/soak/vanillayoke/soak/load.py
@@ -10,6 +10,7 @@
 
 from vanillayoke.soak import histories
 from vanillayoke.soak import records
+from vanillayoke.soak import streams
 from vanillayoke.soak import violations
 
 # Odd seeds have overload, so that CI, which plays the first two, has both.
@@ -32,6 +33,7 @@
 # after the fault by which it has ended. A leaving server drains first.
 SERVER_END_SECONDS = {
     'server_kill': 1.0,
+    streams.KILL_KIND: 1.0,
     'server_reborn': 1.0,
     'server_leave': 5.0,
 }
--- a/libs/soak/vanillayoke/soak/plans.py
+++ b/libs/soak/vanillayoke/soak/plans.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from vanillayoke.soak import load
+from vanillayoke.soak import streams
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -131,6 +132,9 @@
     faults += _generate_additional(seed, faulty)
     faults += _generate_many_routes(seed, faulty)
     faults += _generate_access(seed, faulty)
+    faults += [
+        Fault(*fault) for fault in streams.generate_faults(seed, faulty)
+    ]
     if load.has_overload(seed):
         faults += [
             Fault(*fault) for fault in load.generate_faults(seed, faulty)
--- a/libs/soak/vanillayoke/soak/records.py
+++ b/libs/soak/vanillayoke/soak/records.py
@@ -23,7 +23,11 @@
 
 
 class Sent(msgspec.Struct, frozen=True, tag=True):
-    """A caller starts to send a request; ``kind`` is that of the route."""
+    """A caller starts to send a request; ``kind`` is that of the route.
+
+    ``resumed`` is the request that began the stream that it resumes after
+    ``last_event``.
+    """
 
     at: float
     request: str
@@ -38,6 +42,8 @@
     previous: str = ''
     is_resumable: bool = False
     key: str = ''
+    resumed: str = ''
+    last_event: int = 0
 
 
 class Answered(msgspec.Struct, frozen=True, tag=True):
@@ -57,7 +63,7 @@
 
 
 class Started(msgspec.Struct, frozen=True, tag=True):
-    """A server starts to execute a request."""
+    """A server starts to execute a request, after ``last_event`` if set."""
 
     at: float
     server: str
@@ -68,6 +74,8 @@
     body: str
     organisation: str = ''
     has_key: bool = False
+    software_version: str = ''
+    last_event: int = 0
 
 
 class Ended(msgspec.Struct, frozen=True, tag=True):
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -207,21 +207,26 @@
                 await self._inject_server_fault(fault, variant)
             case 'link' | 'caller':
                 await self._inject_link_fault(fault, variant)
-            case 'configure' if variant == 'keys':
-                self._site.keys.rotate_key(fault.subject)
-                self._site.configure()
-            case 'configure' if variant == 'limit':
-                self._site.keys.is_limit_lowered = (
-                    not self._site.keys.is_limit_lowered
-                )
-                self._site.configure()
+            case 'stream':
+                await self._inject_stream_fault(fault, variant)
             case 'configure':
-                if fault.kind == plans.MANY_ROUTES_KIND:
-                    self._site.added_routes += int(fault.strength)
-                    self._site.configure()
-                    return
+                await self._configure(fault, variant)
+
+    async def _configure(self, fault: plans.Fault, variant: str) -> None:
+        site = self._site
+        match variant:
+            case 'keys':
+                site.keys.rotate_key(fault.subject)
+                site.configure()
+            case 'limit':
+                site.keys.is_limit_lowered = not site.keys.is_limit_lowered
+                site.configure()
+            case _ if fault.kind == plans.MANY_ROUTES_KIND:
+                site.added_routes += int(fault.strength)
+                site.configure()
+            case _:
                 for _ in range(max(1, int(fault.strength))):
-                    self._site.configure()
+                    site.configure()
                     await asyncio.sleep(0.15)
 
     def _start_burst(self, fault: plans.Fault) -> None:
@@ -365,6 +370,26 @@
                 times = max(1, int(fault.strength))
                 child.send_command(control.Fail(variant, times))
 
+    async def _inject_stream_fault(
+        self, fault: plans.Fault, variant: str
+    ) -> None:
+        server = self._site.servers[fault.subject % len(self._site.servers)]
+        match variant:
+            case 'pace':
+                child = server.child
+                child.send_command(control.Pace(fault.strength))
+                await asyncio.sleep(fault.seconds)
+                child.send_command(control.Pace(sites.EVENT_INTERVAL_SECONDS))
+            case 'cut':
+                await self._inject_server_fault(fault, 'cut_answer')
+            case 'kill':
+                await self._inject_server_fault(fault, 'kill')
+            case 'reset':
+                host = self._site.choose_host(fault.subject)
+                if host:
+                    address = self._site.find_caller_link(host)
+                    await self._change_link(address, 'reset', fault)
+
     async def _replace_server(self, server: sites.Server) -> None:
         """Drain a server, kill it and start a new incarnation."""
         child, name = server.child, server.name
--- a/libs/soak/vanillayoke/soak/servers.py
+++ b/libs/soak/vanillayoke/soak/servers.py
@@ -17,9 +17,12 @@
 class RecordingTarget(targets.FakeTarget):
     """A server that records the requests it executes."""
 
-    def __init__(self, name: str, service: str, slots: int) -> None:
+    def __init__(
+        self, name: str, service: str, slots: int, software_version: str
+    ) -> None:
         super().__init__(name, slots)
         self._service = service
+        self._software_version = software_version
 
     async def _execute(
         self,
@@ -38,6 +41,8 @@
                 records.shorten(run.body.decode('latin-1')),
                 run.headers.get(_ORGANISATION, b'').decode('latin-1'),
                 fields.AUTHORIZATION in run.headers,
+                self._software_version,
+                int(run.headers.get(fields.LAST_EVENT_ID, b'0')),
             )
         )
         # Executions are in the records; don't keep them in memory as well.
@@ -54,10 +59,15 @@
 
 
 async def run_target(
-    name: str, service: str, address: str, slots: int, events: int
+    name: str,
+    service: str,
+    address: str,
+    slots: int,
+    events: int,
+    software_version: str,
 ) -> None:
     """Run a server until standard input is closed."""
-    target = RecordingTarget(name, service, slots)
+    target = RecordingTarget(name, service, slots, software_version)
     target.event_count = events
     host, _, port = address.rpartition(':')
     await target.listen(host, int(port))
@@ -112,7 +122,9 @@
     match arguments:
         case ['store', address]:
             asyncio.run(run_store(address))
-        case ['target', name, service, address, slots, events]:
+        case ['target', name, service, address, slots, events, version]:
             asyncio.run(
-                run_target(name, service, address, int(slots), int(events))
+                run_target(
+                    name, service, address, int(slots), int(events), version
+                )
             )
--- a/libs/soak/vanillayoke/soak/sites.py
+++ b/libs/soak/vanillayoke/soak/sites.py
@@ -15,10 +15,12 @@
 from vanillayoke.soak import organisations
 from vanillayoke.soak import processes
 from vanillayoke.soak import records
+from vanillayoke.soak import streams
 from vanillayoke.standins import calls
 
 SERVER_SLOT_COUNT = 6
 EVENT_COUNT = 4
+EVENT_INTERVAL_SECONDS = 0.01
 # TOOL_SERVER_COUNT servers run for each of TOOL_SERVICES.
 MODEL_SERVER_COUNT = 3
 TOOL_SERVER_COUNT = 2
@@ -49,6 +51,11 @@
         """The name of the current incarnation."""
         return f's{self.number}-{self.incarnation}'
 
+    @property
+    def software_version(self) -> str:
+        """The software version of the current incarnation."""
+        return streams.choose_software_version(self.number, self.incarnation)
+
 
 class Site:
     """The processes of a run."""
@@ -156,6 +163,7 @@
                 *('-m', 'vanillayoke.soak', 'target'),
                 *(server.name, server.service, address),
                 *(str(self._slot_count), str(events)),
+                server.software_version,
             ],
         )
         if self.has_overload:
@@ -174,6 +182,7 @@
             state,
             zone,
             server.started_ms,
+            server.software_version,
         )
         record = None
         if state == 'draining':
--- a/tests/soak/test_plans.py
+++ b/tests/soak/test_plans.py
@@ -2,6 +2,7 @@
 
 from vanillayoke.soak import load
 from vanillayoke.soak import plans
+from vanillayoke.soak import streams
 from vanillayoke.testing import fixtures
 
 
@@ -24,6 +25,9 @@
         load.BURST_KIND,
         load.CROWD_KIND,
         *load.KINDS,
+        *streams.SERVER_KINDS,
+        streams.CALLER_KIND,
+        streams.SLOW_KIND,
     }
     case.assertEqual(expected, generated)
 
