Showed that resumptions depend on no affinity and no single holder.

Turns of the tests were of one session, whose cache affinity led resumed streams to the right target without the fix. Each turn is of a program of its own now, and a stream is resumed after its first instance and one holder have failed.

--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -4,6 +4,7 @@
 
 from tests.gateway import site_fixtures
 from vanillayoke.gateway import messages
+from vanillayoke.gateway import rendezvous
 from vanillayoke.gateway import resumptions
 from vanillayoke.standins import calls
 from vanillayoke.standins import store as store_module
@@ -13,8 +14,6 @@
 
 # How often a request is repeated where a wrong choice depends on chance.
 ATTEMPT_COUNT = 12
-# All turns are of one program.
-BUDGET = 9999
 
 
 async def _start(site, versions, instances=2):
@@ -38,7 +37,9 @@
         other.queue_limit = 0
     task = asyncio.ensure_future(
         site.turn(
-            instance, request, route='plan', budget=BUDGET, **header_fields
+            instance,
+            request,
+            **{'route': 'plan', 'program': request, **header_fields},
         )
     )
     while target not in _list_servers(site, request):
@@ -63,10 +64,8 @@
     return await site.turn(
         instance,
         request,
-        route='plan',
-        budget=BUDGET,
         extra_headers=extra_headers,
-        **header_fields,
+        **{'route': 'plan', 'program': request, **header_fields},
     )
 
 
@@ -173,6 +172,32 @@
         case.assertEqual(['m3'], _list_servers(site, f'b{number}'))
 
 
+async def test_origin_outlives_the_loss_of_one_holder(case, site, network):
+    """The instance that began a stream fails together with a holder."""
+    await _start(site, {'m3': 'v1', 'm4': 'v2', 'm5': 'v3'}, 5)
+    eligible = site.instances['i1']._members.list_eligible()
+    program = next(
+        name
+        for name in (f'p{number}' for number in range(1000))
+        if [
+            peer.instance
+            for peer in rendezvous.ZoneRanking().list_highest(
+                f'{name}/s', eligible, 2
+            )
+        ]
+        == ['i2', 'i3']
+    )
+    session = {'program': program, 'session_id': 's'}
+    await (await _begin_at(site, 'i1', 'm3', 'a', **session))
+    for name in ('i1', 'i2'):
+        site_fixtures.kill(site, network, name)
+    for number in range(ATTEMPT_COUNT):
+        instance = f'i{4 + number % 2}'
+        response = await _resume(site, instance, f'b{number}', 'a', **session)
+        case.assertEqual(200, response.status)
+        case.assertEqual(['m3'], _list_servers(site, f'b{number}'))
+
+
 async def test_resumption_is_refused_if_the_origin_is_lost(
     case, site, network
 ):
@@ -231,7 +256,7 @@
     """A caller that does not say what it resumes, while versions differ."""
     await _start(site, {'m3': 'v1', 'm4': 'v2', 'm5': 'v3'}, 4)
     for number in range(ATTEMPT_COUNT):
-        session = {'session_id': f's{number}'}
+        session = {'program': f'p{number}', 'session_id': 's'}
         await (await _begin_at(site, 'i1', 'm3', f'a{number}', **session))
         resumed = f'b{number}'
         instance = f'i{1 + number % 4}'
@@ -247,7 +272,7 @@
     """
     await _start(site, {'m3': 'v1', 'm4': 'v2', 'm5': 'v3'}, 4)
     for number in range(ATTEMPT_COUNT):
-        session = {'session_id': f's{number}'}
+        session = {'program': f'p{number}', 'session_id': 's'}
         await (await _begin_at(site, 'i1', 'm3', f'a{number}', **session))
         await (await _begin_at(site, 'i2', 'm4', f'b{number}', **session))
         for instance in ('i1', 'i3'):
@@ -283,15 +308,17 @@
 ):
     """An instance can't reach the store, so it may have missed a version."""
     await _start(site, {'m3': 'v1', 'm4': 'v1'}, 1)
-    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    # The budget of this program is granted before the outage.
+    program = {'program': 'p1', 'session_id': 's1'}
+    await (await _begin_at(site, 'i1', 'm3', 'a', **program))
     site.store.mode = store_module.Mode.UNAVAILABLE
     await asyncio.sleep(7.0)
-    response = await _resume(site, 'i1', 'b', None)
+    response = await _resume(site, 'i1', 'b', None, **program)
     case.assertEqual(503, response.status)
     case.assertEqual([], _list_servers(site, 'b'))
     # It knows the origin of a stream that began here.
-    await (await _begin_at(site, 'i1', 'm3', 'c'))
-    response = await _resume(site, 'i1', 'd', 'c')
+    await (await _begin_at(site, 'i1', 'm3', 'c', **program))
+    response = await _resume(site, 'i1', 'd', 'c', **program)
     case.assertEqual(200, response.status)
 
 
