Continued streams at targets that are about to leave.

The last targets of a version leave together at the end of a release. A stream of theirs that broke off was refused, although they still serve for the time that they drain. If no other target of the version accepts connections, a stream may now continue at one that has announced within half of the drain time that it leaves. New streams are not sent there.

--- a/libs/gateway/vanillayoke/gateway/catalog.py
+++ b/libs/gateway/vanillayoke/gateway/catalog.py
@@ -28,6 +28,8 @@
         # the number of targets.
         self._ready: dict[str, dict[str, messages.Target]] = {}
         self._lists: dict[str, list[messages.Target]] = {}
+        # Targets that have announced that they leave, and when.
+        self._draining: dict[str, tuple[messages.Target, float]] = {}
 
     @property
     def version(self) -> int:
@@ -66,6 +68,7 @@
         if self._targets.get(target.name) == target:
             return was_missing
         self._drop_ready(target.name)
+        self._draining.pop(target.name, None)
         self._targets[target.name] = target
         if not target.is_leaving:
             self._ready.setdefault(target.service, {})[target.name] = target
@@ -131,6 +134,20 @@
             self._lists[service] = targets
         return targets
 
+    def record_draining(self, target: messages.Target, now: float) -> None:
+        """Record that a target has just announced that it leaves."""
+        self._draining[target.name] = target, now
+
+    def list_draining(
+        self, service: str, since: float
+    ) -> list[messages.Target]:
+        """Return the targets of a service that leave since then or later."""
+        return [
+            target
+            for target, draining_since in self._draining.values()
+            if target.service == service and draining_since >= since
+        ]
+
     def get_target(self, name: str) -> messages.Target | None:
         """Return a target, ``None`` if it is not known."""
         return self._targets.get(name)
@@ -147,6 +164,7 @@
     def _drop(self, name: str) -> None:
         self._missing.pop(name, None)
         self._drop_ready(name)
+        self._draining.pop(name, None)
         self._targets.pop(name, None)
 
     def _drop_ready(self, name: str) -> None:
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -24,6 +24,9 @@
 # happen for a short time when they are replaced.
 NO_TARGET_TIMEOUT_SECONDS = 0.3
 FIRST_SERVER_ERROR_STATUS = 500
+# The part of a leaving target's drain time in which it may still continue
+# streams that no other target can. Its announcement takes time to get here.
+DRAIN_RATIO = 0.5
 # How often a request is sent again after its response broke off. After more
 # breaks it is likely that the target can't answer this request.
 MAX_BROKEN_ATTEMPTS = 2
@@ -252,8 +255,6 @@
         criteria = self._make_criteria(progress)
         while True:
             targets = self._list_allowed(progress)
-            if progress.origin is not None:
-                targets = self._list_continuing(progress, targets)
             now = timers.now()
             if not targets and now - started_at > NO_TARGET_TIMEOUT_SECONDS:
                 raise refusals.RefusalError(refusals.Reason.NO_TARGET)
@@ -389,41 +390,46 @@
     def _list_allowed(self, progress: Progress) -> list[messages.Target]:
         """Return the targets that the request may be sent to.
 
-        Once it may have run at as many targets as the route allows, only
-        these remain.
+        Raise ``RefusalError`` if no target can continue its stream. There is
+        no wait as for a service without targets: it may take minutes until one
+        of the version accepts connections again.
         """
-        targets = self._context.catalog.list_targets(progress.service)
-        if len(progress.started_targets) < progress.route.max_attempts:
+        catalog = self._context.catalog
+        targets = self._limit_attempts(
+            progress, catalog.list_targets(progress.service)
+        )
+        if progress.origin is None:
             return targets
-        return [
-            target
-            for target in targets
-            if target.name in progress.started_targets
-        ]
+        continuing = _list_continuing(progress, targets)
+        if not continuing:
+            drain_timeout = self._context.settings.bounds.target_drain_timeout
+            since = self._context.timers.now() - drain_timeout * DRAIN_RATIO
+            draining = self._limit_attempts(
+                progress, catalog.list_draining(progress.service, since)
+            )
+            continuing = _list_continuing(progress, draining)
+        if not continuing:
+            raise refusals.RefusalError(
+                refusals.Reason.VERSION_GONE,
+                f'no target of {progress.service} with software'
+                f' {progress.origin.software_version} accepts connections',
+            )
+        return continuing
 
-    def _list_continuing(
+    def _limit_attempts(
         self, progress: Progress, targets: list[messages.Target]
     ) -> list[messages.Target]:
-        """Return the targets that can continue the request's stream.
+        """Return the targets that the route's number of attempts allows.
 
-        Raise ``RefusalError`` if there is none. The first target of the
-        version to accept connections again may be minutes away, so there is
-        no wait as for a service without targets.
+        Once the request may have run at as many targets, only these remain.
         """
-        version = progress.origin.software_version
-        continuing = [
-            target for target in targets if target.software_version == version
+        if len(progress.started_targets) < progress.route.max_attempts:
+            return targets
+        return [
+            target
+            for target in targets
+            if target.name in progress.started_targets
         ]
-        if all(
-            target.name in progress.unreachable_targets
-            for target in continuing
-        ):
-            raise refusals.RefusalError(
-                refusals.Reason.VERSION_GONE,
-                f'{len(continuing)} targets of {progress.origin.service}'
-                f' with software {version}, none reachable',
-            )
-        return continuing
 
     def record_success(
         self, progress: Progress, target: messages.Target
@@ -437,6 +443,19 @@
         self._context.occupancy.record_outcome(target.name, is_success, now)
 
 
+def _list_continuing(
+    progress: Progress, targets: list[messages.Target]
+) -> list[messages.Target]:
+    """Return the targets that can continue the request's stream."""
+    version = progress.origin.software_version
+    return [
+        target
+        for target in targets
+        if target.software_version == version
+        and target.name not in progress.unreachable_targets
+    ]
+
+
 def make_candidate(target: messages.Target) -> occupancy.Candidate:
     """Return a target as a candidate for placement."""
     return occupancy.Candidate(target.name, target.slots, target.zone)
--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -176,6 +176,8 @@
             self._record_use(target)
             self._report_restart(target)
             changed = self._catalog.put_target(target, row.version)
+            if changed and target.is_leaving:
+                self._catalog.record_draining(target, self._timers.now())
         if changed:
             self._log.write(
                 log_events.SERVER_CHANGED,
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -143,6 +143,41 @@
     case.assertLess(site.timers.now() - started_at, 0.1)
 
 
+async def test_stream_is_resumed_at_a_server_that_is_about_to_leave(
+    case, site
+):
+    """The last server of the version drains, as at the end of a release.
+
+    It still serves for two seconds. New streams must not go there.
+    """
+    await _start(site, {'m3': 'v1', 'm4': 'v2'})
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    site.register('m3', '10.8.0.5:8080', 'draining')
+    await asyncio.sleep(0.3)
+    response = await _resume(site, 'i2', 'b', 'a')
+    case.assertEqual(200, response.status)
+    case.assertEqual(['m3'], _list_servers(site, 'b'))
+    for number in range(ATTEMPT_COUNT):
+        await site.turn('i2', f'c{number}', route='plan', program=f'c{number}')
+        case.assertEqual(['m4'], _list_servers(site, f'c{number}'))
+    await asyncio.sleep(1.0)
+    response = await _resume(site, 'i2', 'd', 'a')
+    case.assertEqual(503, response.status)
+    case.assertEqual([], _list_servers(site, 'd'))
+
+
+async def test_ready_server_continues_a_stream_before_a_leaving_one(
+    case, site
+):
+    await _start(site, {'m3': 'v1', 'm4': 'v2', 'm5': 'v1'})
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    site.register('m3', '10.8.0.5:8080', 'draining')
+    await asyncio.sleep(0.3)
+    for number in range(ATTEMPT_COUNT):
+        await _resume(site, 'i2', f'b{number}', 'a')
+        case.assertEqual(['m5'], _list_servers(site, f'b{number}'))
+
+
 async def test_resumption_at_crashed_servers_is_refused_at_once(case, site):
     """The last server of the version has crashed and is still registered."""
     await _start(site, {'m3': 'v1', 'm4': 'v2'})
