Left refusals over a used limit out of the soak's recovery check.

Callers that are refused ask again sooner, so that they fill the count. The check held rightly refused requests against the site.

Such a refusal no longer counts if the organisation ran at least half of its limit in the window before; below that it counts as before, which a test shows. No other answer is treated differently.

--- a/libs/soak/vanillayoke/soak/checks.py
+++ b/libs/soak/vanillayoke/soak/checks.py
@@ -373,13 +373,18 @@
 def check_recovery(
     history: histories.History, cutoff: float
 ) -> list[Violation]:
-    """Report if too few requests were served after the last fault."""
+    """Report if too few requests were served after the last fault.
+
+    What an organisation asks beyond its limit does not count.
+    """
     last = max((record.until for record in history.disturbed), default=0.0)
     since = last + history.bounds.recovery
     after = [
         answered
         for sent, answered in history.list_pairs(cutoff)
-        if sent.at >= since and answered.status != 402
+        if sent.at >= since
+        and answered.status != 402
+        and not _is_over_limit(history, sent, answered)
     ]
     if len(after) < MIN_REQUEST_COUNT:
         return []
@@ -390,6 +395,17 @@
     return [Violation('recovery', 'all', detail)]
 
 
+def _is_over_limit(
+    history: histories.History, sent: records.Sent, answered: records.Answered
+) -> bool:
+    organisation = organisations.parse_organisation(sent.key)
+    return (
+        answered.status == 429
+        and organisation == organisations.LIMITED_ORGANISATION
+        and organisations.is_limit_used(history, sent.at)
+    )
+
+
 CHECKS: dict[
     str, typing.Callable[[histories.History, float], list[Violation]]
 ] = {
--- a/libs/soak/vanillayoke/soak/organisations.py
+++ b/libs/soak/vanillayoke/soak/organisations.py
@@ -16,6 +16,8 @@
 # Tolerances of the limit: relative to it, and a number of requests.
 ALLOWED_EXCESS_RATIO = 0.1
 ALLOWED_EXCESS_COUNT = 20.0
+# An organisation that ran less of its limit than this is refused wrongly.
+MIN_USED_RATIO = 0.5
 
 
 def parse_organisation(key: str) -> str:
@@ -137,6 +139,21 @@
     return []
 
 
+def is_limit_used(history: histories.History, at: float) -> bool:
+    """Return whether the limited organisation ran much of its limit by then.
+
+    Its requests beyond the limit are refused rightly.
+    """
+    limits = [
+        one.limit
+        for one in _list_versions_in_force(history, at - WINDOW_SECONDS, at)
+    ]
+    count = sum(
+        at - WINDOW_SECONDS <= moment <= at for moment in _list_runs(history)
+    )
+    return bool(limits) and count >= MIN_USED_RATIO * min(limits)
+
+
 def _list_runs(history: histories.History) -> typing.Iterator[float]:
     for name, runs in history.started.items():
         sent = history.sent.get(name)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -336,6 +336,38 @@
     case.assertEqual(['recovery'], _check(*found))
 
 
+def _refuse_over_limit(run_count):
+    """Return a recovered site that refuses most requests over a limit."""
+    at = 2.0 + BOUNDS.recovery + 1
+    found = [
+        records.Disturbed(1.0, 2.0, 'kill', 'i1'),
+        _accept(0.5, 2, 'tight-1', limit=20.0),
+    ]
+    for number in range(run_count):
+        name = f'a{number}'
+        found += [
+            _send(name, at=at, key='tight-1'),
+            _start(name, at=at + 0.1, organisation='tight'),
+            _answer(name, at=at + 0.2),
+        ]
+    for number in range(2 * checks.MIN_REQUEST_COUNT):
+        name = f'b{number}'
+        found += [
+            _send(name, at=at + 0.5, key='tight-1'),
+            _answer(name, 429, '', at=at + 0.6),
+        ]
+    return found
+
+
+def test_refusals_over_a_used_limit_are_allowed_after_recovery(case):
+    case.assertEqual([], _check(*_refuse_over_limit(10)))
+
+
+def test_refusals_over_an_unused_limit_are_no_recovery(case):
+    """An organisation is refused although it has run little."""
+    case.assertEqual(['recovery'], _check(*_refuse_over_limit(9)))
+
+
 def _send_as(key, request='a', at=1.0):
     return _send(request, key=key, at=at)
 
