Queued for no slot of a target that leaves, and honoured weights of zero.

With the slot queue enabled, a stream bound to a leaving target whose slots are taken asked for a slot, was refused as the target is not ready, and asked again without a pause; the test shows an instance that stops responding. Such a stream now goes to the target's own queue.

A resumed stream also went to a service whose weight the operator had set to zero; it is refused like one of a service that the route no longer names.

--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -116,7 +116,7 @@
         """
         origin, source = await self._search(stream, route)
         self._metrics.resumed_streams.add(1, source=source)
-        services = {share.service for share in route.shares}
+        services = _list_services(route)
         if origin is None:
             raise refusals.RefusalError(
                 refusals.Reason.ORIGIN_UNKNOWN,
@@ -240,6 +240,13 @@
         return [peer for peer in holders if peer.instance != self._instance]
 
 
+def _list_services(route: messages.Route) -> set[str]:
+    """Return the services that requests of a route may go to."""
+    return {share.service for share in route.shares if share.weight > 0} or {
+        route.shares[0].service
+    }
+
+
 def _make_query(
     stream: StreamName, route: messages.Route
 ) -> peer_messages.OriginQuery:
@@ -247,7 +254,7 @@
 
     It names no service if the route leads to several.
     """
-    services = {share.service for share in route.shares}
+    services = _list_services(route)
     return peer_messages.OriginQuery(
         *stream,
         route.name,
--- a/libs/gateway/vanillayoke/gateway/slot_requests.py
+++ b/libs/gateway/vanillayoke/gateway/slot_requests.py
@@ -161,11 +161,12 @@
         """Return whether the target's slots are taken or others wait.
 
         A request that may have run goes on without asking: a refusal would
-        leave its outcome unknown.
+        leave its outcome unknown. A target that leaves has no queue; it is
+        chosen only for streams that no other target can continue.
         """
         if not self._is_enabled() or progress.may_have_run:
             return False
-        if progress.target_load is None:
+        if target.is_leaving or progress.target_load is None:
             return False
         return (
             progress.target_waiting > 0
--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -131,11 +131,7 @@
 
     def _record_routes(self, configuration: messages.Configuration) -> None:
         destinations = {
-            route.name: (
-                route.host,
-                route.prefix,
-                frozenset(share.service for share in route.shares),
-            )
+            route.name: (route.host, route.prefix, route.shares)
             for route in configuration.routes
         }
         self._versions.record_routes(destinations, self._timers.now())
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -166,6 +166,30 @@
     case.assertEqual([], _list_servers(site, 'd'))
 
 
+async def test_stream_joins_the_queue_of_a_server_that_is_about_to_leave(
+    case, site
+):
+    """All slots of the last server of the version are taken.
+
+    Instances queue for slots of servers, but not of those that leave.
+    """
+    site.settings_changes['enabled_features'] = frozenset(
+        (messages.Feature.SLOT_QUEUE,)
+    )
+    await _start(site, {'m3': 'v1', 'm4': 'v2'})
+    await (await _begin_at(site, 'i1', 'm3', 'a'))
+    site.targets['m3'].event_interval = 0.1
+    running = [
+        await _begin_at(site, 'i1', 'm3', f'r{number}') for number in range(4)
+    ]
+    site.register('m3', '10.8.0.5:8080', 'draining')
+    await asyncio.sleep(0.1)
+    response = await _resume(site, 'i1', 'b', 'a')
+    case.assertEqual(200, response.status)
+    case.assertEqual(['m3'], _list_servers(site, 'b'))
+    await asyncio.gather(*running)
+
+
 async def test_ready_server_continues_a_stream_before_a_leaving_one(
     case, site
 ):
@@ -378,6 +402,26 @@
         case.assertEqual(['m3'], _list_servers(site, f'b{number}'))
 
 
+async def test_stream_of_a_service_without_weight_is_refused(case, site):
+    """The route no longer sends requests to the service."""
+    await _start(site, {'m3': 'v1'})
+    route = calls.make_route(
+        'plan',
+        'tools',
+        'stream',
+        resumable=True,
+        backends=[{'service': 'models', 'weight': 0}],
+    )
+    site.configure(2, routes=[route])
+    await asyncio.sleep(0.2)
+    origin = messages.StreamOrigin('models', 'v1')
+    stream = resumptions.StreamName('a', '')
+    site.instances['i1']._resumptions.record_begun(stream, origin, 3.0)
+    response = await _resume(site, 'i2', 'b', 'a')
+    case.assertEqual(503, response.status)
+    case.assertEqual([], _list_servers(site, 'b'))
+
+
 async def test_stream_of_a_moved_route_is_refused_at_once(case, site):
     """The route leads to another service since the stream began."""
     await _start(site, {'m3': 'v1', 'm4': 'v1'})
