--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -441,7 +441,7 @@
     | StreamOrigin
 )
 # Not acknowledged. A lost one makes the load less exact for a time, or leaves
-# one holder fewer of a stream's origin.
+# one replica fewer of a stream's origin.
 Notification = (
     RequestStarted
     | RequestEnded
--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -1,10 +1,10 @@
 """Finds the software version that began a stream which a caller resumes.
 
 A caller may resume at any instance. The instance that sends the first event of
-a resumable stream therefore tells two others, the stream's holders, which
-version it is from. Holders are in different zones if possible, and follow from
-the session of the stream. Nothing is stored: a stream whose origin is lost
-with its holders can't continue, and the caller begins anew.
+a resumable stream therefore replicates the stream's origin, its service and
+software version, to two others. They are in different zones if possible, and
+follow from the session of the stream. Nothing is stored: a stream whose origin
+is lost with its replicas can't continue, and the caller begins anew.
 """
 
 import asyncio
@@ -21,10 +21,10 @@
 from vanillayoke.scheduling import origin_cache
 from vanillayoke.scheduling import software_versions
 
-HOLDER_COUNT = 2
-# One more than there are holders, as one of them may just have joined.
-QUERY_COUNT = HOLDER_COUNT + 1
-# The caller waits for the response; a holder that is busy or gone is not worth
+REPLICA_COUNT = 2
+# One more than there are replicas, as one of the instances may be new.
+QUERY_COUNT = REPLICA_COUNT + 1
+# The caller waits for the response; a peer that is busy or gone is not worth
 # a large part of the time that the stream has left.
 QUERY_TIMEOUTS_SECONDS = (0.02, 0.05)
 # A caller's time for a request may be longer than the route's.
@@ -45,7 +45,7 @@
 
     @property
     def key(self) -> str:
-        """What the stream's holders follow from."""
+        """What determines the instances with replicas."""
         return self.session or self.request
 
 
@@ -94,8 +94,8 @@
             *stream, *origin, round(1000 * lifetime)
         )
         self.receive(begun)
-        for holder in self._list_others(stream.key, HOLDER_COUNT):
-            self._peers.notify(holder.address, begun)
+        for peer in self._list_others(stream.key, REPLICA_COUNT):
+            self._peers.notify(peer.address, begun)
 
     def receive(self, begun: peer_messages.StreamBegun) -> None:
         """Record the origin of a stream that began at any instance."""
@@ -139,7 +139,7 @@
         if own is not None and stream.request:
             return own, 'own_record'
         only_version = self._find_only_version(query)
-        responses = await self._query_holders(stream.key, query)
+        responses = await self._query_replicas(stream.key, query)
         recorded = {
             messages.StreamOrigin(*response.origin)
             for response in responses
@@ -202,23 +202,23 @@
             return None
         return messages.StreamOrigin(query.service, version)
 
-    async def _query_holders(
+    async def _query_replicas(
         self, key: str, query: peer_messages.OriginQuery
     ) -> list[peer_messages.StreamOrigin]:
-        """Return the responses of holders.
+        """Return the responses of instances with replicas.
 
         The first one that knows the origin of a named stream is enough.
         """
         tasks = [
             asyncio.ensure_future(
                 self._peers.send_request(
-                    holder.address,
+                    peer.address,
                     query,
                     self._timers.now(),
                     QUERY_TIMEOUTS_SECONDS,
                 )
             )
-            for holder in self._list_others(key, QUERY_COUNT)
+            for peer in self._list_others(key, QUERY_COUNT)
         ]
         responses = []
         try:
@@ -235,9 +235,9 @@
         return responses
 
     def _list_others(self, key: str, count: int) -> list[rendezvous.Peer]:
-        """Return the holders of a stream except this instance."""
-        holders = self._zones.list_highest(key, self._list_eligible(), count)
-        return [peer for peer in holders if peer.instance != self._instance]
+        """Return the instances with replicas except this one."""
+        highest = self._zones.list_highest(key, self._list_eligible(), count)
+        return [peer for peer in highest if peer.instance != self._instance]
 
 
 def _list_services(route: messages.Route) -> set[str]:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -231,8 +231,8 @@
         case.assertEqual(['m3'], _list_servers(site, f'b{number}'))
 
 
-async def test_origin_outlives_the_loss_of_one_holder(case, site, network):
-    """The instance that began a stream fails together with a holder."""
+async def test_origin_outlives_the_loss_of_one_replica(case, site, network):
+    """The instance that began a stream fails together with a replica."""
     await _start(site, {'m3': 'v1', 'm4': 'v2', 'm5': 'v3'}, 5)
     eligible = site.instances['i1']._members.list_eligible()
     program = next(
