Excluded failed addresses in the soak's callers, and killed only busy instances.

Callers now exclude an address that failed them until the next lookup, as the platform's callers do.

The demo also chose the instance to kill from the latest request 0.3 s after the turn began, when that request may have gone to an instance killed before; it now waits until a server runs the request.

--- a/libs/soak/vanillayoke/soak/callers.py
+++ b/libs/soak/vanillayoke/soak/callers.py
@@ -357,6 +357,8 @@
             body,
         )
         self._add_record(answered)
+        if not answered.is_whole and not answered.gave_up:
+            caller.record_failure(address)
         return answered
 
 
@@ -368,26 +370,43 @@
         self._rng = callers._rng
         self.pool = client.Pool(1.0)
         self._addresses: list[str] = []
+        # Those without a whole response since the lookup.
+        self._failed_addresses: set[str] = set()
         self._lookup_deadline = 0.0
 
     async def choose_address(self) -> str:
-        """Choose an instance; look up addresses again after their lifetime."""
+        """Choose an instance that has not failed since the last lookup.
+
+        Look up addresses again after their lifetime, or if all have failed.
+        """
         if control.read_now() >= self._lookup_deadline:
             await self._resolve_addresses()
             # Some callers cache addresses for too long.
             lifetime = self._rng.choice((2.0, 2.0, 6.0))
             self._lookup_deadline = control.read_now() + lifetime
-        while not self._addresses:
+        while not (addresses := self._list_usable_addresses()):
             # All instances are down.
             await asyncio.sleep(0.2)
             await self._resolve_addresses()
-        return self._rng.choice(self._addresses)
+        return self._rng.choice(addresses)
+
+    def _list_usable_addresses(self) -> list[str]:
+        return [
+            address
+            for address in self._addresses
+            if address not in self._failed_addresses
+        ]
+
+    def record_failure(self, address: str) -> None:
+        """Exclude an address until the next lookup."""
+        self._failed_addresses.add(address)
 
     def find_connection_address(self, address: str) -> str:
         """Return where to connect for an instance's address."""
         return self._callers._find_caller_link(address)
 
     async def _resolve_addresses(self) -> None:
+        self._failed_addresses.clear()
         directories = self._callers._list_directories()
         self._rng.shuffle(directories)
         for address in directories[:3]:
--- a/libs/soak/vanillayoke/soak/demo.py
+++ b/libs/soak/vanillayoke/soak/demo.py
@@ -93,8 +93,7 @@
             *(child.wait() for child in self.site.instances.values())
         )
         await asyncio.sleep(0.5)
-        for record in self.site.collect_records():
-            self.history.add(record)
+        self._collect_records()
         return self._evaluate()
 
     async def _turn(self, previous: str) -> str:
@@ -146,6 +145,7 @@
         self, previous: str, choose: typing.Callable[[], str]
     ) -> str:
         turn = asyncio.ensure_future(self._turn(previous))
+        await self._wait_until_running()
         await asyncio.sleep(1.5 * EVENT_INTERVAL_SECONDS)
         host = choose()
         name = self.site.instances[host].name
@@ -157,6 +157,25 @@
         self.site.instances[host].signal(signal.SIGKILL)
         return await turn
 
+    async def _wait_until_running(self) -> None:
+        """Wait until a server runs the latest request.
+
+        Its first attempt may go to an instance that was killed before.
+        """
+        while True:
+            await asyncio.sleep(0.02)
+            self._collect_records()
+            latest = list(self.history.sent.values())[-1].request
+            if (
+                latest in self.history.started
+                and latest not in self.history.answered
+            ):
+                return
+
+    def _collect_records(self) -> None:
+        for record in self.site.collect_records():
+            self.history.add(record)
+
     async def _restart(self) -> None:
         for host, child in list(self.site.instances.items()):
             if not child.is_running:
