--- a/libs/soak/vanillayoke/soak/demo.py
+++ b/libs/soak/vanillayoke/soak/demo.py
@@ -38,7 +38,9 @@
 # Long enough to kill an instance between two events.
 EVENT_INTERVAL_SECONDS = 0.2
 PEERS_PORT = 7380
-STARTUP_SECONDS = 5.0
+# The loss of an instance is detected within two seconds.
+DETECTION_SECONDS = 2.5
+STARTUP_TIMEOUT_SECONDS = 60.0
 
 
 class Guarantee(typing.NamedTuple):
@@ -72,7 +74,7 @@
     async def run(self) -> list[Guarantee]:
         """Run the program and return the guarantees."""
         await self.site.start()
-        await asyncio.sleep(STARTUP_SECONDS)
+        await self.site.wait_until_ready(STARTUP_TIMEOUT_SECONDS)
         first = await self._turn('')
         await self._use_tools()
         await self._run_sub_agents(first)
@@ -80,7 +82,7 @@
         coordinator = self._find_coordinator()
         second = await self._turn_while_killing(first, lambda: coordinator)
         # Let the other instances detect the loss of the coordinator.
-        await asyncio.sleep(STARTUP_SECONDS / 2)
+        await asyncio.sleep(DETECTION_SECONDS)
         third = await self._turn_while_killing(
             second, self._find_serving_instance
         )
@@ -180,7 +182,7 @@
         for host, child in list(self.site.instances.items()):
             if not child.is_running:
                 await self.site.start_instance(host)
-        await asyncio.sleep(STARTUP_SECONDS)
+        await self.site.wait_until_ready(STARTUP_TIMEOUT_SECONDS)
 
     async def _exhaust_budget(self) -> None:
         """Run turns until the budget is exhausted.
--- a/libs/soak/vanillayoke/soak/sites.py
+++ b/libs/soak/vanillayoke/soak/sites.py
@@ -17,9 +17,11 @@
 from vanillayoke.soak import records
 from vanillayoke.soak import streams
 from vanillayoke.standins import calls
+from vanillayoke.transport import client
 
 SERVER_SLOT_COUNT = 6
 EVENT_COUNT = 4
+READY_INTERVAL_SECONDS = 0.1
 EVENT_INTERVAL_SECONDS = 0.01
 # TOOL_SERVER_COUNT servers run for each of TOOL_SERVICES.
 MODEL_SERVER_COUNT = 3
@@ -133,6 +135,24 @@
         for number in range(self._count):
             await self.start_instance(self._make_host(_INSTANCE_BASE + number))
 
+    async def wait_until_ready(self, timeout_seconds: float) -> None:
+        """Wait until servers listen and all instances know one another.
+
+        Raise ``TimeoutError`` if they don't in time.
+        """
+        addresses = [
+            f'{self._make_host(_SERVER_BASE + server.number)}:{_PORT}'
+            for server in self.servers
+        ]
+        async with asyncio.timeout(timeout_seconds):
+            while True:
+                directories = self.list_directories()
+                listening = [await _is_listening(one) for one in addresses]
+                known = [len(await _resolve(one)) for one in directories]
+                if all(listening) and min(known) == len(self.instances):
+                    return
+                await asyncio.sleep(READY_INTERVAL_SECONDS)
+
     async def _start_child(
         self,
         name: str,
@@ -261,7 +281,12 @@
         caller_link = self.find_caller_link(host)
         self.links.send_command(control.Forward(caller_link, f'{host}:8149'))
         path = self.folder / f'settings-{number}.json'
-        path.write_text(json.dumps(self._make_settings(host, store_link)))
+        # A process of an overlapping restart may read the file meanwhile.
+        unfinished = path.with_suffix('.new')
+        unfinished.write_text(
+            json.dumps(self._make_settings(host, store_link))
+        )
+        unfinished.replace(path)
         clock = self.folder / f'clock-{number}'
         clock.touch()
         child = await self._start_child(
@@ -374,6 +399,23 @@
         await asyncio.gather(*self._tasks)
 
 
+async def _is_listening(address: str) -> bool:
+    host, _, port = address.rpartition(':')
+    try:
+        _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+async def _resolve(directory: str) -> list[str]:
+    try:
+        return await calls.resolve(directory)
+    except client.TransportError:
+        return []
+
+
 def choose_network(number: int) -> int:
     """Return a network that concurrent runs on this machine don't use."""
     return (os.getpid() * 8 + number * 2) % (250 * 256)
