Started an instance of the soak once where its restarts overlap.

Two faults restarted one instance at the same time; the second one still saw the former process while the first one was starting the new one. An instance now has no process while one is being started.

--- a/libs/soak/vanillayoke/soak/sites.py
+++ b/libs/soak/vanillayoke/soak/sites.py
@@ -274,6 +274,8 @@
 
     async def start_instance(self, host: str) -> None:
         """Start an instance at an address."""
+        # Another restart of the former process must not start one as well.
+        self.instances.pop(host, None)
         number = int(host.rpartition('.')[2])
         store_link = f'{self._make_host(number, True)}:{_STORE_PORT}'
         store = f'{self._make_host(_STORE_HOST)}:{_STORE_PORT}'
@@ -281,12 +283,7 @@
         caller_link = self.find_caller_link(host)
         self.links.send_command(control.Forward(caller_link, f'{host}:8149'))
         path = self.folder / f'settings-{number}.json'
-        # A process of an overlapping restart may read the file meanwhile.
-        unfinished = path.with_suffix('.new')
-        unfinished.write_text(
-            json.dumps(self._make_settings(host, store_link))
-        )
-        unfinished.replace(path)
+        path.write_text(json.dumps(self._make_settings(host, store_link)))
         clock = self.folder / f'clock-{number}'
         clock.touch()
         child = await self._start_child(
