Bounded the lifetime of a stream's origin.

A caller that claims to wait for 1e300 ms got a broken stream: the message about its origin could not be encoded. Found while reading the change; the new test fails without the bound.

--- a/libs/gateway/vanillayoke/gateway/messages.py
+++ b/libs/gateway/vanillayoke/gateway/messages.py
@@ -134,8 +134,8 @@
 class StreamOrigin(typing.NamedTuple):
     """The service and software version whose target began a stream.
 
-    Only targets of both can continue it: other versions number and format
-    their events differently, and targets do not check this.
+    Only targets of both can continue it. What others send does not fit the
+    events so far, and targets do not check this.
     """
 
     service: str
--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -30,6 +30,8 @@
 # A caller's time for a request may be longer than the route's.
 LIFETIME_FACTOR = 2.0
 LIFETIME_MARGIN_SECONDS = 1.0
+# Callers may claim to wait for any time.
+MAX_LIFETIME_SECONDS = 600.0
 
 
 class StreamName(typing.NamedTuple):
@@ -91,7 +93,9 @@
         The caller may resume it within ``lifetime`` seconds.
         """
         begun = peer_messages.StreamBegun(
-            *stream, *origin, round(1000 * lifetime)
+            *stream,
+            *origin,
+            round(1000 * min(lifetime, MAX_LIFETIME_SECONDS)),
         )
         self.receive(begun)
         for peer in self._list_others(stream.key, REPLICA_COUNT):
--- a/libs/soak/vanillayoke/soak/sites.py
+++ b/libs/soak/vanillayoke/soak/sites.py
@@ -148,8 +148,9 @@
             while True:
                 directories = self.list_directories()
                 listening = [await _is_listening(one) for one in addresses]
+                count = len(self.instances)
                 known = [len(await _resolve(one)) for one in directories]
-                if all(listening) and min(known) == len(self.instances):
+                if all(listening) and known == [count] * count:
                     return
                 await asyncio.sleep(READY_INTERVAL_SECONDS)
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -126,6 +126,14 @@
     case.assertEqual(['m3', 'm4'], _list_servers(site, 'a'))
 
 
+async def test_absurd_deadline_does_not_break_a_stream(case, site):
+    """A caller's time does not fit into a message to other instances."""
+    await _start(site, {'m3': 'v1', 'm4': 'v1'})
+    deadline = [(b'X-Vanillayoke-Deadline-Ms', b'1e300')]
+    response = await site.turn('i1', 'a', route='plan', extra_headers=deadline)
+    case.assertEqual(4, response.body.count(b'data: '))
+
+
 async def test_resumption_without_its_version_is_refused_at_once(case, site):
     """The last server of the version has left.
 
