--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -133,6 +133,7 @@
         destinations = {
             route.name: (route.host, route.prefix, route.shares)
             for route in configuration.routes
+            if route.is_resumable
         }
         self._versions.record_routes(destinations, self._timers.now())
 
