--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,8 @@
-"""Credit of a coordinator cut from the store dies with it."""
+"""An unreadable entry among the servers stops all instances."""
 
 import asyncio
 import collections
-import json
+import itertools
 import pathlib
 import random
 import signal
@@ -15,38 +15,30 @@
 from common import wire  # noqa: E402
 
 INSTANCE_COUNT, ZONE_COUNT = 6, 3
-PROGRAM_COUNT = 2
-EVENT_COUNT, EVENT_TOKENS = 8, 10
-TURN_TOKENS = EVENT_COUNT * EVENT_TOKENS
-# In turns; the budget of a program that loops until it is stopped.
-BUDGET_TURNS = 24
-SUB_AGENT_COUNT = 3
-THINK_SECONDS = 0.25
-# In turns of the first program.
-CUT_AFTER_TURNS = 9
-KILL_AFTER_SECONDS = 1.5
-MAX_TRIES = 3
-TURN_SECONDS = 3.0
+SENT_PER_SECOND = 30.0
+# Bytes of another writer, far below the store's limit for a row.
+FOREIGN_BYTES = b'{"a":' * 1500
+ROW_BYTES = 65536
+ENTRY_AT_SECONDS = 4.0
+# The final fault: all processes are killed, and start again.
+KILL_AT_SECONDS = 8.0
+DOWN_SECONDS = 1.0
+RECOVERY_SECONDS = 15.0
+JUDGED_SECONDS = 8.0
+DEADLINE_SECONDS = 1.5
 
 
 def make_configuration() -> dict:
     """Return the operator's configuration."""
     route = {
-        'name': 'hunt', 'host': fleet_module.HOST_NAME, 'prefix': '/hunt/',
-        'route_kind': 'stream', 'timeout_ms': 3000, 'slo_ms': 250,
-        'priority': 0, 'service': 'models', 'max_attempts': 1,
-        'resumable': True, 'gap_aim_ms': 150, 'session_affinity': True,
-    }  # fmt: skip
-    engine = {
-        'slot_count': 12, 'kv_capacity': 124240,
-        'tokens_per_event': EVENT_TOKENS, 'pin_ms': 4000,
+        'name': 'look', 'host': fleet_module.HOST_NAME, 'prefix': '/look/',
+        'route_kind': 'safe', 'timeout_ms': 1500, 'slo_ms': 200,
+        'priority': 2, 'service': 'app', 'max_attempts': 2,
     }  # fmt: skip
     return {
         'version': 1,
         'routes': [route],
-        'services': [
-            {'name': 'models', 'max_conns': 170, 'engine_kind': engine}
-        ],
+        'services': [{'name': 'app', 'max_conns': 110}],
         'limits': {
             'max_header_bytes': 16384, 'max_body_bytes': 4194304,
             'header_timeout_ms': 3000, 'idle_timeout_ms': 15000,
@@ -54,135 +46,104 @@
     }  # fmt: skip
 
 
-class Program:
-    """A program that starts sub-agents until its budget is spent."""
+class Load:
+    """Sends requests, each on a connection of its own."""
 
-    def __init__(
-        self, fleet: fleet_module.Fleet, rng: random.Random, number: int
-    ) -> None:
+    def __init__(self, fleet: fleet_module.Fleet) -> None:
         self._fleet = fleet
-        self._rng = rng
-        self.name = f'program{number}'
-        self.tokens = 0
-        self.is_spent = False
-        # Set after CUT_AFTER_TURNS.
-        self.has_begun = asyncio.Event()
-        self.outcomes: collections.Counter[str] = collections.Counter()
-        self._count = 0
+        self._rng = random.Random(3)
+        # When each request was sent and how it was answered.
+        self.ends: list[tuple[float, str]] = []
+        self._tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
-        """Run sub-agents side by side until the budget is spent."""
-        while not self.is_spent:
-            async with asyncio.TaskGroup() as group:
-                for number in range(SUB_AGENT_COUNT):
-                    group.create_task(self._run_turn(number))
-            await asyncio.sleep(THINK_SECONDS)
-
-    async def _run_turn(self, line: int) -> None:
-        """Run a turn; send it again as PROTOCOL.md says."""
-        for _ in range(MAX_TRIES):
-            outcome = await self._try_turn(line)
-            self.outcomes[outcome] += 1
-            if outcome == '402':
-                self.is_spent = True
-            if outcome in ('whole', '402'):
-                return
-            await asyncio.sleep(self._rng.uniform(0.1, 0.4))
-
-    async def _try_turn(self, line: int) -> str:
-        self._count += 1
-        request = f'{self.name}-{self._count}'
-        instance = self._rng.choice(
-            [one for one in self._fleet.instances if one.is_up]
-        )
+        """Send until cancelled."""
+        for number in itertools.count():
+            await asyncio.sleep(self._rng.expovariate(SENT_PER_SECOND))
+            task = asyncio.create_task(self._send(f'{number:016x}'))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, request: str) -> None:
+        sent_at = self._fleet.record.now()
+        instance = self._rng.choice(self._fleet.instances)
         client = wire.Client(instance.front)
-        received = bytearray()
-        outcome = 'broken'
-        self._fleet.record.write('sent', request=request, to=instance.name)
+        outcome = 'no connection'
         try:
-            async with asyncio.timeout(TURN_SECONDS):
+            async with asyncio.timeout(DEADLINE_SECONDS):
                 await client.connect()
-                response = await client.stream(
-                    '/hunt/1', self._make_headers(request, line),
-                    b'prompt', received,
-                )  # fmt: skip
+                outcome = 'no answer'
+                response = await client.send(
+                    'GET',
+                    '/look/1',
+                    {
+                        'Host': fleet_module.HOST_NAME,
+                        'X-Vanillayoke-Request-Id': request,
+                        'X-Vanillayoke-Deadline-Ms': '1500',
+                    },
+                    b'',
+                )
             outcome = str(response.status)
-            if response.status == 200 and response.is_whole:
-                outcome = 'whole'
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
         finally:
             client.close()
-        events = received.count(b'\n\n') if outcome != '402' else 0
-        self.tokens += events * EVENT_TOKENS
-        if self.tokens >= CUT_AFTER_TURNS * TURN_TOKENS:
-            self.has_begun.set()
+        self.ends.append((sent_at, outcome))
         self._fleet.record.write(
-            'answered', request=request, how=outcome, events=events,
-            tokens_so_far=self.tokens,
+            'request', request=request, sent_at=round(sent_at, 3),
+            to=instance.name, how=outcome,
         )  # fmt: skip
-        return outcome
-
-    def _make_headers(self, request: str, line: int) -> wire.HEADERS:
-        return {
-            'Host': fleet_module.HOST_NAME,
-            'X-Vanillayoke-Request-Id': request,
-            'X-Vanillayoke-Deadline-Ms': '3000',
-            'X-Vanillayoke-Model': 'm',
-            'X-Vanillayoke-Token-Usage': f'100,{TURN_TOKENS}',
-            'X-Vanillayoke-Prompt-Prefix': f'5c1e07a2:80,{line + 1:08x}:20',
-            'X-Vanillayoke-Program-Id': self.name,
-            'X-Vanillayoke-Session-Id': f'{self.name}-{line}',
-            'X-Vanillayoke-Program-Deadline-Ms': '20000',
-            'X-Vanillayoke-Token-Budget': str(BUDGET_TURNS * TURN_TOKENS),
-        }
+
+    def count(self, start: float, end: float) -> collections.Counter[str]:
+        """Return how the requests sent in a period ended."""
+        return collections.Counter(
+            outcome for sent, outcome in self.ends if start <= sent < end
+        )
 
 
 async def play(fleet: fleet_module.Fleet, with_trouble: bool) -> bool:
-    """Cut the first program's coordinator from the store, then kill it."""
+    """Put the entry, kill all processes, and see whether they recover."""
+    assert len(FOREIGN_BYTES) < ROW_BYTES
     fleet.store.put('op', 'config', make_configuration())
     for number in range(4):
         server = targets.TargetServer(
-            f's{number}', 'models', 12, 0.04, EVENT_COUNT,
-            f'z{number % ZONE_COUNT + 1}',
-        )  # fmt: skip
+            f's{number}', 'app', 6, 0.02, zone=f'z{number % ZONE_COUNT + 1}'
+        )
         await server.start(fleet)
-    await fleet.start(INSTANCE_COUNT, ZONE_COUNT)
-    await asyncio.sleep(4.0)
-    rng = random.Random(5)
-    programs = [Program(fleet, rng, n) for n in range(PROGRAM_COUNT)]
-    running = [asyncio.create_task(one.run()) for one in programs]
-    await programs[0].has_begun.wait()
-    # The machines that wrote the budgets under a condition.
-    writers = {
-        key: machine
-        for (table, key), machine in fleet.store.writers.items()
-        if table == 'budgets'
-    }
-    fleet.record.write('writers of the budgets', writers=writers)
-    machine = fleet.find(writers[programs[0].name])
+    await fleet.start(
+        INSTANCE_COUNT,
+        ZONE_COUNT,
+        fleet_module.TENANT_RULES,
+        fleet_module.TENANT_BOUNDS,
+    )
+    load = Load(fleet)
+    sending = asyncio.create_task(load.run())
+    begun_at = fleet.record.now()
+    await asyncio.sleep(ENTRY_AT_SECONDS)
     if with_trouble:
-        fleet.store.silent.add(machine.name)
-        fleet.record.write('cut from the store', machine=machine.name)
-        await asyncio.sleep(KILL_AFTER_SECONDS)
-        machine.is_up = False
-        machine.signal(signal.SIGKILL)
-        fleet.record.write('killed', machine=machine.name)
-    async with asyncio.timeout(60.0):
-        await asyncio.gather(*running)
-    bound = (BUDGET_TURNS + 1) * TURN_TOKENS
-    for program in programs:
-        fleet.record.write(
-            'program', name=program.name, tokens=program.tokens,
-            bound=bound, coordinator=writers.get(program.name),
-            outcomes=dict(program.outcomes),
-        )  # fmt: skip
-        print(
-            program.name, writers.get(program.name) == machine.name,
-            f'{program.tokens} tokens, bound {bound}',
-            json.dumps(program.outcomes),
-        )  # fmt: skip
-    return all(program.tokens <= bound for program in programs)
+        fleet.store.put_bytes('servers', 'foreign', FOREIGN_BYTES)
+        fleet.record.write('entry written', size=len(FOREIGN_BYTES))
+    await asyncio.sleep(KILL_AT_SECONDS - ENTRY_AT_SECONDS)
+    killed_at = fleet.record.now()
+    for instance in fleet.instances:
+        instance.signal(signal.SIGKILL)
+        await instance.process.wait()
+    fleet.record.write('all processes killed')
+    await asyncio.sleep(DOWN_SECONDS)
+    for instance in fleet.instances:
+        await fleet.start_process(instance, False)
+    back_at = fleet.record.now()
+    await asyncio.sleep(RECOVERY_SECONDS + JUDGED_SECONDS)
+    sending.cancel()
+    await asyncio.sleep(DEADLINE_SECONDS)
+    before = load.count(begun_at, killed_at - DEADLINE_SECONDS)
+    since = back_at + RECOVERY_SECONDS
+    after = load.count(since, since + JUDGED_SECONDS)
+    fleet.record.write('counts', before=dict(before), after=dict(after))
+    print(f'before the final fault {dict(before)}, after it {dict(after)}')
+    share_before = before['200'] / before.total()
+    share_after = after['200'] / after.total()
+    return not (share_before >= 0.25 and share_after < 0.25)
 
 
 if __name__ == '__main__':
--- a/review/common/targets.py
+++ b/review/common/targets.py
@@ -1,6 +1,7 @@
 """A stand-in of the users' servers."""
 
 import asyncio
+import random
 import time
 import typing
 
@@ -51,6 +52,12 @@
         self._call_seq = 0
         self._born = int(time.time() * 1000)
         self._heartbeat: asyncio.Task | None = None
+        # A faulty server sends this share of its responses a second time,
+        # late: when the next response is expected on the connection.
+        self.repeated_share = 0.0
+        self.rng = random.Random(name)
+        self.repeated: list[str] = []
+        self._extra: dict[asyncio.StreamWriter, bytes] = {}
 
     async def start(self, fleet: fleet_module.Fleet) -> None:
         """Listen, and register in the store from now on."""
@@ -75,6 +82,9 @@
     ) -> bool:
         headers = request.headers
         name = headers.get('x-vanillayoke-request-id', '')
+        extra = self._extra.pop(writer, None)
+        if extra is not None:
+            writer.write(extra)
         expected = headers.get('x-vanillayoke-expect-instance', '')
         if not name or (expected and expected != self.name):
             await self._reject(writer, 421 if name else 400, name)
@@ -97,12 +107,7 @@
             if self.events:
                 await self._stream(request, writer, name)
             else:
-                await wire.send_response(
-                    writer,
-                    200,
-                    self._make_headers(name),
-                    b'done ' + name.encode(),
-                )
+                await self._answer(writer, 200, name, b'done')
         finally:
             self._running -= 1
             self._free.release()
@@ -131,10 +136,23 @@
     async def _reject(
         self, writer: asyncio.StreamWriter, status: int, name: str
     ) -> None:
-        headers = {'X-Vanillayoke-Not-Executed': '1'}
-        if name:
-            headers['X-Vanillayoke-Request-Id'] = name
-        await wire.send_response(writer, status, headers, b'')
+        await self._answer(writer, status, name, b'')
+
+    async def _answer(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        name: str,
+        body: bytes,
+    ) -> None:
+        headers = self._make_headers(name)
+        if status != 200:
+            del headers['X-Vanillayoke-Server-Stamp']
+            headers['X-Vanillayoke-Not-Executed'] = '1'
+        await wire.send_response(writer, status, headers, body)
+        if self.rng.random() < self.repeated_share:
+            self._extra[writer] = wire.encode_response(status, headers, body)
+            self.repeated.append(name)
 
     def _make_headers(self, name: str) -> wire.HEADERS:
         return {
--- a/review/common/wire.py
+++ b/review/common/wire.py
@@ -140,11 +140,16 @@
     body: bytes,
 ) -> None:
     """Write a response with a length."""
+    writer.write(encode_response(status, headers, body))
+    await writer.drain()
+
+
+def encode_response(status: int, headers: HEADERS, body: bytes) -> bytes:
+    """Return the bytes of a response with a length."""
     lines = [f'HTTP/1.1 {status} Status']
     lines += [f'{name}: {value}' for name, value in headers.items()]
     lines += [f'Content-Length: {len(body)}', '', '']
-    writer.write('\r\n'.join(lines).encode('latin-1') + body)
-    await writer.drain()
+    return '\r\n'.join(lines).encode('latin-1') + body
 
 
 class Client:
