--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -18,7 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST_NAME = 'site.example'
 SETTINGS_VARIABLE = 'VANILLAYOKE_SETTINGS'
-READY_SECONDS = 20.0
+READY_SECONDS = 30.0
 METRICS_PORT = 9464
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # As the sheets tell them: of tkacik-moodboard, and of mvmcha-fleet-grown.
