--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,7 @@
 INSTANCE_COUNT, ZONE_COUNT = 12, 3
 SERVER_COUNT, SLOT_COUNT, WORK_SECONDS = 4, 6, 0.156
 # The usual rate, and that of a burst: the servers shed then.
-USUAL_PER_SECOND, BURST_FACTOR, BURST_SECONDS = 110.0, 2.1, 6.0
+USUAL_PER_SECOND, BURST_FACTOR, BURST_SECONDS = 144.0, 1.6, 6.0
 # Of 'garble' with 'extra late' in the site file.
 SHARE, PART, GARBLE_SECONDS = 0.6, 0.03, 5.0
 ROUND_COUNT, PAUSE_SECONDS = 4, 3.0
@@ -67,6 +67,9 @@
             async with asyncio.timeout(DEADLINE_SECONDS):
                 await client.connect()
                 outcome = 'no answer'
+                self._fleet.record.write(
+                    'sent', request=request, to=instance.name
+                )
                 response = await client.send(
                     'POST',
                     '/fetch/1',
@@ -125,7 +128,6 @@
     for server in servers:
         for run in server.runs:
             runs[run.request] += 1
-            fleet.record.write('ran', request=run.request, server=server.name)
         fleet.record.write('sent twice', requests=server.repeated)
     twice = [request for request, count in runs.items() if count > 1]
     false_refusals = [
@@ -148,4 +150,5 @@
 
 if __name__ == '__main__':
     FOLDER = pathlib.Path(__file__).resolve().parent
-    sys.exit(fleet_module.run(FOLDER, play, 100.0))
+    TROUBLE = sys.argv[1] != '0'
+    sys.exit(fleet_module.run(FOLDER, play, TROUBLE, 100.0))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -85,6 +85,9 @@
         for _ in range(MAX_TRIES):
             request = f'{self._rng.getrandbits(64):016x}'
             age = time.monotonic() - self._answered_at
+            self._fleet.record.write(
+                'sent', program=self.name, request=request
+            )
             outcome = await self._try_turn(request, text)
             self.outcomes[outcome] += 1
             self._fleet.record.write(
@@ -189,4 +192,5 @@
 
 if __name__ == '__main__':
     FOLDER = pathlib.Path(__file__).resolve().parent
-    sys.exit(fleet_module.run(FOLDER, play, 118.0))
+    TROUBLE = sys.argv[1] != '0'
+    sys.exit(fleet_module.run(FOLDER, play, TROUBLE, 118.0))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -73,6 +73,9 @@
             async with asyncio.timeout(DEADLINE_SECONDS):
                 await client.connect()
                 outcome = 'no answer'
+                self._fleet.record.write(
+                    'sent', request=request, to=instance.name
+                )
                 response = await client.send(
                     'GET',
                     '/look/1',
@@ -148,4 +151,5 @@
 
 if __name__ == '__main__':
     FOLDER = pathlib.Path(__file__).resolve().parent
-    sys.exit(fleet_module.run(FOLDER, play, 100.0))
+    TROUBLE = sys.argv[1] != '0'
+    sys.exit(fleet_module.run(FOLDER, play, TROUBLE, 100.0))
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -19,7 +19,8 @@
 HOST_NAME = 'site.example'
 SETTINGS_VARIABLE = 'VANILLAYOKE_SETTINGS'
 READY_SECONDS = 30.0
-METRICS_PORT = 9464
+# Of an instance: those of its settings, of its peers and of its metrics.
+USED_PORTS = (8149, 8141, 8143, 7380, 7381, 9464)
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # As the sheets tell them: of tkacik-moodboard, and of mvmcha-fleet-grown.
 SMALL_RULES = [
@@ -286,32 +287,37 @@
         if all(
             _is_free(f'{network}.{10 + last}', port)
             for last in range(16)
-            for port in (8149, METRICS_PORT)
+            for port in USED_PORTS
         ):
             return network
     raise OSError('no free loopback network')
 
 
 def _is_free(host: str, port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((host, port))
-        except OSError:
-            return False
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                return False
     return True
 
 
 Case = typing.Callable[[Fleet, bool], typing.Awaitable[bool]]
 
 
-def run(folder: pathlib.Path, case: Case, limit_seconds: float) -> int:
+def run(
+    folder: pathlib.Path,
+    case: Case,
+    with_trouble: bool,
+    limit_seconds: float,
+) -> int:
     """Run a case; return 1 if the rule was broken, 0 if it held, else 2.
 
     The case gets the fleet and whether to disrupt it, and returns whether
     the rule held.
     """
     record = Record(folder)
-    with_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.write('case', trouble=with_trouble)
     status = asyncio.run(_run(case, record, with_trouble, limit_seconds))
     record.write('verdict', exit=status)
@@ -322,6 +328,9 @@
 async def _run(
     case: Case, record: Record, with_trouble: bool, limit_seconds: float
 ) -> int:
+    # An early end of the script ends its processes, too.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     with tempfile.TemporaryDirectory(prefix='review-') as folder:
         fleet = Fleet(pathlib.Path(folder), record)
         try:
--- a/review/common/targets.py
+++ b/review/common/targets.py
@@ -52,6 +52,7 @@
         self._call_seq = 0
         self._born = int(time.time() * 1000)
         self._heartbeat: asyncio.Task | None = None
+        self._record: fleet_module.Record | None = None
         # A faulty server sends this share of its responses a second time,
         # late: when the next response is expected on the connection.
         self.repeated_share = 0.0
@@ -61,6 +62,7 @@
 
     async def start(self, fleet: fleet_module.Fleet) -> None:
         """Listen, and register in the store from now on."""
+        self._record = fleet.record
         self.address = await self._server.listen('127.0.0.1')
         self._heartbeat = asyncio.create_task(self._register(fleet))
 
@@ -103,6 +105,7 @@
             self.runs.append(
                 Run(now, name, request.target, headers, request.body)
             )
+            self._record.write('ran', request=name, server=self.name)
             await asyncio.sleep(self.work)
             if self.events:
                 await self._stream(request, writer, name)
