Kept all instances serving when a row can't be decoded or used.

With a registration whose slot count has 400 digits, every request lost its connection without an answer.

Cause: msgspec raises RecursionError for values nested more than a thousand deep, also in unknown fields. The decoders' callers handled msgspec.DecodeError only, so the error ended the task of the table's feed, which nothing started again. Rows whose figures no target can have were accepted, and failed later in each request. Ruled out: the store (reads and feeds were answered), and the rate of entries (one is enough).

Change: decoding.Decoder raises DecodingError and nothing else, with a reason; all decoders of bytes of others use it (configuration, targets, instances, store responses, turns, budgets, limits, membership, datagrams, settings). figures gives the numbers in these messages the ranges that they can mean, headers included. An unexpected error with one row no longer skips the rows after it, and a long-running task that fails is started again with backoff; readiness names it without changing its status, since what fails one instance's task may fail those of all. Rejected messages and failed tasks are logged and counted (vanillayoke_rejected_messages_total, vanillayoke_task_failures_total).

--- a/libs/cluster/vanillayoke/cluster/messages.py
+++ b/libs/cluster/vanillayoke/cluster/messages.py
@@ -9,6 +9,9 @@
 
 import msgspec
 
+from vanillayoke.core import decoding
+from vanillayoke.core import figures
+
 
 class State(enum.IntEnum):
     """The state of a member as the other instances see it."""
@@ -28,7 +31,7 @@
     """
 
     instance: str
-    incarnation: int
+    incarnation: figures.Ordinal
     zone: str
     region: str
     entry_address: str
@@ -47,7 +50,7 @@
 ):
     """A configuration of this version has been accepted."""
 
-    version: int
+    version: figures.Ordinal
 
 
 class TargetState(enum.IntEnum):
@@ -89,20 +92,20 @@
     has received updates, ``unconfirmed`` those that are only listed.
     """
 
-    sequence: int
+    sequence: figures.Ordinal
     sender: str
     reply_to: str
-    attempt: int
+    attempt: figures.Count
     introduce: bool
-    confirmed: int
-    unconfirmed: int
+    confirmed: figures.Count
+    unconfirmed: figures.Count
     updates: list[msgspec.Raw] = []
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag='A'):
     """Acknowledge a ping; ``sequence`` is that of the ping."""
 
-    sequence: int
+    sequence: figures.Ordinal
     sender: str
     updates: list[msgspec.Raw] = []
 
@@ -110,7 +113,7 @@
 class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag='R'):
     """Request a third member to ping ``address`` and forward the ``Ack``."""
 
-    sequence: int
+    sequence: figures.Ordinal
     sender: str
     reply_to: str
     instance: str
@@ -136,8 +139,12 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_PACKET_DECODER = msgspec.msgpack.Decoder(Packet)
-_UPDATE_DECODER = msgspec.msgpack.Decoder(Update)
+_PACKET_DECODER: decoding.Decoder[Packet] = decoding.Decoder.for_msgpack(
+    Packet
+)
+_UPDATE_DECODER: decoding.Decoder[Update] = decoding.Decoder.for_msgpack(
+    Update
+)
 
 
 def encode_packet(packet: Packet) -> bytes:
@@ -149,7 +156,7 @@
     """Return a received packet, ``None`` if it is malformed."""
     try:
         return _PACKET_DECODER.decode(data)
-    except msgspec.DecodeError:
+    except decoding.DecodingError:
         return None
 
 
@@ -169,6 +176,6 @@
     for raw in encoded:
         try:
             updates.append(_UPDATE_DECODER.decode(raw))
-        except msgspec.DecodeError:
+        except decoding.DecodingError:
             continue
     return updates
--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -662,7 +662,17 @@
     1005,
     'handler_failed',
     _ERROR,
-    'Serving a request failed: {error}.',
+    'An unexpected error occurred (request: {request}): {error}.',
+    'request',
+    'error',
+)
+TASK_RESTARTED = _define(
+    1007,
+    'task_restarted',
+    _ERROR,
+    'The task {task} failed and starts again in {seconds} s: {error}.',
+    'task',
+    'seconds',
     'error',
 )
 STORE_LOST = _define(
@@ -699,8 +709,10 @@
     1021,
     'row_rejected',
     _ERROR,
-    'A row of {table} could not be used: {error}.',
+    'Row {row} of {table} could not be used ({reason}): {error}.',
     'table',
+    'row',
+    'reason',
     'error',
 )
 SERVER_CHANGED = _define(
--- a/libs/gateway/vanillayoke/gateway/dialect.py
+++ b/libs/gateway/vanillayoke/gateway/dialect.py
@@ -3,6 +3,7 @@
 import abc
 import typing
 
+from vanillayoke.core import decoding
 from vanillayoke.gateway import messages
 from vanillayoke.transport import client
 from vanillayoke.transport import headers
@@ -16,6 +17,14 @@
 class BadRowError(Exception):
     """A row or a response of the store is invalid."""
 
+    def __init__(
+        self,
+        detail: str,
+        reason: decoding.Reason = decoding.Reason.INVALID,
+    ) -> None:
+        super().__init__(detail)
+        self.reason = reason
+
 
 class StoreRequest(typing.NamedTuple):
     """A request to the store; ``target`` is the path with its query."""
@@ -66,7 +75,7 @@
 
     @abc.abstractmethod
     def decode_lookup(self, request: server.Request) -> Lookup:
-        """Decode an address lookup."""
+        """Decode an address lookup; raise ``BadCallError`` if invalid."""
 
     @abc.abstractmethod
     def encode_addresses(self, addresses: list[str], ttl: float) -> bytes:
--- a/libs/gateway/vanillayoke/gateway/endpoints.py
+++ b/libs/gateway/vanillayoke/gateway/endpoints.py
@@ -23,6 +23,7 @@
         rng: random.Random,
         is_ready: typing.Callable[[], bool],
         is_isolated: typing.Callable[[], bool],
+        list_failing: typing.Callable[[], list[str]],
     ) -> None:
         self._instance = instance
         self._dialect = dialect
@@ -31,18 +32,29 @@
         self._rng = rng
         self._is_ready = is_ready
         self._is_isolated = is_isolated
+        self._list_failing = list_failing
 
     async def handle_readiness(
         self, request: server.Request, responder: server.Responder
     ) -> None:
-        """Respond 200 if the instance can take requests, else 503."""
-        responder.send(200 if self._is_ready() else 503, [], b'')
+        """Respond 200 if the instance can take requests, else 503.
+
+        The body names the long-running tasks that failed lately, one a line.
+        They don't change the status: what fails them may fail those of all
+        instances, which would all stop taking requests.
+        """
+        body = ''.join(f'failing: {name}\n' for name in self._list_failing())
+        responder.send(200 if self._is_ready() else 503, [], body.encode())
 
     async def handle_lookup(
         self, request: server.Request, responder: server.Responder
     ) -> None:
         """Respond with the addresses that a caller may connect to."""
-        lookup = self._dialect.decode_lookup(request)
+        try:
+            lookup = self._dialect.decode_lookup(request)
+        except dialect_module.BadCallError:
+            responder.send(400, [], b'')
+            return
         addresses = directory.choose_addresses(
             self._list_available(),
             lookup.region,
--- a/libs/gateway/vanillayoke/gateway/feeds.py
+++ b/libs/gateway/vanillayoke/gateway/feeds.py
@@ -17,9 +17,11 @@
 class TableFeed:
     """Reads one table and then its changes.
 
-    ``on_read`` gets the whole table, ``on_change`` each changed row. The store
-    may hold a call for changes for ``wait`` seconds. ``on_current`` is called
-    after each read and each call for changes, when the rows are up to date.
+    ``on_read`` gets the whole table, ``on_change`` each changed row. A row for
+    which ``on_change`` fails is passed to ``on_failure`` with the error, and
+    the rows after it are applied. The store may hold a call for changes for
+    ``wait`` seconds. ``on_current`` is called after each read and each call
+    for changes, when the rows are up to date.
     """
 
     def __init__(
@@ -28,6 +30,7 @@
         table: str,
         on_read: typing.Callable[[messages.Page], None],
         on_change: typing.Callable[[messages.Row], None],
+        on_failure: typing.Callable[[messages.Row, Exception], None],
         wait: float,
         on_current: typing.Callable[[], None] = lambda: None,
     ) -> None:
@@ -36,6 +39,7 @@
         self._table = table
         self._on_read = on_read
         self._on_change = on_change
+        self._on_failure = on_failure
         self._on_current = on_current
         self.loaded = asyncio.Event()
 
@@ -64,6 +68,9 @@
             self._table, version, self._wait, FEED_TIMEOUT_SECONDS
         )
         for row in page.rows:
-            self._on_change(row)
+            try:
+                self._on_change(row)
+            except Exception as error:
+                self._on_failure(row, error)
         self._on_current()
         return max(version, page.version)
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -5,9 +5,11 @@
 import random
 import typing
 
+from vanillayoke.core import decoding
 from vanillayoke.core import events as log_events
 from vanillayoke.core import logs
 from vanillayoke.core import metrics
+from vanillayoke.core import supervision
 from vanillayoke.core import timers
 from vanillayoke.gateway import access as access_module
 from vanillayoke.gateway import calls
@@ -84,6 +86,9 @@
         self._instrumentation = instrumentation.Instrumentation(
             log, self.metrics, timer_service
         )
+        self._supervisor = supervision.Supervisor(
+            timer_service, self._instrumentation.record_task_failure
+        )
         self._make_components()
         self._make_cluster_components()
         self._make_servers()
@@ -99,6 +104,8 @@
             self._access.record_confirmation,
             self._version_gossip.publish,
             self._software_versions,
+            self._instrumentation.record_rejected_message,
+            self._supervisor,
         )
 
     @classmethod
@@ -206,7 +213,9 @@
             random_float,
             self._list_relays,
             store_module.Observer(
-                self._record_store_call, self._record_store_state
+                self._record_store_call,
+                self._record_store_state,
+                self._record_rejected_response,
             ),
         )
         self._ledger = ledger_module.Ledger(
@@ -388,7 +397,8 @@
             self._handle_notification,
             self._version_gossip.receive,
             incarnation,
-            lambda kind: self.metrics.datagrams_dropped.add(1, kind=kind),
+            self._record_dropped_datagram,
+            self._instrumentation.record_failure,
         )
         self._version_gossip.set_peers(self._peers)
         self._limits.set_peers(self._peers)
@@ -443,6 +453,7 @@
             self._rng,
             lambda: self.is_ready,
             lambda: self.is_isolated,
+            self._supervisor.list_failing,
         )
         make = functools.partial(
             server.HttpServer,
@@ -501,9 +512,10 @@
     def _list_relays(self) -> list[str]:
         own_name = self.settings.instance
         return [
-            get_relay_address(member.peer_address)
+            relay
             for member in self._members.list_live()
             if member.instance != own_name
+            and (relay := get_relay_address(member.peer_address)) is not None
         ]
 
     # Background
@@ -516,14 +528,18 @@
         self._apply_caller_limits()
         ms = round((self._timers.now() - self._started_at) * 1000)
         self._log.write(log_events.GATEWAY_READY, ms=ms)
-        await self._table_sync.publish_instance(self._row)
-        await sweeping.Sweeper(
+        await self._supervisor.run(
+            'publication',
+            lambda: self._table_sync.publish_instance(self._row),
+        )
+        sweeper = sweeping.Sweeper(
             self.settings.instance,
             self._store,
             self._catalog,
             self._members.list_eligible,
             self._timers,
-        ).run()
+        )
+        await self._supervisor.run('sweeping', sweeper.run)
 
     def _update_exclusivity(self) -> None:
         """Check for interruptions of this instance.
@@ -607,6 +623,12 @@
 
     # Callbacks of components
 
+    def _record_dropped_datagram(
+        self, kind: str, reason: decoding.Reason
+    ) -> None:
+        self.metrics.datagrams_dropped.add(1, kind=kind)
+        self._instrumentation.record_rejected_message('peers', reason)
+
     def _record_store_call(
         self, call: str, outcome: str, seconds: float
     ) -> None:
@@ -618,6 +640,9 @@
         if is_slow or outcome not in ('answered', 'relayed'):
             self._exclusivity.record_store_failure(self._timers.now())
 
+    def _record_rejected_response(self, reason: decoding.Reason) -> None:
+        self._instrumentation.record_rejected_message('store', reason)
+
     def _record_store_state(self, is_available: bool) -> None:
         if is_available:
             self._instrumentation.record_store_recovered()
@@ -628,7 +653,12 @@
             )
 
 
-def get_relay_address(address: str) -> str:
-    """Return the relay address of the instance with this peer address."""
+def get_relay_address(address: str) -> str | None:
+    """Return the relay address of the instance with this peer address.
+
+    ``None`` if the address, which another instance has told, is invalid.
+    """
     host, _, port = address.rpartition(':')
+    if not port.isdecimal():
+        return None
     return f'{host}:{int(port) + RELAY_PORT_OFFSET}'
--- a/libs/gateway/vanillayoke/gateway/instrumentation.py
+++ b/libs/gateway/vanillayoke/gateway/instrumentation.py
@@ -1,6 +1,7 @@
 """Log lines and metrics of an instance's components."""
 
 from vanillayoke.cluster import messages as cluster_messages
+from vanillayoke.core import decoding
 from vanillayoke.core import events as log_events
 from vanillayoke.core import logs
 from vanillayoke.core import timers
@@ -151,11 +152,39 @@
             reporters=list(state.reporters),
         )
 
-    def record_failure(self, error: BaseException) -> None:
-        """Record an unexpected exception."""
-        text = f'{type(error).__name__}: {error}'
-        self._log.write(log_events.HANDLER_FAILED, error=text)
+    def record_failure(
+        self, error: BaseException, request: str | None = None
+    ) -> None:
+        """Record an unexpected exception, with the request it ended."""
+        self._metrics.handler_failures.add()
+        self._log.write(
+            log_events.HANDLER_FAILED, request=request, error=_describe(error)
+        )
+
+    def record_task_failure(
+        self, task: str, error: Exception, seconds: float
+    ) -> None:
+        """Record that a long-running task starts again in some seconds."""
+        self._metrics.task_failures.add(1, task=task)
+        self._log.write(
+            log_events.TASK_RESTARTED,
+            task=task,
+            seconds=seconds,
+            error=_describe(error),
+        )
+
+    def record_rejected_message(
+        self, source: str, reason: decoding.Reason
+    ) -> None:
+        """Record that bytes of another process could not be decoded."""
+        self._metrics.rejected_messages.add(
+            1, source=source, reason=reason.value
+        )
 
     def record_refused_connection(self, status: int) -> None:
         """Record that a connection was refused for invalid input."""
         self._log.write(log_events.CONNECTION_REFUSED, status=int(status))
+
+
+def _describe(error: BaseException) -> str:
+    return f'{type(error).__name__}: {error}'
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from vanillayoke.core import decoding
 from vanillayoke.core import timers
 from vanillayoke.gateway import budget_accounts
 from vanillayoke.gateway import messages
@@ -41,7 +42,9 @@
     SPENT = 1
 
 
-_DECODER = msgspec.msgpack.Decoder(grants.BudgetRow)
+_DECODER: decoding.Decoder[grants.BudgetRow] = decoding.Decoder.for_msgpack(
+    grants.BudgetRow
+)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -465,7 +468,7 @@
         for row in rows:
             try:
                 decoded = _DECODER.decode(row.value)
-            except msgspec.DecodeError as error:
+            except decoding.DecodingError as error:
                 raise store_module.StoreOutcomeUnknownError(
                     f'budget row {row.where.key}: {error}'
                 ) from error
--- a/libs/gateway/vanillayoke/gateway/limit_accounts.py
+++ b/libs/gateway/vanillayoke/gateway/limit_accounts.py
@@ -6,6 +6,8 @@
 import msgspec
 import xxhash
 
+from vanillayoke.core import decoding
+from vanillayoke.core import figures
 from vanillayoke.core import timers
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import partitions
@@ -30,12 +32,14 @@
     ages in seconds at that time and the numbers of requests.
     """
 
-    time: float
-    counts: tuple[tuple[float, int], ...]
+    time: figures.WallSeconds
+    counts: tuple[tuple[figures.Seconds, figures.SignedCount], ...]
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(SavedAccount)
+_DECODER: decoding.Decoder[SavedAccount] = decoding.Decoder.for_msgpack(
+    SavedAccount
+)
 
 
 class _Entry:
@@ -225,7 +229,7 @@
         for row in page.rows:
             try:
                 return _DECODER.decode(row.value)
-            except msgspec.DecodeError:
+            except decoding.DecodingError:
                 # Written by another software version; ignored.
                 return None
         return None
@@ -282,5 +286,5 @@
     """Return when a row was written; ``None`` if it can't be decoded."""
     try:
         return _DECODER.decode(value).time
-    except msgspec.DecodeError:
+    except decoding.DecodingError:
         return None
--- a/libs/gateway/vanillayoke/gateway/members.py
+++ b/libs/gateway/vanillayoke/gateway/members.py
@@ -3,12 +3,11 @@
 import random
 import typing
 
-import msgspec
-
 from vanillayoke.cluster import membership
 from vanillayoke.cluster import membership_events
 from vanillayoke.cluster import membership_table
 from vanillayoke.cluster import messages as cluster_messages
+from vanillayoke.core import decoding
 from vanillayoke.core import timers
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import rendezvous
@@ -42,7 +41,9 @@
     )
 )
 
-_ROW_DECODER = msgspec.json.Decoder(messages.InstanceRow)
+_ROW_DECODER: decoding.Decoder[messages.InstanceRow] = (
+    decoding.Decoder.for_json(messages.InstanceRow)
+)
 
 
 class Members:
@@ -97,16 +98,17 @@
         return True
 
     def put_row(self, key: str, value: bytes | None) -> None:
-        """Apply a row of the table; ``None`` says that it was removed."""
+        """Apply a row of the table; ``None`` says that it was removed.
+
+        Raise ``DecodingError`` if it can't be decoded; what is known of the
+        instance stays.
+        """
         if value is None:
             instance = self._listed.pop(key, None)
             if instance is not None:
                 self._decide(membership_events.Removed(instance))
             return
-        try:
-            row = _ROW_DECODER.decode(value)
-        except msgspec.DecodeError:
-            return
+        row = _ROW_DECODER.decode(value)
         self._listed[key] = row.instance
         member = cluster_messages.Member(
             row.instance, 0, row.zone, row.region, row.front, row.peer
@@ -239,8 +241,10 @@
         self._probe_timer = self._timers.call_after(delay, self._tick)
 
     def _tick(self) -> None:
-        self._decide(membership_events.Ticked())
-        self._schedule()
+        try:
+            self._decide(membership_events.Ticked())
+        finally:
+            self._schedule()
 
 
 def _is_eligible(member: cluster_messages.Member) -> bool:
--- a/libs/gateway/vanillayoke/gateway/messages.py
+++ b/libs/gateway/vanillayoke/gateway/messages.py
@@ -9,9 +9,22 @@
 
 import msgspec
 
+from vanillayoke.core import figures
 from vanillayoke.scheduling import quotas
 from vanillayoke.transport import headers as headers_module
 
+_BYTE_PATTERN = r'(25[0-5]|2[0-4]\d|1?\d?\d)'
+_PORT_PATTERN = (
+    r'(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]\d{4}|[1-9]\d{0,3})'
+)
+# ``IP:PORT``.
+Address = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf'\A{_BYTE_PATTERN}(\.{_BYTE_PATTERN}){{3}}:{_PORT_PATTERN}\Z'
+    ),
+]
+
 
 class RouteKind(enum.Enum):
     """Whether requests of a route may be repeated, and whether they stream."""
@@ -385,8 +398,8 @@
     """The row that announces an instance; encoded as JSON by field names."""
 
     instance: str
-    incarnation: int
+    incarnation: figures.Ordinal
     zone: str
     region: str
-    front: str
-    peer: str
+    front: Address
+    peer: Address
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -6,6 +6,7 @@
 import aioprometheus
 
 from vanillayoke.cluster import messages as cluster_messages
+from vanillayoke.core import decoding
 from vanillayoke.core import memory
 from vanillayoke.core import metrics
 from vanillayoke.gateway import peers
@@ -52,6 +53,13 @@
 _MEMORY_REFUSAL = metrics.Label('kind', ('request', 'body', 'caller'))
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 _DATAGRAM = metrics.Label('kind', peers.KIND_NAMES)
+_SOURCE = metrics.Label(
+    'source', ('configuration', 'targets', 'instances', 'store', 'peers')
+)
+_REJECTION = metrics.Label(
+    'reason', tuple(reason.value for reason in decoding.Reason)
+)
+_TASK = metrics.Label('task')
 
 
 class Metrics:
@@ -199,6 +207,26 @@
             'Datagrams received that could not be decoded, by kind.',
             _DATAGRAM,
         )
+        self.rejected_messages = metrics.Counter(
+            registry,
+            'rejected_messages_total',
+            'Rows, responses and datagrams that could not be decoded, by'
+            ' source and reason.',
+            _SOURCE,
+            _REJECTION,
+        )
+        self.task_failures = metrics.Counter(
+            registry,
+            'task_failures_total',
+            'Unexpected ends of long-running tasks, which start again.',
+            _TASK,
+        )
+        self.handler_failures = metrics.Counter(
+            registry,
+            'handler_failures_total',
+            'Requests and background tasks that ended with an unexpected'
+            ' error.',
+        )
         self.lines_dropped = metrics.Gauge(
             registry,
             'log_lines_dropped',
--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from vanillayoke.core import figures
 from vanillayoke.scheduling import program_slack
 from vanillayoke.scheduling import quotas
 from vanillayoke.scheduling import zone_loads
@@ -23,12 +24,12 @@
     """
 
     program: str
-    budget: int
+    budget: figures.Count
     turn: str
-    need: int
+    need: figures.Count
     session: str = ''
     route: str = ''
-    time_left: float | None = None
+    time_left: figures.Seconds | None = None
     allow_credit: bool = False
 
 
@@ -42,9 +43,9 @@
 
     program: str
     turn: str
-    used: int
+    used: figures.Count
     session: str = ''
-    delay: float = 0.0
+    delay: figures.Seconds = 0.0
     target: str | None = None
 
 
@@ -52,7 +53,7 @@
     """Transfer unused tokens that the sender was granted to the receiver."""
 
     program: str
-    tokens: int
+    tokens: figures.Count
 
 
 class HandOver(msgspec.Struct, frozen=True, array_like=True, tag='H'):
@@ -81,10 +82,10 @@
     last notified of a request at the target.
     """
 
-    contention: int | None
-    age_ms: int
-    pace: int | None
-    silence_ms: int = 0
+    contention: figures.Count | None
+    age_ms: figures.Ordinal
+    pace: figures.Ordinal | None
+    silence_ms: figures.Ordinal = 0
 
 
 class LoadResponse(msgspec.Struct, frozen=True, array_like=True, tag='N'):
@@ -96,9 +97,9 @@
     ``performance`` is ``None`` if the target does not report its contention.
     """
 
-    requests: float
-    latency_ratio: float
-    waiting: int = 0
+    requests: figures.Amount
+    latency_ratio: figures.Amount
+    waiting: figures.Count = 0
     performance: Performance | None = None
 
 
@@ -110,11 +111,11 @@
     program and priorities are used.
     """
 
-    age_ms: int
+    age_ms: figures.Ordinal
     program: str
     route: str
-    count: int
-    priority: int | None = None
+    count: figures.SignedCount
+    priority: figures.SignedCount | None = None
 
 
 class UsageReport(msgspec.Struct, frozen=True, array_like=True, tag='L'):
@@ -131,12 +132,12 @@
     organisation: str
     reporter: str
     limit: quotas.Limit
-    version: int
+    version: figures.Ordinal
     records: tuple[UsageRecord, ...] = ()
     is_full: bool = False
     is_reassigned: bool = False
     pending: tuple[str, str] | None = None
-    priority: int | None = None
+    priority: figures.SignedCount | None = None
 
 
 class LimitStatus(msgspec.Struct, frozen=True, array_like=True, tag='A'):
@@ -151,9 +152,9 @@
 
     is_near_limit: bool
     refusal_reason: str | None = None
-    retry_after: float = 0.0
+    retry_after: figures.Seconds = 0.0
     is_new_program: bool = False
-    urgent: int = 0
+    urgent: figures.Count = 0
 
 
 class RequestStarted(msgspec.Struct, frozen=True, array_like=True, tag='B'):
@@ -161,7 +162,7 @@
 
     target: str
     request: str
-    max_duration: float
+    max_duration: figures.Seconds
 
 
 class RequestEnded(msgspec.Struct, frozen=True, array_like=True, tag='E'):
@@ -176,8 +177,8 @@
 
     target: str
     request: str
-    reported_count: int | None
-    latency_ratio: float | None
+    reported_count: figures.Count | None
+    latency_ratio: figures.Amount | None
     performance: Performance | None = None
 
 
@@ -196,14 +197,14 @@
     ticket: str
     request: str
     organisation: str
-    weight: float
-    priority: int
+    weight: figures.Amount
+    priority: figures.SignedCount
     is_first: bool
-    slack: float
-    in_time: float
-    time_left: float
-    slots: int
-    waited: float
+    slack: figures.Seconds
+    in_time: figures.Seconds
+    time_left: figures.Seconds
+    slots: figures.Count
+    waited: figures.Seconds
 
 
 class SlotGranted(msgspec.Struct, frozen=True, array_like=True, tag='O'):
@@ -218,10 +219,10 @@
     ``predicted`` the predicted wait in seconds.
     """
 
-    retry_after: float
+    retry_after: figures.Seconds
     reason: str
-    position: int
-    predicted: float
+    position: figures.Count
+    predicted: figures.Seconds
 
 
 class SlotCancelled(msgspec.Struct, frozen=True, array_like=True, tag='K'):
@@ -238,7 +239,7 @@
     the responding instance.
     """
 
-    tokens: int
+    tokens: figures.Count
     receivers: tuple[str, ...] = ()
 
 
@@ -310,15 +311,15 @@
     """
 
     is_begun: bool
-    waited_ms: int | None = None
-    wait_ms: int | None = None
+    waited_ms: figures.Ordinal | None = None
+    wait_ms: figures.Ordinal | None = None
 
 
 class ProgramRefused(msgspec.Struct, frozen=True, array_like=True, tag='J'):
     """A program was refused; it will be admitted in ``wait_ms`` if given."""
 
     program: str
-    wait_ms: int | None = None
+    wait_ms: figures.Ordinal | None = None
 
 
 class StreamBegun(msgspec.Struct, frozen=True, array_like=True, tag='b'):
@@ -333,7 +334,7 @@
     session: str
     service: str
     software_version: str
-    lifetime_ms: int
+    lifetime_ms: figures.Ordinal
 
 
 class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag='q'):
@@ -349,7 +350,7 @@
     session: str
     route: str
     service: str
-    window_ms: int
+    window_ms: figures.Ordinal
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True, tag='o'):
@@ -369,7 +370,7 @@
     forwards calls to the store.
     """
 
-    version: int
+    version: figures.Ordinal
     address: str
     relay: str
 
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from vanillayoke.core import decoding
+from vanillayoke.core import figures
 from vanillayoke.core import timers
 from vanillayoke.gateway import peer_messages
 from vanillayoke.scheduling import shared_health
@@ -57,18 +59,18 @@
 
 
 class _RequestEnvelope(msgspec.Struct, frozen=True, array_like=True):
-    number: int
+    number: figures.Ordinal
     request: peer_messages.Request
 
 
 class _ResponseEnvelope(msgspec.Struct, frozen=True, array_like=True):
-    number: int
+    number: figures.Ordinal
     response: peer_messages.Response
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODERS: dict[bytes, msgspec.msgpack.Decoder] = {
-    kind: msgspec.msgpack.Decoder(message_type)
+_DECODERS: dict[bytes, decoding.Decoder] = {
+    kind: decoding.Decoder.for_msgpack(message_type)
     for kind, message_type in (
         (REQUEST, _RequestEnvelope),
         (RESPONSE, _ResponseEnvelope),
@@ -97,7 +99,8 @@
     """Exchanges requests, responses and gossip with other instances.
 
     ``on_membership`` returns whether it could decode the message.
-    ``on_dropped`` is called with the kind of each datagram that is dropped.
+    ``on_dropped`` is called with the kind of each datagram that is dropped and
+    the reason, ``on_failure`` with unexpected errors of ``handle``.
     """
 
     def __init__(
@@ -111,7 +114,8 @@
             [peer_messages.ConfigurationVersion], None
         ],
         first_number: int,
-        on_dropped: typing.Callable[[str], None],
+        on_dropped: typing.Callable[[str, decoding.Reason], None],
+        on_failure: typing.Callable[[BaseException], None],
     ) -> None:
         self._timers = timer_service
         self._handle = handle
@@ -120,6 +124,7 @@
         self._on_notification = on_notification
         self._on_version = on_version
         self._on_dropped = on_dropped
+        self._on_failure = on_failure
         self._sender: Sender | None = None
         # Differs from the numbers of a former process at this address, whose
         # responses must not match.
@@ -176,15 +181,19 @@
         kind, payload = data[:1], data[1:]
         if kind == MEMBERSHIP:
             if not self._on_membership(payload, sender):
-                self._on_dropped(_KIND_NAMES[kind])
+                self._on_dropped(_KIND_NAMES[kind], decoding.Reason.MALFORMED)
+            return
+        # The others are from an instance of another version, or not from one.
+        decoder = _DECODERS.get(kind)
+        if decoder is None:
+            self._on_dropped(UNKNOWN_KIND, decoding.Reason.MALFORMED)
             return
         try:
-            message = _DECODERS[kind].decode(payload)
-        except (KeyError, msgspec.DecodeError):
-            # From an instance of another version, or not from an instance.
-            self._on_dropped(_KIND_NAMES.get(kind, UNKNOWN_KIND))
+            message = decoder.decode(payload)
+        except decoding.DecodingError as error:
+            self._on_dropped(_KIND_NAMES[kind], error.reason)
             return
-        # A DecodeError of these is a failure and must not be taken for a
+        # A DecodingError of these is a failure and must not be taken for a
         # malformed datagram.
         match message:
             case _RequestEnvelope():
@@ -298,6 +307,8 @@
     ) -> None:
         try:
             self._finish(key, await work, is_kept)
+        except Exception as error:
+            self._on_failure(error)
         finally:
             del self._running[key]
 
--- a/libs/gateway/vanillayoke/gateway/store.py
+++ b/libs/gateway/vanillayoke/gateway/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from vanillayoke.core import decoding
 from vanillayoke.core import timers
 from vanillayoke.gateway import availability as availability_module
 from vanillayoke.gateway import dialect as dialect_module
@@ -57,11 +58,13 @@
     """Callbacks for calls and for changes of the store's availability.
 
     ``on_call`` gets the kind of a call, its outcome and its seconds,
-    ``on_change`` whether the store is available.
+    ``on_change`` whether the store is available, and ``on_rejected`` why a
+    response could not be decoded.
     """
 
     on_call: typing.Callable[[str, str, float], None]
     on_change: typing.Callable[[bool], None]
+    on_rejected: typing.Callable[[decoding.Reason], None] = lambda reason: None
 
 
 class StoreClient:
@@ -400,6 +403,7 @@
         try:
             return decode(*arguments)
         except dialect_module.BadRowError as error:
+            self._observer.on_rejected(error.reason)
             raise StoreOutcomeUnknownError(str(error)) from error
 
     def _record_success(
--- a/libs/gateway/vanillayoke/gateway/sweeping.py
+++ b/libs/gateway/vanillayoke/gateway/sweeping.py
@@ -7,8 +7,7 @@
 
 import typing
 
-import msgspec
-
+from vanillayoke.core import decoding
 from vanillayoke.core import timers
 from vanillayoke.gateway import catalog as catalog_module
 from vanillayoke.gateway import histories
@@ -30,7 +29,9 @@
 MAX_REMOVED_ROWS = 50
 STORE_TIMEOUT_SECONDS = 2.0
 
-_BUDGET_DECODER = msgspec.msgpack.Decoder(grants.BudgetRow)
+_BUDGET_DECODER: decoding.Decoder[grants.BudgetRow] = (
+    decoding.Decoder.for_msgpack(grants.BudgetRow)
+)
 
 
 class Sweeper:
@@ -110,7 +111,7 @@
     """Return when a row was written; ``None`` if it can't be decoded."""
     try:
         return _BUDGET_DECODER.decode(value).time
-    except msgspec.DecodeError:
+    except decoding.DecodingError:
         return None
 
 
--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from vanillayoke.core import decoding
 from vanillayoke.core import events as log_events
 from vanillayoke.core import logs
+from vanillayoke.core import supervision
 from vanillayoke.core import timers
 from vanillayoke.gateway import catalog as catalog_module
 from vanillayoke.gateway import dialect as dialect_module
@@ -38,7 +40,16 @@
         on_confirmed: typing.Callable[[], None],
         on_configuration: typing.Callable[[], None],
         versions: software_versions.SoftwareVersions,
+        on_rejected: typing.Callable[[str, decoding.Reason], None],
+        supervisor: supervision.Supervisor,
     ) -> None:
+        self._on_rejected = on_rejected
+        self._supervisor = supervisor
+        self._sources = {
+            dialect.configuration_table: 'configuration',
+            dialect.target_table: 'targets',
+            members_module.TABLE: 'instances',
+        }
         self._versions = versions
         self._on_configuration = on_configuration
         self._on_restart = on_restart
@@ -55,6 +66,7 @@
             dialect.configuration_table,
             self.apply_configuration,
             self._change_configuration,
+            self._reject,
             min(wait, bounds.revocation_timeout * WAIT_RATIO),
             on_confirmed,
         )
@@ -63,6 +75,7 @@
             dialect.target_table,
             self._read_targets,
             self._change_target,
+            self._reject,
             wait,
             lambda: versions.record_news(timer_service.now()),
         )
@@ -71,14 +84,20 @@
             members_module.TABLE,
             self._read_instances,
             self._change_instance,
+            self._reject,
             wait,
         )
 
     def start(self, spawn: typing.Callable[[typing.Coroutine], None]) -> None:
         """Start the feeds."""
-        spawn(self._store.watch_availability())
-        for feed in (self._configuration, self._targets, self._instances):
-            spawn(feed.run())
+        runs = {
+            'store probes': self._store.watch_availability,
+            'configuration feed': self._configuration.run,
+            'target feed': self._targets.run,
+            'instance feed': self._instances.run,
+        }
+        for name, run in runs.items():
+            spawn(self._supervisor.run(name, run))
 
     async def wait_until_loaded(self) -> None:
         """Return when configuration, targets and instances have been read."""
@@ -108,7 +127,7 @@
     def apply_configuration(self, page: messages.Page) -> None:
         """Apply the rows of the configuration's table."""
         for row in page.rows:
-            self._change_configuration(row)
+            self._apply(self._change_configuration, row)
 
     def _change_configuration(self, row: messages.Row) -> None:
         if row.where.key != self._dialect.configuration_key:
@@ -231,12 +250,35 @@
 
     def _read_instances(self, page: messages.Page) -> None:
         for row in page.rows:
-            self._change_instance(row)
+            self._apply(self._change_instance, row)
 
     def _change_instance(self, row: messages.Row) -> None:
         self._members.put_row(row.where.key, row.value)
 
+    # Rejected rows
+
+    def _apply(
+        self, change: typing.Callable[[messages.Row], None], row: messages.Row
+    ) -> None:
+        """Apply a row; one that can't be used must not stop the others."""
+        try:
+            change(row)
+        except Exception as error:
+            self._reject(row, error)
+
     def _reject(self, row: messages.Row, error: Exception) -> None:
+        match error:
+            case dialect_module.BadRowError() | decoding.DecodingError():
+                reason, text = error.reason, str(error)
+            case _:
+                reason = decoding.Reason.INVALID
+                text = f'{type(error).__name__}: {error}'
+        table = row.where.table
+        self._on_rejected(self._sources[table], reason)
         self._log.write(
-            log_events.ROW_REJECTED, table=row.where.table, error=str(error)
+            log_events.ROW_REJECTED,
+            table=table,
+            row=row.where.key,
+            reason=reason.value,
+            error=text,
         )
--- a/libs/programs/vanillayoke/programs/grants.py
+++ b/libs/programs/vanillayoke/programs/grants.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from vanillayoke.core import figures
+
 # The share of the budget that one grant takes; a program loses at most this
 # share when an instance fails. Most programs use less than half of their
 # budget and need two grants.
@@ -34,10 +36,10 @@
     tokens, and each recognises its own write after others have written.
     """
 
-    budget: int
-    granted: int
+    budget: figures.Count
+    granted: figures.Count
     write_id: str
-    time: float
+    time: figures.WallSeconds
     holders: tuple[tuple[str, str], ...] = ()
 
     def add_holder(self, instance: str) -> 'BudgetRow':
--- a/libs/programs/vanillayoke/programs/transcripts.py
+++ b/libs/programs/vanillayoke/programs/transcripts.py
@@ -9,6 +9,9 @@
 
 import msgspec
 
+from vanillayoke.core import decoding
+from vanillayoke.core import figures
+
 # Up to this size, each turn stores the whole conversation, so that one read
 # returns it. Rewriting a longer one would cost more than the reads it saves.
 MAX_FULL_TEXT_BYTES = 40 * 1024
@@ -24,8 +27,8 @@
     """
 
     base: str
-    row_count: int
-    time: float
+    row_count: figures.Count
+    time: figures.WallSeconds
     text: bytes
 
 
@@ -41,7 +44,7 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(TurnRow)
+_DECODER: decoding.Decoder[TurnRow] = decoding.Decoder.for_msgpack(TurnRow)
 
 
 def make_rows(
@@ -97,7 +100,7 @@
         texts = [head.text]
         for index in range(1, head.row_count):
             texts.append(_DECODER.decode(rows[make_row_key(turn, index)]).text)
-    except (msgspec.DecodeError, KeyError) as error:
+    except (decoding.DecodingError, KeyError) as error:
         raise CorruptTurnError(f'turn {turn}: {error!r}') from error
     return StoredTurn(head.base, b''.join(texts))
 
@@ -106,5 +109,5 @@
     """Return when a row was written; ``None`` if it can't be decoded."""
     try:
         return _DECODER.decode(value).time
-    except msgspec.DecodeError:
+    except decoding.DecodingError:
         return None
--- a/libs/scheduling/vanillayoke/scheduling/program_slack.py
+++ b/libs/scheduling/vanillayoke/scheduling/program_slack.py
@@ -9,6 +9,8 @@
 
 import typing
 
+from vanillayoke.core import figures
+
 INITIAL_IDLE_RATIO = 0.6
 LEARNING_RATE = 0.02
 # Below the median, since delays that were not detected make programs appear
@@ -26,9 +28,9 @@
     before. ``time_limit`` is the total time that it may take.
     """
 
-    left: float
-    overdue: float
-    time_limit: float
+    left: figures.Seconds
+    overdue: figures.Seconds
+    time_limit: figures.Seconds
 
 
 class DelayTracker:
--- a/libs/scheduling/vanillayoke/scheduling/quotas.py
+++ b/libs/scheduling/vanillayoke/scheduling/quotas.py
@@ -15,6 +15,7 @@
 import math
 import typing
 
+from vanillayoke.core import figures
 from vanillayoke.scheduling import program_starts
 from vanillayoke.scheduling import program_statistics
 from vanillayoke.scheduling import request_windows
@@ -73,10 +74,10 @@
     ``tolerance`` bounds the excess that may result from lost counts.
     """
 
-    requests: float
-    overrun: float
-    tolerance: float
-    length: float
+    requests: figures.Amount
+    overrun: figures.Amount
+    tolerance: figures.Amount
+    length: figures.Seconds
 
     @classmethod
     def from_rate(
--- a/libs/scheduling/vanillayoke/scheduling/shared_health.py
+++ b/libs/scheduling/vanillayoke/scheduling/shared_health.py
@@ -13,6 +13,8 @@
 
 import typing
 
+from vanillayoke.core import figures
+
 # More than one instance has to report a failure, since its cause may be the
 # network between one instance and the target.
 QUORUM = 3
@@ -36,7 +38,7 @@
     """
 
     target: str
-    episode: int
+    episode: figures.Ordinal
     reporters: tuple[str, ...]
     is_over: bool
 
--- a/libs/scheduling/vanillayoke/scheduling/zone_loads.py
+++ b/libs/scheduling/vanillayoke/scheduling/zone_loads.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from vanillayoke.core import figures
+
 # Older loads are not used. Loads change by a tenth of the capacity within a
 # second, and the next ones are due after half a second.
 MAX_AGE_SECONDS = 2.0
@@ -25,7 +27,7 @@
 MAX_EPOCH = 2**62
 
 # The start of the process that counts, and its counter.
-Version = tuple[int, int]
+Version = tuple[figures.Ordinal, figures.Ordinal]
 
 
 class ZoneLoad(typing.NamedTuple):
@@ -59,10 +61,10 @@
     """
 
     service: str
-    slots: int
-    running: float
-    waiting: float
-    capacity: float
+    slots: figures.Count
+    running: figures.Amount
+    waiting: figures.Amount
+    capacity: figures.Amount
 
 
 class ZoneReport(msgspec.Struct, frozen=True, array_like=True):
@@ -70,7 +72,7 @@
 
     zone: str
     version: Version
-    age_ms: int
+    age_ms: figures.Ordinal
     services: tuple[ServiceLoad, ...]
 
 
--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -402,7 +402,7 @@
                 )
         except TimeoutError:
             raise NotSent(f'connecting to {address} timed out') from None
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             raise NotSent(f'cannot connect to {address}: {error}') from error
         return connection
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -38,6 +38,7 @@
     def __init__(self):
         self.received = []
         self.dropped = []
+        self.failures = []
         self.error = None
 
     def handle(self, *arguments):
@@ -62,7 +63,8 @@
         handler.handle,
         handler.handle,
         1,
-        handler.dropped.append,
+        lambda kind, reason: handler.dropped.append(kind),
+        handler.failures.append,
     )
 
 
