Answered the caller of a request whose handler fails.

What callers saw: an unexpected error in a handler closed the connection without an answer, so that a request that must not run twice could not be tried again although it was sent nowhere.

Cause: the connection was aborted whenever the handler's task had raised.

--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -78,6 +78,13 @@
         except asyncio.CancelledError:
             self._record_end(progress, 0, 'caller_gone')
             raise
+        except Exception as error:
+            self._context.on_failure(error, call.request)
+            reason = refusals.Reason.FAILED
+            if progress.may_have_run:
+                reason = refusals.Reason.FAILED_RUNNING
+            refusal = refusals.RefusalError(reason, type(error).__name__)
+            self._refuse(refusal, progress, responder)
         else:
             self._record_end(progress, progress.status, 'answered')
 
--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -56,6 +56,8 @@
     program_admission: program_admission.ProgramAdmission
     resumptions: resumptions_module.Resumptions
     get_settings: typing.Callable[[], messages.Settings]
+    # Called with an unexpected error and the request that it ended.
+    on_failure: typing.Callable[[BaseException, str], None]
 
     @property
     def configuration_version(self) -> int:
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -443,6 +443,7 @@
             self._program_admission,
             self._resumptions,
             lambda: self.settings,
+            self._instrumentation.record_failure,
         )
         handler = calls.CallHandler(context)
         self._endpoints = endpoints.Endpoints(
--- a/libs/gateway/vanillayoke/gateway/refusals.py
+++ b/libs/gateway/vanillayoke/gateway/refusals.py
@@ -38,6 +38,8 @@
     MEMORY = 'memory'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     NOT_SAVED = 'not_kept'
+    FAILED = 'failed'
+    FAILED_RUNNING = 'failed_running'
 
 
 _STATUSES = {
@@ -62,6 +64,8 @@
     Reason.MEMORY: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.NOT_SAVED: 502,
+    Reason.FAILED: 503,
+    Reason.FAILED_RUNNING: 500,
 }
 
 _RETRY_AFTER_SECONDS = {
@@ -75,12 +79,14 @@
     Reason.STORE_UNAVAILABLE: _STORE_RETRY_SECONDS,
     Reason.MEMORY: _SHORT_RETRY_SECONDS,
     Reason.ISOLATED: _OTHER_INSTANCE_RETRY_SECONDS,
+    Reason.FAILED: _SHORT_RETRY_SECONDS,
 }
 
 _RAN = {
     Reason.LATE_RUNNING: failures.Ran.UNKNOWN,
     Reason.OUTCOME_UNKNOWN: failures.Ran.UNKNOWN,
     Reason.NOT_SAVED: failures.Ran.YES,
+    Reason.FAILED_RUNNING: failures.Ran.UNKNOWN,
 }
 
 
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -67,6 +67,7 @@
         self._transport: asyncio.Transport | None = None
         self._queue: collections.deque[Request] = collections.deque()
         self._task: asyncio.Task | None = None
+        self._responder: responses.Responder | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
@@ -375,6 +376,7 @@
             self._bodies.begin_next()
         request = self._queue.popleft()
         responder = responses.Responder(self, request.closes_connection)
+        self._responder = responder
         self._task = self._loop.create_task(
             self._server.handle(request, responder)
         )
@@ -386,8 +388,13 @@
             self._bodies.end_running()
         if not task.cancelled() and task.exception() is not None:
             self._server.on_failure(task.exception())
-            self.abort()
-            return
+            if self._responder.is_started:
+                self.abort()
+                return
+            self._responder.close_connection_after()
+            self._responder.send(
+                http.HTTPStatus.INTERNAL_SERVER_ERROR, [], b''
+            )
         if self._transport is None or self._transport.is_closing():
             return
         if self._queue:
