Kept the socket for datagrams open when a member's address is invalid.

What callers would see: an instance that no longer takes part in the membership.

Cause: asyncio closes a datagram transport for good when sendto raises anything but OSError, and a port beyond 65535, in an address that another instance has told, raises OverflowError.

Change: datagrams go to valid addresses only.

The test failed before, as the valid datagram after the invalid ones never arrived.

--- a/libs/transport/vanillayoke/transport/datagrams.py
+++ b/libs/transport/vanillayoke/transport/datagrams.py
@@ -1,6 +1,8 @@
 """UDP sockets for messages between instances."""
 
 import asyncio
+import functools
+import ipaddress
 import typing
 
 Receiver = typing.Callable[[bytes, str], None]
@@ -38,12 +40,27 @@
         pass
 
     def send(self, address: str, data: bytes) -> None:
-        """Send a datagram to ``IP:PORT``, without confirming delivery."""
-        host, _, port = address.rpartition(':')
-        if self._transport is not None and port.isdigit():
-            self._transport.sendto(data, (host, int(port)))
+        """Send a datagram to ``IP:PORT``, without confirming delivery.
+
+        Nothing is sent to an invalid address: it would close the socket.
+        """
+        destination = _parse_address(address)
+        if self._transport is not None and destination is not None:
+            self._transport.sendto(data, destination)
 
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+
+
+@functools.lru_cache(maxsize=4096)
+def _parse_address(address: str) -> tuple[str, int] | None:
+    """Return the host and port of an ``IP:PORT``, ``None`` if invalid."""
+    host, _, port = address.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        return None
+    return (host, number) if 0 < number < 65536 else None
--- /dev/null
+++ b/tests/transport/test_datagrams.py
@@ -0,0 +1,29 @@
+"""Tests of UDP sockets."""
+
+import asyncio
+
+from vanillayoke.testing import fixtures
+from vanillayoke.transport import datagrams
+
+
+@fixtures.on_real_loop
+async def test_datagram_to_an_unusable_address_keeps_the_socket_open(case):
+    """A port beyond 65535 in a member's address closed the socket."""
+    received = asyncio.Queue()
+    receiver = await datagrams.DatagramSocket.bind(
+        '127.0.0.1', 0, lambda data, sender: received.put_nowait(data)
+    )
+    sender = await datagrams.DatagramSocket.bind(
+        '127.0.0.1', 0, lambda data, sender: None
+    )
+    name = receiver._transport.get_extra_info('sockname')
+    for address in ('127.0.0.1:99999', f'{"a" * 70}:1', 'x', '127.0.0.1:-1'):
+        sender.send(address, b'lost')
+        await asyncio.sleep(0.05)
+    sender.send(f'127.0.0.1:{name[1]}', b'sound')
+    case.assertEqual(b'sound', await asyncio.wait_for(received.get(), 2.0))
+    sender.close()
+    receiver.close()
+
+
+load_tests = fixtures.adapt(__name__)
