Sent no request twice on one connection to a target.

Cause: a request that a target has rejected is sent again under the same id, at times to the same target on the connection that brought the rejection. A second copy of it that arrives as the next response is expected then carries the id of the request under way, and passed for its rejection, while the target ran the request. Ruled out: hedging (the route is not safe), and the caller (each id was sent once).

Change: a connection remembers the names of its requests, and the pool gives it to no request of a name that it has carried, so that a response with the id of the request under way is its own. After 256 requests it is closed, which bounds what it remembers. A response without an id, on a connection that has carried other requests, belongs to no request and fails the attempt. Closing the connection after each rejection would have done for rejections, at the price of a new connection for each while targets are full; a resumed stream and any other repetition take the same way.

Skipped responses are logged (response_skipped) and counted (vanillayoke_responses_skipped_total).

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -666,6 +666,15 @@
     'request',
     'error',
 )
+RESPONSE_SKIPPED = _define(
+    1008,
+    'response_skipped',
+    _WARNING,
+    'Target {target} sent a response to another request; it was ignored.',
+    'request',
+    'target',
+    'address',
+)
 TASK_RESTARTED = _define(
     1007,
     'task_restarted',
--- a/libs/gateway/vanillayoke/gateway/dispatch.py
+++ b/libs/gateway/vanillayoke/gateway/dispatch.py
@@ -207,6 +207,19 @@
             self._context.occupancy,
             self._context.timers,
             progress.expected,
+            lambda: self._record_skipped(progress, target),
+        )
+
+    def _record_skipped(
+        self, progress: Progress, target: messages.Target
+    ) -> None:
+        """Record a response to another request than the one under way."""
+        self._context.metrics.skipped_responses.add(1, target=target.name)
+        self._context.log.write(
+            log_events.RESPONSE_SKIPPED,
+            request=progress.call.request,
+            target=target.name,
+            address=target.address,
         )
 
     def make_forward_options(
--- a/libs/gateway/vanillayoke/gateway/forwarding.py
+++ b/libs/gateway/vanillayoke/gateway/forwarding.py
@@ -36,6 +36,7 @@
 class Attempt:
     """An attempt to send a request to a target.
 
+    ``on_skipped`` is called for each response to another request.
     Use it with ``async with``. Leaving the block cancels the request at the
     target unless the complete response has been read.
     """
@@ -51,6 +52,7 @@
         occupancy: occupancy.Occupancy,
         timer_service: timers.TimerService,
         expected: memory.Reservation | None = None,
+        on_skipped: typing.Callable[[], None] = lambda: None,
     ) -> None:
         self.target = target
         self._request = request
@@ -71,6 +73,7 @@
         self._timers = timer_service
         # Memory for the response until its size is known.
         self._expected = expected
+        self._on_skipped = on_skipped
         self._connection: client.Connection | None = None
         self.is_sent = False
         self.has_head = False
@@ -143,6 +146,7 @@
         connection = await self._pool.acquire(
             self.target.address,
             MAX_IDLE_BEFORE_UNSAFE_SECONDS if must_run_once else None,
+            call.request,
         )
         self._connection = connection
         connection.expected = self._expected
@@ -152,12 +156,16 @@
             headers,
             call.body,
             lambda head: self._accepts(call, head),
+            call.request,
         )
         self.is_sent = True
         head = await connection.read_head()
         self.has_head = True
         self.head_received_at = self._timers.now()
         metadata = self._read_metadata(head)
+        if metadata.request is None and connection.named_request_count > 1:
+            # It may be a second response to any earlier request.
+            raise client.BadAnswer('the response names no request')
         if metadata.is_not_executed or head.status == _MISDIRECTED:
             # The connection can be reused only after a complete response.
             await connection.read_body()
@@ -190,7 +198,10 @@
     def _accepts(self, call: messages.Call, head: client.Head) -> bool:
         # A duplicate response to an earlier request carries that request's ID.
         request = self._dialect.decode_answer(head).request
-        return request is None or request == call.request
+        if request is None or request == call.request:
+            return True
+        self._on_skipped()
+        return False
 
     def _read_metadata(self, head: client.Head) -> messages.ResponseMetadata:
         metadata = self._dialect.decode_answer(head)
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -140,6 +140,12 @@
             'Attempts that a target refused without running the request.',
             _TARGET,
         )
+        self.skipped_responses = metrics.Counter(
+            registry,
+            'responses_skipped_total',
+            'Responses of targets to other requests than the one under way.',
+            _TARGET,
+        )
         self.malformed_reports = metrics.Counter(
             registry,
             'load_reports_malformed_total',
--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -4,6 +4,7 @@
 no byte of it was sent; after any other error it may have been processed.
 """
 
+import array
 import asyncio
 import socket
 import typing
@@ -27,6 +28,9 @@
 # Ends connections whose sent data is not acknowledged, as after a network
 # failure that closes no connection.
 TCP_USER_TIMEOUT_MS = 2000
+# A connection is closed after this many named requests. It remembers them all,
+# which takes 8 bytes each.
+MAX_NAMED_REQUESTS = 256
 
 
 class TransportError(Exception):
@@ -71,7 +75,8 @@
 
     Responses that ``accept`` rejects are skipped: a faulty server may send a
     second response to an earlier request. The connection is not reused
-    afterwards.
+    afterwards. Such a response may also come late, so a connection carries no
+    two requests of one name: ``accept`` could not tell their responses apart.
 
     Responses are held in the account ``memory``, if there is one, until the
     connection is idle or closed. ``expected`` is what was reserved for the
@@ -94,6 +99,8 @@
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
         self._is_busy = False
+        # Hashes of the names of all requests so far.
+        self._names = array.array('q')
         self._accept: Acceptor | None = None
         self.head: Head | None = None
         self._reset()
@@ -185,11 +192,17 @@
         headers: headers_module.Headers,
         body: bytes,
         accept: Acceptor | None = None,
+        name: str = '',
     ) -> None:
-        """Send a request; raise ``NotSent`` if the connection is closed."""
+        """Send a request; raise ``NotSent`` if the connection is closed.
+
+        ``name`` identifies the request to the server; '' if nothing does.
+        """
         if self.is_closed or self._transport.is_closing():
             raise NotSent('the connection is closed')
         self._reset()
+        if name:
+            self._names.append(hash(name))
         self._is_busy = True
         self._accept = accept
         lines = [b'%b %b HTTP/1.1\r\n' % (method, target)]
@@ -242,7 +255,21 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
-        return self._is_complete and self.is_clean and not self.is_closed
+        return (
+            self._is_complete
+            and self.is_clean
+            and not self.is_closed
+            and len(self._names) < MAX_NAMED_REQUESTS
+        )
+
+    @property
+    def named_request_count(self) -> int:
+        """The number of requests with a name sent on this connection."""
+        return len(self._names)
+
+    def has_carried(self, name: str) -> bool:
+        """Return whether a request of this name may have been sent on it."""
+        return bool(name) and hash(name) in self._names
 
     def mark_idle(self) -> None:
         """Mark the connection idle; data received while idle closes it."""
@@ -378,14 +405,16 @@
         self._memory = memory
         self._idle: dict[str, list[Connection]] = {}
 
-    async def acquire(self, address: str, max_idle: float | None = None):
+    async def acquire(
+        self, address: str, max_idle: float | None = None, name: str = ''
+    ) -> Connection:
         """Return a connection to ``IP:PORT``; raise ``NotSent`` if none.
 
         A pooled connection is used only if it has been idle for at most
         ``max_idle`` seconds, or longer where the server's Keep-Alive timeout
-        allows it.
+        allows it, and has not carried a request of this name.
         """
-        pooled = self._pop_idle(address, max_idle)
+        pooled = self._pop_idle(address, max_idle, name)
         if pooled is not None:
             return pooled
         return await self.open(address)
@@ -421,12 +450,14 @@
         self._idle.setdefault(address, []).append(connection)
 
     def _pop_idle(
-        self, address: str, max_idle: float | None
+        self, address: str, max_idle: float | None, name: str
     ) -> Connection | None:
         now = asyncio.get_running_loop().time()
         pooled = self._idle.get(address, [])
-        while pooled:
-            connection = pooled.pop()
+        for connection in reversed(pooled[:]):
+            if connection.has_carried(name):
+                continue
+            pooled.remove(connection)
             if connection.is_closed or now >= connection.idle_deadline:
                 connection.abort()
                 continue
--- /dev/null
+++ b/tests/gateway/test_late_responses.py
@@ -0,0 +1,125 @@
+"""Tests of targets that send a response a second time, late."""
+
+import asyncio
+import collections
+
+from tests.gateway import site_fixtures
+from vanillayoke.standins import targets
+from vanillayoke.testing import fixtures
+
+
+class _RepeatingTarget(targets.FakeTarget):
+    """Sends each rejection again as the next request arrives.
+
+    It comes on the same connection, before the response to that request.
+    Without ``names_requests``, the second copy has no request ID.
+    """
+
+    names_requests = True
+
+    def __init__(self, name):
+        super().__init__(name)
+        self._copies = {}
+        self.repeated_count = 0
+
+    async def handle(self, request, responder):
+        connection = responder._connection
+        copy = self._copies.pop(connection, None)
+        if copy is not None:
+            self.repeated_count += 1
+            connection.write(copy)
+        await super().handle(request, responder)
+
+    def _send(self, responder, status, request, body, executed=True):
+        super()._send(responder, status, request, body, executed)
+        if executed:
+            return
+        headers = self._make_headers(request, executed)
+        if not self.names_requests:
+            headers = headers[1:]
+        lines = [b'%s: %s' % field for field in headers]
+        self._copies[responder._connection] = b'\r\n'.join(
+            [b'HTTP/1.1 503 Full', *lines, b'Content-Length: 0', b'', b'']
+        )
+
+
+async def _replace_targets(site, names, names_requests=True):
+    for name in names:
+        site.targets[name].stop()
+        target = _RepeatingTarget(name)
+        target.names_requests = names_requests
+        target.event_count = site.targets[name].event_count
+        site.targets[name] = target
+        host = f'10.8.1.{name[1:]}'
+        await target.listen(host, 8080)
+        site.register(name, f'{host}:8080', born=2)
+    await asyncio.sleep(0.5)
+
+
+async def _run_rejected(case, site, names, send):
+    """Send requests that are rejected several times before they run."""
+    outcomes = collections.Counter()
+    for number in range(20):
+        for name in names:
+            site.targets[name].faults.extend([targets.Fault.SHED] * 3)
+        request = f'a{number}'
+        response = await send(request)
+        outcomes[response.status] += 1
+        runs = site.list_runs(request)
+        case.assertLessEqual(len(runs), 1, msg=f'{request} ran at {runs}')
+        if response.status in (429, 503):
+            case.assertEqual([], runs, msg=f'{request} was refused')
+        for name in names:
+            site.targets[name].faults.clear()
+    case.assertEqual(20, outcomes[200], msg=outcomes)
+
+
+async def test_late_copy_of_a_rejection_does_not_run_a_request_twice(
+    case, site
+):
+    """The copy passed for the response to the same request, sent again.
+
+    The request ran at one target and was then sent to another.
+    """
+    await site.start()
+    await _replace_targets(site, ('t1', 't2'))
+    await _run_rejected(
+        case,
+        site,
+        ('t1', 't2'),
+        lambda name: site.call('i1', 'order', request=name),
+    )
+
+
+async def test_late_copy_of_a_rejection_does_not_run_a_stream_twice(
+    case, site
+):
+    """A stream that must not run twice takes the same way as a request."""
+    await site.start()
+    await _replace_targets(site, ('m1', 'm2'))
+    await _run_rejected(
+        case,
+        site,
+        ('m1', 'm2'),
+        lambda name: site.turn('i1', name, program=name),
+    )
+
+
+async def test_late_copy_without_an_id_does_not_run_a_request_twice(
+    case, site
+):
+    """A response without an ID was taken for that to any request."""
+    await site.start()
+    await _replace_targets(site, ('t1', 't2'), names_requests=False)
+    for number in range(20):
+        for name in ('t1', 't2'):
+            site.targets[name].faults.append(targets.Fault.SHED)
+        request = f'a{number}'
+        response = await site.call('i1', 'order', request=request)
+        runs = site.list_runs(request)
+        case.assertLessEqual(len(runs), 1, msg=f'{request} ran at {runs}')
+        if response.status in (429, 503):
+            case.assertEqual([], runs, msg=f'{request} was refused')
+
+
+load_tests = fixtures.adapt(__name__, [site_fixtures])
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -102,6 +102,46 @@
     case.assertEqual(b'ok', body)
 
 
+async def test_connection_carries_no_two_requests_of_one_name(case, network):
+    """A late second response passed for that to a request sent again."""
+    response = b'HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n'
+    _serve(network, *[response] * 4)
+    pool = client.Pool(1.0)
+
+    async def send(name):
+        connection = await pool.acquire(ADDRESS, name=name)
+        connection.send(b'GET', b'/', [], b'', name=name)
+        await connection.read_head()
+        await connection.read_body()
+        pool.release(ADDRESS, connection)
+        return connection
+
+    first = await send('a')
+    case.assertIs(first, await send('b'))
+    second = await send('a')
+    case.assertIsNot(first, second)
+    # Both may carry other requests.
+    case.assertIn(await send('c'), (first, second))
+    pool.close()
+
+
+async def test_connection_ends_when_it_remembers_too_many_requests(
+    case, network
+):
+    """The names of earlier requests took more memory with each request."""
+    _serve(network, *[b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'] * 300)
+    pool = client.Pool(1.0)
+    connections = set()
+    for number in range(300):
+        connection = await pool.acquire(ADDRESS, name=str(number))
+        connections.add(connection)
+        connection.send(b'GET', b'/', [], b'', name=str(number))
+        await connection.read_head()
+        pool.release(ADDRESS, connection)
+    case.assertEqual(2, len(connections))
+    pool.close()
+
+
 async def test_response_shorter_than_its_length_fails(case, network):
     _serve(network, b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok')
     connection = await client.Pool(1.0).acquire(ADDRESS)
