Kept responses to repeated datagrams for as long as copies are sent.

What would be seen: tokens of a budget counted twice.

Cause: an instance keeps the responses to transfers of tokens and the like, so that a repeated request takes effect once, but dropped the oldest of more than 2,000, while copies of a request are sent for 6 s. With more than some 330 such requests a second a late copy was handled again.

Change: they are kept for twice that time, at most 20,000.

The test failed before: the transfer was handled 3,001 times instead of 3,000.

--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -54,8 +54,15 @@
     peer_messages.HandOver,
     peer_messages.UsageReport,
 )
-# Responses to these that are kept for repeated requests.
-MAX_KEPT_RESPONSES = 2000
+# Responses to these are kept for repeated requests: for longer than copies of
+# a request are sent, unless there are too many.
+KEPT_SECONDS = 2 * sum(LONG_RETRY_TIMEOUTS_SECONDS)
+MAX_KEPT_RESPONSES = 20_000
+
+
+class _KeptResponse(typing.NamedTuple):
+    response: peer_messages.Response
+    kept_at: float
 
 
 class _RequestEnvelope(msgspec.Struct, frozen=True, array_like=True):
@@ -131,7 +138,7 @@
         self._last_number = first_number
         self._waiting: dict[int, asyncio.Queue[peer_messages.Response]] = {}
         self._kept_responses: collections.OrderedDict[
-            tuple[str, int], peer_messages.Response
+            tuple[str, int], _KeptResponse
         ] = collections.OrderedDict()
         self._running: dict[tuple[str, int], asyncio.Task] = {}
 
@@ -274,7 +281,8 @@
             self._respond(sender, envelope.number, peer_messages.Pending())
             return
         if key in self._kept_responses:
-            self._respond(sender, envelope.number, self._kept_responses[key])
+            kept = self._kept_responses[key]
+            self._respond(sender, envelope.number, kept.response)
             return
         response = self._handle(envelope.request)
         is_kept = isinstance(envelope.request, _NON_IDEMPOTENT)
@@ -294,11 +302,20 @@
         is_kept: bool,
     ) -> None:
         if is_kept:
-            self._kept_responses[key] = response
-            while len(self._kept_responses) > MAX_KEPT_RESPONSES:
-                self._kept_responses.popitem(last=False)
+            self._keep(key, response)
         self._respond(*key, response)
 
+    def _keep(
+        self, key: tuple[str, int], response: peer_messages.Response
+    ) -> None:
+        now = self._timers.now()
+        self._kept_responses[key] = _KeptResponse(response, now)
+        while len(self._kept_responses) > MAX_KEPT_RESPONSES or (
+            next(iter(self._kept_responses.values())).kept_at
+            < now - KEPT_SECONDS
+        ):
+            self._kept_responses.popitem(last=False)
+
     async def _run(
         self,
         key: tuple[str, int],
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,5 +1,7 @@
 """Tests of receiving datagrams from other instances."""
 
+import asyncio
+
 import msgspec
 
 from tests.gateway import site_fixtures
@@ -96,6 +98,28 @@
     case.assertEqual([], handler.dropped)
 
 
+async def test_repeated_transfer_takes_effect_once_among_many_others(
+    case, instance_peers, handler
+):
+    """The response was forgotten after 2,000 other requests.
+
+    A late copy of the request then moved the tokens again.
+    """
+
+    def send(number):
+        request = (number, peer_messages.Transfer('p1', 10))
+        instance_peers.receive(peers.REQUEST + _encode(request), SENDER)
+
+    for number in range(1, 3001):
+        send(number)
+    await asyncio.sleep(5.0)
+    send(1)
+    case.assertEqual(3000, len(handler.received))
+    await asyncio.sleep(60.0)
+    send(3001)
+    case.assertEqual(1, len(instance_peers._kept_responses))
+
+
 async def test_valid_datagrams_are_not_dropped(case, instance_peers, handler):
     for datagram in DATAGRAMS.values():
         instance_peers.receive(datagram, SENDER)
