Kept the rows of a long conversation while later turns need them.

Cause: from 40 KiB on, a turn stores only its own text and the name of the turn before, so it relies on the rows of the first turns. Those were removed 2 x retention + 60 s after they had been written, whatever relied on them. Instances with the conversation in their cache hid it. Evidence: with the cache off, a turn every 45 s on a route with a retention of 60 s got 404 once its conversation was older than the rows of the first turns.

Change: a turn whose chain of rows would not last for its own retention stores the whole conversation again, so that nothing relies on rows that may be removed. That happens once in retention + 40 s of a long conversation. Rows name their lifetime, so that a configuration with a shorter retention does not shorten what was promised under the former one. Counts of limits are kept for at least their window, which may be longer than the lifetime of rows (by reading, not seen).

The other way, to renew the rows of earlier turns or to keep all that some turn relies on, needs to know who relies on a row: turns lie in any of three partitions, and several may continue one.

vanillayoke_rows_removed_total counts removed rows by table.

--- a/libs/gateway/vanillayoke/gateway/histories.py
+++ b/libs/gateway/vanillayoke/gateway/histories.py
@@ -1,12 +1,14 @@
 """Storage of turns, and retrieval of their history for later turns."""
 
 import collections
+import math
 import typing
 
 from vanillayoke.core import memory
 from vanillayoke.core import timers
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import partitions
+from vanillayoke.gateway import retention as retention_module
 from vanillayoke.gateway import retries
 from vanillayoke.gateway import store as store_module
 from vanillayoke.programs import transcripts
@@ -38,17 +40,19 @@
         self,
         store: store_module.StoreClient,
         timer_service: timers.TimerService,
+        get_retention: typing.Callable[[], retention_module.Retention],
         memory_account: memory.Account | None = None,
     ) -> None:
+        self._get_retention = get_retention
         self._memory = memory_account
         self._store = store
         self._timers = timer_service
-        self._cache: collections.OrderedDict[str, bytes] = (
+        self._cache: collections.OrderedDict[str, transcripts.History] = (
             collections.OrderedDict()
         )
         self._cached_bytes = 0
 
-    async def fetch(self, turn: str, deadline: float) -> bytes:
+    async def fetch(self, turn: str, deadline: float) -> transcripts.History:
         """Return the history up to and including a turn.
 
         Raise ``UnknownTurnError`` if the turn is not in the store, or
@@ -56,25 +60,28 @@
         ``StoreError`` at once if the whole store is unreachable.
         """
         texts: list[bytes] = []
+        expires_at = math.inf
         next_turn = turn
         while next_turn:
             cached = self._cache.get(next_turn)
             if cached is not None:
                 self._cache.move_to_end(next_turn)
-                texts.append(cached)
+                texts.append(cached.text)
+                expires_at = min(expires_at, cached.expires_at)
                 break
             stored = await self._read(next_turn, deadline)
             texts.append(stored.text)
+            expires_at = min(expires_at, stored.expires_at)
             next_turn = stored.base
-        text = b''.join(reversed(texts))
-        self._add_to_cache(turn, text)
-        return text
+        history = transcripts.History(b''.join(reversed(texts)), expires_at)
+        self._add_to_cache(turn, history)
+        return history
 
     async def save(
         self,
         turn: str,
         previous_turn: str,
-        history: bytes,
+        history: transcripts.History,
         new_text: bytes,
         deadline: float,
     ) -> None:
@@ -83,23 +90,29 @@
         ``previous_turn`` is empty if there is none. Raise ``StoreError`` if it
         is unknown at the deadline whether the turn is stored.
         """
-        rows = transcripts.make_rows(
+        retention = self._get_retention()
+        encoded = transcripts.encode_turn(
             turn,
             previous_turn,
             history,
             new_text,
             self._store.row_bytes,
             self._timers.wall(),
+            retention.lifetime,
+            retention.needed,
         )
         await self._try_partitions(
             turn,
             deadline,
             lambda partition, timeout_seconds: self._write(
-                partition, rows, timeout_seconds
+                partition, encoded.rows, timeout_seconds
             ),
             waits_when_unreachable=True,
         )
-        self._add_to_cache(turn, history + new_text)
+        self._add_to_cache(
+            turn,
+            transcripts.History(history.text + new_text, encoded.expires_at),
+        )
 
     async def _try_partitions(
         self,
@@ -223,19 +236,19 @@
         if self._memory is not None:
             self._memory.add(memory.Kind.HISTORIES, -size)
 
-    def _add_to_cache(self, turn: str, text: bytes) -> None:
+    def _add_to_cache(self, turn: str, history: transcripts.History) -> None:
         # The cache is cleared only when the pressure begins.
         if self._memory is not None and self._memory.is_under_pressure:
             return
         previous_bytes = self._cached_bytes
         old = self._cache.pop(turn, None)
         if old is not None:
-            self._cached_bytes -= len(old)
-        self._cache[turn] = text
-        self._cached_bytes += len(text)
+            self._cached_bytes -= len(old.text)
+        self._cache[turn] = history
+        self._cached_bytes += len(history.text)
         while self._cached_bytes > MAX_CACHE_BYTES:
             _, evicted = self._cache.popitem(last=False)
-            self._cached_bytes -= len(evicted)
+            self._cached_bytes -= len(evicted.text)
         if self._memory is not None:
             self._memory.add(
                 memory.Kind.HISTORIES, self._cached_bytes - previous_bytes
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -36,6 +36,7 @@
 from vanillayoke.gateway import rendezvous
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import resumptions as resumptions_module
+from vanillayoke.gateway import retention
 from vanillayoke.gateway import slot_queues
 from vanillayoke.gateway import slot_requests
 from vanillayoke.gateway import store as store_module
@@ -229,7 +230,10 @@
             settings, self._timers, self._log, self.metrics
         )
         self._histories = histories.Histories(
-            self._store, self._timers, self._memory_limit.account
+            self._store,
+            self._timers,
+            self._get_retention,
+            self._memory_limit.account,
         )
         self._memory_limit.set_cache(self._histories.clear_cache)
         health = shared_health.SharedHealth(settings.instance, random_float)
@@ -539,6 +543,10 @@
             self._catalog,
             self._members.list_eligible,
             self._timers,
+            self.settings.bounds.limits.window,
+            lambda table, count: self.metrics.removed_rows.add(
+                count, table=table
+            ),
         )
         await self._supervisor.run('sweeping', sweeper.run)
 
@@ -619,6 +627,11 @@
         self._pool.close()
         self._store.close()
 
+    def _get_retention(self) -> retention.Retention:
+        return retention.Retention.from_configuration(
+            self._catalog.configuration
+        )
+
     def _make_write_id(self) -> str:
         return f'{self._rng.getrandbits(64):016x}'
 
--- a/libs/gateway/vanillayoke/gateway/limit_accounts.py
+++ b/libs/gateway/vanillayoke/gateway/limit_accounts.py
@@ -282,9 +282,9 @@
     )
 
 
-def read_time(value: bytes) -> float | None:
-    """Return when a row was written; ``None`` if it can't be decoded."""
+def read_expiry(value: bytes, lifetime: float) -> float | None:
+    """Return when a row may be removed; ``None`` if it can't be decoded."""
     try:
-        return _DECODER.decode(value).time
+        return _DECODER.decode(value).time + lifetime
     except decoding.DecodingError:
         return None
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -60,6 +60,7 @@
     'reason', tuple(reason.value for reason in decoding.Reason)
 )
 _TASK = metrics.Label('task')
+_TABLE = metrics.Label('table', ('turns', 'budgets', 'limits'))
 
 
 class Metrics:
@@ -233,6 +234,12 @@
             'Requests and background tasks that ended with an unexpected'
             ' error.',
         )
+        self.removed_rows = metrics.Counter(
+            registry,
+            'rows_removed_total',
+            'Expired rows removed from the store, by table.',
+            _TABLE,
+        )
         self.lines_dropped = metrics.Gauge(
             registry,
             'log_lines_dropped',
--- a/libs/gateway/vanillayoke/gateway/sweeping.py
+++ b/libs/gateway/vanillayoke/gateway/sweeping.py
@@ -16,16 +16,13 @@
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import partitions
 from vanillayoke.gateway import rendezvous
+from vanillayoke.gateway import retention as retention_module
 from vanillayoke.gateway import store as store_module
 from vanillayoke.programs import grants
 from vanillayoke.programs import transcripts
 
 # The time in which all partitions are swept once.
 SWEEP_INTERVAL_SECONDS = 600.0
-# Rows are kept longer than the retention of the routes, since clocks differ
-# and a program may be about to continue.
-RETENTION_FACTOR = 2.0
-RETENTION_MARGIN_SECONDS = 60.0
 MAX_REMOVED_ROWS = 50
 STORE_TIMEOUT_SECONDS = 2.0
 
@@ -35,7 +32,10 @@
 
 
 class Sweeper:
-    """Sweeps the partitions that this instance coordinates."""
+    """Sweeps the partitions that this instance coordinates.
+
+    ``on_removed`` is called with a table and the number of rows removed.
+    """
 
     def __init__(
         self,
@@ -44,13 +44,16 @@
         catalog: catalog_module.Catalog,
         list_eligible: rendezvous.ListPeers,
         timer_service: timers.TimerService,
+        limit_window: float,
+        on_removed: typing.Callable[[str, int], None],
     ) -> None:
+        self._on_removed = on_removed
+        self._limit_window = limit_window
         self._instance = instance
         self._store = store
         self._catalog = catalog
         self._list_eligible = list_eligible
         self._timers = timer_service
-        self.removed_count = 0
 
     async def run(self) -> None:
         """Sweep one partition after another until cancelled."""
@@ -69,9 +72,24 @@
             return
         if self._store.is_unavailable or self._catalog.configuration is None:
             return
-        for table, read_time in _TABLES:
+        retention = retention_module.Retention.from_configuration(
+            self._catalog.configuration
+        )
+        lifetime = retention.lifetime
+        for table, read_expiry, min_lifetime in (
+            (histories.TABLE, transcripts.decode_expiry, 0.0),
+            (ledger.TABLE, read_budget_expiry, 0.0),
+            # Counts are needed for as long as they are in the window.
+            (
+                limit_accounts.TABLE,
+                limit_accounts.read_expiry,
+                self._limit_window + retention_module.SAFETY_MARGIN_SECONDS,
+            ),
+        ):
             try:
-                await self._sweep_table(table, partition, read_time)
+                await self._sweep_table(
+                    table, partition, read_expiry, max(lifetime, min_lifetime)
+                )
             except store_module.StoreError:
                 # The next sweep tries again.
                 return
@@ -80,14 +98,16 @@
         self,
         table: str,
         partition: str,
-        read_time: typing.Callable[[bytes], float | None],
+        read_expiry: typing.Callable[[bytes, float], float | None],
+        lifetime: float,
     ) -> None:
         page = await self._store.read(table, partition, STORE_TIMEOUT_SECONDS)
-        cutoff = self._timers.wall() - self._get_max_age()
+        now = self._timers.wall()
         expired = [
             row
             for row in page.rows
-            if (time := read_time(row.value)) is not None and time < cutoff
+            if (expiry := read_expiry(row.value, lifetime)) is not None
+            and expiry < now
         ][:MAX_REMOVED_ROWS]
         if not expired:
             return
@@ -99,24 +119,12 @@
             transaction, STORE_TIMEOUT_SECONDS
         )
         if isinstance(outcome, messages.Committed):
-            self.removed_count += len(expired)
-
-    def _get_max_age(self) -> float:
-        routes = self._catalog.configuration.routes
-        max_retention = max((route.retention for route in routes), default=0.0)
-        return RETENTION_FACTOR * max_retention + RETENTION_MARGIN_SECONDS
+            self._on_removed(table, len(expired))
 
 
-def read_budget_time(value: bytes) -> float | None:
-    """Return when a row was written; ``None`` if it can't be decoded."""
+def read_budget_expiry(value: bytes, lifetime: float) -> float | None:
+    """Return when a row may be removed; ``None`` if it can't be decoded."""
     try:
-        return _BUDGET_DECODER.decode(value).time
+        return _BUDGET_DECODER.decode(value).time + lifetime
     except decoding.DecodingError:
         return None
-
-
-_TABLES = (
-    (histories.TABLE, transcripts.decode_time),
-    (ledger.TABLE, read_budget_time),
-    (limit_accounts.TABLE, limit_accounts.read_time),
-)
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -16,6 +16,7 @@
 from vanillayoke.gateway import store as store_module
 from vanillayoke.gateway import store_waiting
 from vanillayoke.gateway import unary
+from vanillayoke.programs import transcripts
 from vanillayoke.scheduling import program_slack
 from vanillayoke.transport import client
 from vanillayoke.transport import headers as headers_module
@@ -37,7 +38,7 @@
     def __init__(self, progress: dispatch.Progress, event_tokens: int) -> None:
         self.progress = progress
         self.event_tokens = event_tokens
-        self.history = b''
+        self.history = transcripts.History()
         self.reservation_name = progress.call.request
         self.call = progress.call
         self.data: list[bytes] = []
@@ -305,10 +306,10 @@
                 await self._store_waiting.wait(progress, error)
                 continue
             turn.call = progress.call._replace(
-                body=turn.history + progress.call.body
+                body=turn.history.text + progress.call.body
             )
             if turn.held is not None:
-                turn.held.add(len(turn.history) + len(turn.call.body))
+                turn.held.add(len(turn.history.text) + len(turn.call.body))
             return
 
     async def _try(
--- a/tests/adapter/test_untrusted_input.py
+++ b/tests/adapter/test_untrusted_input.py
@@ -150,9 +150,15 @@
         lambda value: transcripts.decode_rows('t', {'t': value}),
         transcripts.CorruptTurnError,
     ),
-    'turn time': _Decoder(transcripts.decode_time, _NeverRaised),
-    'budget time': _Decoder(sweeping.read_budget_time, _NeverRaised),
-    'limit time': _Decoder(limit_accounts.read_time, _NeverRaised),
+    'turn expiry': _Decoder(
+        lambda value: transcripts.decode_expiry(value, 1.0), _NeverRaised
+    ),
+    'budget expiry': _Decoder(
+        lambda value: sweeping.read_budget_expiry(value, 1.0), _NeverRaised
+    ),
+    'limit expiry': _Decoder(
+        lambda value: limit_accounts.read_expiry(value, 1.0), _NeverRaised
+    ),
     'membership': _Decoder(cluster_messages.decode_packet, _NeverRaised),
     'membership updates': _Decoder(
         lambda value: cluster_messages.decode_updates([msgspec.Raw(value)]),
--- a/tests/gateway/test_sweeping.py
+++ b/tests/gateway/test_sweeping.py
@@ -28,4 +28,47 @@
     case.assertEqual(200, response.status)
 
 
+async def _converse(site, instances, turn_count, pause, **options):
+    """Run turns of a program; return their statuses.
+
+    The first ones bring large inputs.
+    """
+    statuses = []
+    previous = None
+    for number in range(turn_count):
+        name = f'a{number}'
+        body = b'x' * (30_000 if number < 2 else 200)
+        instance = instances[number % len(instances)]
+        response = await site.turn(
+            instance, name, body, previous=previous, **options
+        )
+        statuses.append(response.status)
+        if response.status != 200:
+            break
+        previous = name
+        await asyncio.sleep(pause)
+    return statuses
+
+
+async def test_long_conversation_outlives_the_rows_of_its_first_turns(
+    case, site, network
+):
+    """Turns of a long conversation got 404 at an instance without its cache.
+
+    The rows of its first turns had been removed by age, although later turns
+    continued them.
+    """
+    site.timers._read_wall = site.timers.now
+    await site.start()
+    for instance in site.instances.values():
+        instance._histories._add_to_cache = lambda turn, history: None
+    statuses = await _converse(
+        site, ('i1', 'i2'), 40, 45.0, budget=100_000, max_tokens=40
+    )
+    case.assertEqual([200] * 40, statuses)
+    [run] = site.list_runs('a39')
+    # All but the names of the turns in their events.
+    case.assertEqual(60_000 + 38 * 200, run.body.count(b'x'))
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
--- a/tests/programs/test_transcripts.py
+++ b/tests/programs/test_transcripts.py
@@ -9,12 +9,23 @@
 ROW_BYTES = 65536
 
 
-def _make_rows(turn, base, history, new_text):
-    return dict(
-        transcripts.make_rows(turn, base, history, new_text, ROW_BYTES, 7.0)
+def _encode(turn, base, text, new_text, expires_at=1000.0, time=7.0):
+    return transcripts.encode_turn(
+        turn,
+        base,
+        transcripts.History(text, expires_at),
+        new_text,
+        ROW_BYTES,
+        time,
+        lifetime=80.0,
+        needed=30.0,
     )
 
 
+def _make_rows(turn, base, history, new_text):
+    return dict(_encode(turn, base, history, new_text).rows)
+
+
 def test_chain_is_rebuilt_byte_for_byte(case):
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
     @hypothesis.given(
@@ -42,6 +53,27 @@
     check()
 
 
+def test_long_conversation_is_stored_whole_before_its_rows_expire(case):
+    """Rows of the first turns were removed while later ones needed them."""
+    text, new_text = b'x' * 60_000, b'y'
+    relying = _encode('t2', 't1', text, new_text, expires_at=37.0)
+    stored = transcripts.decode_rows('t2', dict(relying.rows))
+    case.assertEqual(('t1', new_text), (stored.base, stored.text))
+    case.assertEqual(37.0, relying.expires_at)
+    whole = _encode('t2', 't1', text, new_text, expires_at=36.9)
+    stored = transcripts.decode_rows('t2', dict(whole.rows))
+    case.assertEqual(('', text + new_text), (stored.base, stored.text))
+    case.assertEqual(87.0, whole.expires_at)
+
+
+def test_row_lasts_for_the_longer_of_two_lifetimes(case):
+    """A configuration with a shorter retention removed promised turns."""
+    [(_, value)] = _encode('t', '', b'', b'x').rows
+    case.assertEqual(87.0, transcripts.decode_expiry(value, 60.0))
+    case.assertEqual(127.0, transcripts.decode_expiry(value, 120.0))
+    case.assertIsNone(transcripts.decode_expiry(b'\xc1', 60.0))
+
+
 def test_rows_fit_the_limit_after_base64(case):
     rows = _make_rows('t', '', b'', b'x' * 500_000)
     for value in rows.values():
