Kept the budget row of a running program.

What callers would see: a program that gets its budget a second time.

Cause: the row of a budget was removed by the age of its last write, and a program writes it only when it needs a grant. An instance whose row was gone took it for a program that was granted nothing.

Also seen: an account was dropped 120 s after its last grant although its program went on reserving from it, so that tokens were lost and turns got 402 too early (1,200 tokens: 480 used).

Change: a reservation whose program's row has reached half of the time that it can still be relied on has the row written again; a row that disappears keeps what it had granted; and each reservation counts as a use of the account.

The tests failed before: 1,200 tokens of a budget of 1,000, 480 of 1,200 with turns 50 s apart, and no row left after 11 minutes of turns. With the renewal alone taken out, the last one fails.

--- a/libs/gateway/vanillayoke/gateway/budget_accounts.py
+++ b/libs/gateway/vanillayoke/gateway/budget_accounts.py
@@ -57,6 +57,7 @@
         self.row: grants.BudgetRow | None = None
         self.version = 0
         self.is_current = False
+        self.opened_at = 0.0
         self.used_at = 0.0
         # Tokens given on credit or charged for it, not yet recorded in the
         # row.
@@ -99,10 +100,12 @@
         """Update the account from the row in the store.
 
         A new version settles all unconfirmed writes: those that have not
-        taken effect by then can't do so any more.
+        taken effect by then can't do so any more. What a row has granted stays
+        granted if the row was removed.
         """
         is_newer = version != self.version
-        self.row = row
+        if row is not None:
+            self.row = row
         self.version = version
         self.is_current = True
         if row is None or not is_newer:
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -225,6 +225,7 @@
             self._timers,
             self._make_write_id,
             self._instrumentation.record_budget_decision,
+            self._get_retention,
         )
         self._memory_limit = memory_limit.MemoryLimit(
             settings, self._timers, self._log, self.metrics
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -12,6 +12,7 @@
 from vanillayoke.gateway import budget_accounts
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import partitions
+from vanillayoke.gateway import retention as retention_module
 from vanillayoke.gateway import retries
 from vanillayoke.gateway import store as store_module
 from vanillayoke.programs import grants
@@ -58,7 +59,9 @@
         timer_service: timers.TimerService,
         make_write_id: typing.Callable[[], str],
         on_decision: typing.Callable[[budget_accounts.Decision], None],
+        get_retention: typing.Callable[[], retention_module.Retention],
     ) -> None:
+        self._get_retention = get_retention
         self._instance = instance
         self._store = store
         self._timers = timer_service
@@ -81,7 +84,10 @@
     def try_reserve(self, program: str, turn: str, need: int) -> bool:
         """Reserve from tokens already granted; return whether they suffice."""
         account = self._accounts.get(program)
-        return account is not None and account.allotment.reserve(turn, need)
+        if account is None or not account.allotment.reserve(turn, need):
+            return False
+        self._record_use(program, account)
+        return True
 
     async def reserve(
         self,
@@ -287,6 +293,42 @@
                 # The next turn requests the grant itself.
                 return
 
+    def needs_renewal(self, program: str) -> bool:
+        """Return whether a running program's row has to be written again.
+
+        Rows are removed by age, and a program may run on its last grant for
+        longer; with another row it would get its budget again.
+        """
+        account = self._accounts.get(program)
+        if account is None or account.lock.locked():
+            return False
+        if account.row is None:
+            age = self._timers.now() - account.opened_at
+        else:
+            age = self._timers.wall() - account.row.time
+        return age > self._get_retention().renewal_age
+
+    async def renew(self, program: str) -> None:
+        """Write a program's row again, so that it is not removed."""
+        account = self._open_account(program)
+        deadline = self._timers.now() + TOP_UP_TIMEOUT_SECONDS
+        async with account.lock:
+            try:
+                if account.row is None:
+                    await self._refresh(account, program, deadline)
+                if account.row is None:
+                    account.opened_at = self._timers.now()
+                    return
+                row = msgspec.structs.replace(
+                    account.row,
+                    write_id=self._make_write_id(),
+                    time=self._timers.wall(),
+                )
+                await self._write(account, program, row, deadline)
+            except store_module.StoreError:
+                # The next turn tries again.
+                return
+
     def has_account(self, program: str) -> bool:
         """Return whether this instance has an account of a program."""
         return program in self._accounts
@@ -364,9 +406,15 @@
         account = self._accounts.get(program)
         if account is None:
             account = self._accounts[program] = budget_accounts.Account()
+            account.opened_at = self._timers.now()
+        self._record_use(program, account)
+        return account
+
+    def _record_use(
+        self, program: str, account: budget_accounts.Account
+    ) -> None:
         account.used_at = self._timers.now()
         self._accounts.move_to_end(program)
-        return account
 
     async def _request_grant(
         self,
--- a/libs/gateway/vanillayoke/gateway/reservations.py
+++ b/libs/gateway/vanillayoke/gateway/reservations.py
@@ -381,6 +381,8 @@
         )
 
     def _top_up(self, request: peer_messages.Reserve) -> None:
+        if self._ledger.needs_renewal(request.program):
+            self._spawn(self._ledger.renew(request.program))
         if self._ledger.needs_top_up(
             request.program, request.budget, request.need
         ):
