Recorded the origin of a stream again when its caller resumes it.

What callers would see: 503 at the second resumption of a stream, although targets of its software version are there.

Cause: the origin was forgotten some time after the stream's first event, and a resumption did not renew it.

Change: the first event after a resumption records the origin again, under the request that began the stream; the newest stream of a session stays what it was.

The test failed before: the second resumption got 503.

--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -92,13 +92,36 @@
 
         The caller may resume it within ``lifetime`` seconds.
         """
+        self._publish(stream, stream.key, origin, lifetime)
+
+    def record_resumed(
+        self,
+        stream: StreamName,
+        origin: messages.StreamOrigin,
+        lifetime: float,
+    ) -> None:
+        """Record again the origin of a stream that a caller has resumed.
+
+        The caller may resume it once more within ``lifetime`` seconds. A named
+        stream need not be the newest one of its session.
+        """
+        named = StreamName(stream.request, '') if stream.request else stream
+        self._publish(named, stream.key, origin, lifetime)
+
+    def _publish(
+        self,
+        stream: StreamName,
+        key: str,
+        origin: messages.StreamOrigin,
+        lifetime: float,
+    ) -> None:
         begun = peer_messages.StreamBegun(
             *stream,
             *origin,
             round(1000 * min(lifetime, MAX_LIFETIME_SECONDS)),
         )
         self.receive(begun)
-        for peer in self._list_others(stream.key, REPLICA_COUNT):
+        for peer in self._list_others(key, REPLICA_COUNT):
             self._peers.notify(peer.address, begun)
 
     def receive(self, begun: peer_messages.StreamBegun) -> None:
@@ -106,7 +129,8 @@
         origin = messages.StreamOrigin(begun.service, begun.software_version)
         lifetime = begun.lifetime_ms / 1000 + LIFETIME_MARGIN_SECONDS
         now = self._timers.now()
-        self._by_request.record(begun.request, origin, now, lifetime)
+        if begun.request:
+            self._by_request.record(begun.request, origin, now, lifetime)
         if begun.session:
             self._by_session.record(begun.session, origin, now, lifetime)
 
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -397,19 +397,27 @@
             self._start(turn, head, responder)
 
     def _record_origin(self, turn: _Turn, target: messages.Target) -> None:
-        """Record which target sent the first event of a stream."""
+        """Record which target sent the first event of a response.
+
+        When the caller has resumed the stream, it may do so once more.
+        """
         progress = turn.progress
-        if progress.origin is not None:
-            return
-        progress.origin = messages.StreamOrigin(
-            target.service, target.software_version
-        )
-        if progress.route.is_resumable:
-            self._context.resumptions.record_begun(
-                _name_stream(progress, progress.call.request),
-                progress.origin,
-                max(progress.call.time_left or 0.0, progress.route.timeout),
+        call = progress.call
+        is_resumed = progress.origin is not None
+        if not is_resumed:
+            progress.origin = messages.StreamOrigin(
+                target.service, target.software_version
             )
+        if not progress.route.is_resumable:
+            return
+        lifetime = max(call.time_left or 0.0, progress.route.timeout)
+        recorder = self._context.resumptions
+        if is_resumed:
+            stream = _name_stream(progress, call.resumes or '')
+            recorder.record_resumed(stream, progress.origin, lifetime)
+        else:
+            stream = _name_stream(progress, call.request)
+            recorder.record_begun(stream, progress.origin, lifetime)
 
     def _start(
         self, turn: _Turn, head: client.Head, responder: server.Responder
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -134,6 +134,21 @@
     case.assertEqual(4, response.body.count(b'data: '))
 
 
+async def test_origin_lasts_while_a_stream_is_resumed_again(case, site):
+    """It was forgotten some time after the stream had begun.
+
+    A caller that had resumed it once could not do so a second time.
+    """
+    await _start(site, {'m3': 'v1', 'm4': 'v2'})
+    await (await _begin_at(site, 'i1', 'm3', 'a', program='p'))
+    lifetime = 3.0 + resumptions.LIFETIME_MARGIN_SECONDS
+    for number in range(3):
+        await asyncio.sleep(0.8 * lifetime)
+        response = await _resume(site, 'i2', f'b{number}', 'a', program='p')
+        case.assertEqual(200, response.status)
+        case.assertEqual(['m3'], _list_servers(site, f'b{number}'))
+
+
 async def test_resumption_without_its_version_is_refused_at_once(case, site):
     """The last server of the version has left.
 
