Bounded what a peer can make an instance take in on one connection.

Cause: the client had no limit for the head of a response, and read bodies whole without one; the HTTP parser keeps an unfinished field, which no callback reports, so that the server's limit of the head missed it, too.

Change: a response's head has at most 64 KiB and 256 fields, which counts informational responses, the framing of chunks and trailers; a body that is read whole has at most 16 MiB or a sixteenth of the memory limit, a skipped response 1 MiB, an event of a stream 1 MiB, and the text of a turn that is kept 4 MiB. Beyond them the connection is closed and the attempt fails like any with a broken response: a safe request goes to another target at once, one that must run once gets 502, and the target's health learns from it. A body that goes to a caller is received at the caller's pace. The same client reads responses of the store and of other instances. The server refuses a head or the framing of a chunk that does not end with 431. Trailers of a response, which were added to the header fields that the caller got, are dropped.

--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -60,6 +60,9 @@
 # Callers may use an address for up to three times its lifetime; the last
 # second is for requests sent at the end of that time.
 MIN_DRAIN_SECONDS = 3 * directory.TTL_SECONDS + 1.0
+# Of the memory limit, for one response that is held as a whole. Several may be
+# held at a time, each in two copies.
+MAX_BODY_RATIO = 1 / 16
 # Reserved at the end of the grace period for ending the process.
 GRACE_MARGIN_SECONDS = 0.7
 
@@ -255,6 +258,7 @@
             CONNECT_TIMEOUT_SECONDS,
             self._instrumentation.record_connection,
             self._memory_limit.account,
+            _compute_max_body(settings.memory_limit),
         )
 
     def _make_cluster_components(self) -> None:
@@ -668,6 +672,13 @@
             )
 
 
+def _compute_max_body(memory_limit: int | None) -> int:
+    """Return the most bytes of a response that is held as a whole."""
+    if memory_limit is None:
+        return client.MAX_BODY_BYTES
+    return min(client.MAX_BODY_BYTES, int(memory_limit * MAX_BODY_RATIO))
+
+
 def get_relay_address(address: str) -> str | None:
     """Return the relay address of the instance with this peer address.
 
--- a/libs/gateway/vanillayoke/gateway/sse.py
+++ b/libs/gateway/vanillayoke/gateway/sse.py
@@ -5,6 +5,11 @@
 _LF_TERMINATOR = b'\n\n'
 _CRLF_TERMINATOR = b'\r\n\r\n'
 _MAX_TERMINATOR_BYTES = 4
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+class EventTooLongError(Exception):
+    """An event does not end within ``MAX_EVENT_BYTES``."""
 
 
 class StreamEvent(typing.NamedTuple):
@@ -31,7 +36,10 @@
         return self._pending
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
-        """Add bytes and return the events that they complete."""
+        """Add bytes and return the events that they complete.
+
+        Raise ``EventTooLongError`` if the rest is too long for an event.
+        """
         # Of the earlier bytes only the last ones may begin a terminator.
         searched = max(0, len(self._pending) - _MAX_TERMINATOR_BYTES + 1)
         received = self._pending + chunk
@@ -41,6 +49,8 @@
             events.append(_parse_event(received[start:end]))
             start = end
         self._pending = received[start:]
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f'more than {MAX_EVENT_BYTES} bytes')
         return events
 
 
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -24,6 +24,8 @@
 
 _DROPPED = frozenset((b'content-length',))
 _FIRST_NON_SUCCESS_STATUS = 300
+# Of the events of a turn whose text is kept.
+MAX_TEXT_BYTES = 4 * 1024 * 1024
 # Assumed for turns whose expected length is unknown.
 DEFAULT_EVENT_COUNT = 8
 # Initial estimates, replaced by measured times.
@@ -42,6 +44,7 @@
         self.reservation_name = progress.call.request
         self.call = progress.call
         self.data: list[bytes] = []
+        self._data_bytes = 0
         self.event_count = 0
         self.is_complete = False
         # Where the stream resumes if it is interrupted.
@@ -54,6 +57,16 @@
         """The number of tokens sent to the caller."""
         return self.event_count * self.event_tokens
 
+    def add_data(self, data: bytes) -> None:
+        """Add the data of an event to the text that the turn adds.
+
+        Raise ``BadAnswer`` if the text becomes too long.
+        """
+        self.data.append(data)
+        self._data_bytes += len(data)
+        if self._data_bytes > MAX_TEXT_BYTES:
+            raise client.BadAnswer('the text of the stream is too long')
+
     def make_new_text(self) -> bytes:
         """Return the text that the turn adds to the history."""
         return self.progress.call.body + b''.join(
@@ -61,6 +74,14 @@
         )
 
 
+def _feed(parser: sse.EventParser, chunk: bytes) -> list[sse.StreamEvent]:
+    """Return the events that a chunk completes."""
+    try:
+        return parser.feed(chunk)
+    except sse.EventTooLongError as error:
+        raise client.BadAnswer(f'an event is too long: {error}') from error
+
+
 def _name_stream(
     progress: dispatch.Progress, request: str
 ) -> resumptions.StreamName:
@@ -377,7 +398,7 @@
         # The head is sent with the first event. Until then, another target
         # can still serve the request.
         while chunk := await attempt.read_chunk():
-            for event in parser.feed(chunk):
+            for event in _feed(parser, chunk):
                 if not responder.is_started:
                     self._start(turn, head, responder)
                     self._record_origin(turn, attempt.target)
@@ -387,7 +408,7 @@
                 if event.data is not None:
                     turn.event_count += 1
                     if turn.progress.route.keeps_history:
-                        turn.data.append(event.data)
+                        turn.add_data(event.data)
                         if turn.held is not None:
                             turn.held.add(len(event.data))
             await responder.drain()
--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -31,6 +31,17 @@
 # A connection is closed after this many named requests. It remembers them all,
 # which takes 8 bytes each.
 MAX_NAMED_REQUESTS = 256
+# Of a response: its status line and header fields, all informational responses
+# before it, and what comes between two parts of the body, such as the
+# extensions of chunks and trailers.
+MAX_HEAD_BYTES = 64 * 1024
+MAX_HEAD_FIELDS = 256
+# Of a body that is read as a whole.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# Of the body of a response that is skipped.
+MAX_SKIPPED_BYTES = 1024 * 1024
+# Beyond this, the rest of a body is not received until some of it is read.
+MAX_BUFFERED_BYTES = 256 * 1024
 
 
 class TransportError(Exception):
@@ -78,17 +89,26 @@
     afterwards. Such a response may also come late, so a connection carries no
     two requests of one name: ``accept`` could not tell their responses apart.
 
+    A response whose head or whose body is too long closes the connection and
+    raises ``BadAnswer``.
+
     Responses are held in the account ``memory``, if there is one, until the
     connection is idle or closed. ``expected`` is what was reserved for the
     response before its size was known.
     """
 
-    def __init__(self, memory: memory_module.Account | None = None) -> None:
+    def __init__(
+        self,
+        memory: memory_module.Account | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
         self._memory = memory
+        self._max_body_bytes = max_body_bytes
         self.expected: memory_module.Reservation | None = None
         self._held_bytes = 0
         # Whether the memory for the whole response is held.
         self._is_reserved = False
+        self._is_paused = False
         self._waiter: memory_module.Waiter | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -131,11 +151,14 @@
             # These bytes belong to no request.
             self.abort()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._is_bad = True
-            self.abort()
+            self._fail('the response is not valid HTTP')
+        if self._overhead_bytes > MAX_HEAD_BYTES and not self._is_complete:
+            self._fail('the head of the response is too long')
+        self._update_reading()
         self._wakeup.set()
 
     # Called by the parser
@@ -146,11 +169,21 @@
         self._fields: headers_module.Headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._is_complete:
+        if self._is_complete:
+            return
+        self._field_count += 1
+        self._field_bytes += len(name) + len(value)
+        if (
+            self._field_count > MAX_HEAD_FIELDS
+            or self._field_bytes > MAX_HEAD_BYTES
+        ):
+            self._fail('the head of the response is too long')
+        # Later fields are trailers, which are dropped.
+        elif self.head is None:
             self._fields.append((name, value))
 
     def on_headers_complete(self) -> None:
-        if self._is_complete:
+        if self._is_complete or self._failure:
             return
         status = self._parser.get_status_code()
         if status < 200:
@@ -165,6 +198,8 @@
         self._is_chunked = coding is not None
         length = head.find(b'content-length')
         self._has_length = length is not None
+        if length is not None and length.isdigit():
+            self._content_length = int(length)
         if not self._parser.should_keep_alive():
             self.is_clean = False
         self._read_keep_alive(head)
@@ -172,15 +207,21 @@
             self._hold_response(self._memory, length)
 
     def on_body(self, body: bytes) -> None:
+        if self._is_skipping:
+            self._skipped_bytes += len(body)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                self._fail('a response to another request is too long')
+        self._overhead_bytes = 0
         if not self._is_skipping and not self._is_complete:
             self._chunks.append(body)
+            self._buffered_bytes += len(body)
             if self._memory is not None and not self._is_reserved:
                 self._hold_chunk(self._memory, len(body))
 
     def on_message_complete(self) -> None:
         if self._is_skipping:
             self._is_skipping = False
-        elif self.head is not None:
+        elif self.head is not None and not self._failure:
             self._is_complete = True
 
     # Public interface
@@ -238,13 +279,24 @@
             await self._wait()
         data = b''.join(self._chunks)
         self._chunks.clear()
+        self._buffered_bytes = 0
+        self._update_reading()
         return data
 
     async def read_body(self) -> bytes:
-        """Return the whole body."""
+        """Return the whole body; raise ``BadAnswer`` if it is too long."""
         chunks = []
-        while data := await self._take_chunk():
-            chunks.append(data)
+        size = self._content_length or 0
+        if size <= self._max_body_bytes:
+            size = 0
+            while data := await self._take_chunk():
+                chunks.append(data)
+                size += len(data)
+                if size > self._max_body_bytes:
+                    break
+        if size > self._max_body_bytes:
+            self._fail('the body of the response is too long')
+            self._raise_if_failed()
         return b''.join(chunks)
 
     @property
@@ -325,7 +377,7 @@
         def read_on() -> None:
             self._waiter = None
             self._add_memory(memory, size)
-            self._transport.resume_reading()
+            self._update_reading()
 
         self._waiter = memory.wait(
             memory_module.Kind.TARGETS, max(1, size), read_on
@@ -333,13 +385,27 @@
         if self._waiter is None:
             self._add_memory(memory, size)
             return
-        self._transport.pause_reading()
+        self._update_reading()
 
     def _stop_waiting(self, memory: memory_module.Account) -> None:
         if self._waiter is not None:
             memory.cancel(self._waiter)
             self._waiter = None
+            self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Receive no more while memory is short or much is unread."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        must_pause = (
+            self._waiter is not None
+            or self._buffered_bytes > MAX_BUFFERED_BYTES
+        )
+        if must_pause and not self._is_paused:
+            self._transport.pause_reading()
+        elif self._is_paused and not must_pause:
             self._transport.resume_reading()
+        self._is_paused = must_pause
 
     def _add_memory(self, memory: memory_module.Account, size: int) -> None:
         self._held_bytes += size
@@ -361,16 +427,27 @@
         self._chunks: list[bytes] = []
         self._is_complete = False
         self._is_skipping = False
-        self._is_bad = False
+        self._failure = ''
+        self._overhead_bytes = 0
+        self._field_count = 0
+        self._field_bytes = 0
+        self._skipped_bytes = 0
+        self._buffered_bytes = 0
+        self._content_length: int | None = None
         self._is_chunked = False
         self._has_length = False
 
     def _raise_if_failed(self) -> None:
-        if self._is_bad:
-            raise BadAnswer('the response is not valid HTTP')
+        if self._failure:
+            raise BadAnswer(self._failure)
         if self.is_closed:
             raise ConnectionLost('connection closed before the response ended')
 
+    def _fail(self, detail: str) -> None:
+        """Close the connection, as its response can't be used."""
+        self._failure = self._failure or detail
+        self.abort()
+
     async def _wait(self) -> None:
         self._wakeup.clear()
         await self._wakeup.wait()
@@ -391,7 +468,8 @@
     """Connection pool, by address.
 
     ``on_opened`` is called with the address of each new connection. Responses
-    are held in the account ``memory``, if there is one.
+    are held in the account ``memory``, if there is one. Bodies that are read
+    as a whole have at most ``max_body_bytes``.
     """
 
     def __init__(
@@ -399,7 +477,9 @@
         connect_timeout: float,
         on_opened: typing.Callable[[str], None] = lambda address: None,
         memory: memory_module.Account | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
+        self._max_body_bytes = max_body_bytes
         self._connect_timeout = connect_timeout
         self._on_opened = on_opened
         self._memory = memory
@@ -427,7 +507,9 @@
         try:
             async with asyncio.timeout(self._connect_timeout):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._memory), host, int(port)
+                    lambda: Connection(self._memory, self._max_body_bytes),
+                    host,
+                    int(port),
                 )
         except TimeoutError:
             raise NotSent(f'connecting to {address} timed out') from None
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -121,12 +121,15 @@
     def data_received(self, data: bytes) -> None:
         if self._is_closing:
             return
+        has_begun_head = self._is_reading and not self._has_head
+        body_size = len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse(http.HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self._refuse(http.HTTPStatus.BAD_REQUEST)
+        self._limit_overhead(data, has_begun_head, body_size)
         if (
             self._memory is not None
             and self._queue
@@ -307,6 +310,7 @@
         self._has_head = False
         self._has_length = False
         self._header_size = 0
+        self._overhead_bytes = 0
         self._body = bytearray()
         self._is_reading = False
         self._must_continue = False
@@ -326,6 +330,25 @@
         if self._header_size > self._server.limits.header_bytes:
             self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
+    def _limit_overhead(
+        self, data: bytes, had_begun_head: bool, body_size: int
+    ) -> None:
+        """Refuse a head, or the framing of a chunk, that does not end.
+
+        The parser reports a header field only when it is complete.
+        """
+        if not self._is_reading:
+            return
+        is_head = had_begun_head and not self._has_head
+        is_framing = self._has_head and len(self._body) == body_size
+        if not is_head and not is_framing:
+            self._overhead_bytes = 0
+            return
+        self._overhead_bytes += len(data)
+        # A complete head is measured exactly, by its fields.
+        if self._overhead_bytes > 2 * self._server.limits.header_bytes:
+            self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
     def _refuse(self, status: http.HTTPStatus) -> None:
         if self._is_closing:
             return
