Taught the soak targets that break the protocol, and unusable rows.

Servers of the soak now also send rejections a second time, late, with and without an id, and header fields, heads, bodies and events without end, in faults with a generator of their own, so that a seed keeps its other faults. The invalid rows of the fault server_foreign gained a figure that no target has and values nested 1,500 deep, one of them in the table of instances.

--- a/libs/soak/vanillayoke/soak/control.py
+++ b/libs/soak/vanillayoke/soak/control.py
@@ -22,6 +22,13 @@
     times: int
 
 
+class Misbehave(msgspec.Struct, frozen=True, tag=True):
+    """Break the protocol in the next ``times`` requests of a server."""
+
+    hostility: str
+    times: int
+
+
 class Pace(msgspec.Struct, frozen=True, tag=True):
     """Set the interval between events of a model server, in seconds."""
 
@@ -57,10 +64,11 @@
 
 
 class Spoil(msgspec.Struct, frozen=True, tag=True):
-    """Write a row that cannot be decoded."""
+    """Write a row that cannot be decoded, or whose JSON is nested deeply."""
 
     table: str
     key: str
+    is_nested: bool = False
 
 
 class Link(msgspec.Struct, frozen=True, tag=True):
@@ -83,7 +91,9 @@
     to: str
 
 
-Command = Fail | Pace | Contend | Store | Put | Spoil | Link | Forward
+Command = (
+    Fail | Misbehave | Pace | Contend | Store | Put | Spoil | Link | Forward
+)
 _DECODER = msgspec.json.Decoder(Command)
 
 
--- a/libs/soak/vanillayoke/soak/plans.py
+++ b/libs/soak/vanillayoke/soak/plans.py
@@ -86,6 +86,17 @@
     'server_reborn': (1.5, 1, 2),
     'server_foreign': (2.0, 1, 2),
 }
+# Servers that break the protocol, by how many requests at most; with their own
+# generator as well.
+HOSTILE_KINDS: dict[str, int] = {
+    'server_repeat_rejection': 12,
+    'server_repeat_unnamed': 6,
+    'server_endless_field': 3,
+    'server_endless_head': 3,
+    'server_endless_body': 3,
+    'server_endless_event': 3,
+}
+HOSTILE_INTERVAL_SECONDS = 4.0
 # Changes of keys and limits, which have their own generator as well.
 ACCESS_KINDS = ('configure_keys', 'configure_keys', 'configure_limit')
 ACCESS_INTERVAL_SECONDS = 4.0
@@ -132,6 +143,7 @@
     faults += _generate_additional(seed, faulty)
     faults += _generate_many_routes(seed, faulty)
     faults += _generate_access(seed, faulty)
+    faults += _generate_hostile(seed, faulty)
     faults += [
         Fault(*fault) for fault in streams.generate_faults(seed, faulty)
     ]
@@ -165,6 +177,19 @@
     return faults
 
 
+def _generate_hostile(seed: int, faulty: float) -> list[Fault]:
+    rng = random.Random(f'hostile {seed}')
+    faults = []
+    at = rng.expovariate(1 / HOSTILE_INTERVAL_SECONDS)
+    while at < faulty:
+        kind = rng.choice(list(HOSTILE_KINDS))
+        strength = rng.randint(1, HOSTILE_KINDS[kind])
+        subject = rng.randrange(1000)
+        faults.append(Fault(round(at, 2), kind, subject, 0.5, strength))
+        at += rng.expovariate(1 / HOSTILE_INTERVAL_SECONDS)
+    return faults
+
+
 def _generate_access(seed: int, faulty: float) -> list[Fault]:
     rng = random.Random(f'access {seed}')
     faults = []
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -366,6 +366,11 @@
                 child.send_command(control.Contend(1.0))
             case 'leave':
                 await self._replace_server(server)
+            case _ if fault.kind in plans.HOSTILE_KINDS:
+                times = int(fault.strength)
+                child.send_command(control.Misbehave(variant, times))
+                if variant.startswith('repeat'):
+                    child.send_command(control.Fail('shed', times))
             case _:
                 times = max(1, int(fault.strength))
                 child.send_command(control.Fail(variant, times))
--- a/libs/soak/vanillayoke/soak/servers.py
+++ b/libs/soak/vanillayoke/soak/servers.py
@@ -6,15 +6,18 @@
 
 from vanillayoke.adapter import fields
 from vanillayoke.soak import control
+from vanillayoke.soak import hostile_targets
 from vanillayoke.soak import records
 from vanillayoke.standins import store as store_module
 from vanillayoke.standins import targets
 from vanillayoke.transport import server
 
+# Deeper than decoders go.
+_NESTED = b'{"a":' * 1500
 _ORGANISATION = fields.ORGANISATION.lower()
 
 
-class RecordingTarget(targets.FakeTarget):
+class RecordingTarget(hostile_targets.HostileTarget):
     """A server that records the requests it executes."""
 
     def __init__(
@@ -75,6 +78,9 @@
         match command:
             case control.Fail(fault, times):
                 target.faults.extend([targets.Fault(fault)] * times)
+            case control.Misbehave(hostility, times):
+                kind = hostile_targets.Hostility(hostility)
+                target.hostilities.extend([kind] * times)
             case control.Pace(gap):
                 target.event_interval = gap
             case control.Contend(contention):
@@ -93,8 +99,11 @@
                 if record is not None:
                     at = control.read_now()
                     control.write_record(_set_time(record, at))
-            case control.Spoil(table, key):
-                store.corrupt(table, key)
+            case control.Spoil(table, key, is_nested):
+                if is_nested:
+                    store.put_bytes(table, key, _NESTED)
+                else:
+                    store.corrupt(table, key)
             case control.Store():
                 _change(store, command)
 
--- a/libs/soak/vanillayoke/soak/sites.py
+++ b/libs/soak/vanillayoke/soak/sites.py
@@ -33,6 +33,9 @@
 # Links listen on the same ports, in the next network.
 _PORT, _STORE_PORT = 8080, 8142
 
+# Rows that can't be decoded, and whether their JSON is nested.
+_SPOILED_KEYS = {'foreign-bytes': False, 'foreign-nested': True}
+
 
 class Server:
     """A server and its current process.
@@ -226,6 +229,7 @@
         rows = [
             {**valid_row, 'state': 'resting'},
             {**valid_row, 'slot_count': 'many'},
+            {**valid_row, 'slot_count': 10**18},
             {**valid_row, 'address': 7},
             {
                 name: valid_row[name]
@@ -235,8 +239,13 @@
         keys = [f'foreign-{number}' for number in range(len(rows))]
         for key, row in zip(keys, rows, strict=True):
             self.store.send_command(control.Put('servers', key, row))
-        self.store.send_command(control.Spoil('servers', 'foreign-bytes'))
-        return [*keys, 'foreign-bytes']
+        for key, is_nested in _SPOILED_KEYS.items():
+            self.store.send_command(control.Spoil('servers', key, is_nested))
+        # No process writes the rows of others.
+        self.store.send_command(
+            control.Spoil('instances', 'foreign-nested', True)
+        )
+        return [*keys, *_SPOILED_KEYS]
 
     def unregister(self, name: str) -> None:
         """Remove a server's row."""
--- a/tests/soak/test_plans.py
+++ b/tests/soak/test_plans.py
@@ -20,6 +20,7 @@
     expected = {
         *plans.KINDS,
         *plans.ADDITIONAL_KINDS,
+        *plans.HOSTILE_KINDS,
         *plans.ACCESS_KINDS,
         plans.MANY_ROUTES_KIND,
         load.BURST_KIND,
