Resumed reading on a connection that goes back to the pool.

A response that was complete but not read by its request left the connection paused since reading stops beyond 256 KiB, so that the next request on it got no response.

--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -326,6 +326,9 @@
     def mark_idle(self) -> None:
         """Mark the connection idle; data received while idle closes it."""
         self._is_busy = False
+        self._chunks.clear()
+        self._buffered_bytes = 0
+        self._update_reading()
         self._release_memory()
 
     def abort(self) -> None:
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -121,7 +121,7 @@
     def data_received(self, data: bytes) -> None:
         if self._is_closing:
             return
-        has_begun_head = self._is_reading and not self._has_head
+        was_reading_head = self._is_reading and not self._has_head
         body_size = len(self._body)
         try:
             self._parser.feed_data(data)
@@ -129,7 +129,7 @@
             self._refuse(http.HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self._refuse(http.HTTPStatus.BAD_REQUEST)
-        self._limit_overhead(data, has_begun_head, body_size)
+        self._limit_overhead(data, was_reading_head, body_size)
         if (
             self._memory is not None
             and self._queue
@@ -331,7 +331,7 @@
             self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _limit_overhead(
-        self, data: bytes, had_begun_head: bool, body_size: int
+        self, data: bytes, was_reading_head: bool, body_size: int
     ) -> None:
         """Refuse a head, or the framing of a chunk, that does not end.
 
@@ -339,7 +339,7 @@
         """
         if not self._is_reading:
             return
-        is_head = had_begun_head and not self._has_head
+        is_head = was_reading_head and not self._has_head
         is_framing = self._has_head and len(self._body) == body_size
         if not is_head and not is_framing:
             self._overhead_bytes = 0
--- a/tests/transport/test_endless_bytes.py
+++ b/tests/transport/test_endless_bytes.py
@@ -72,6 +72,19 @@
             await asyncio.sleep(0.001)
 
 
+class _OneResponse(asyncio.Protocol):
+    """Sends the same response to each request, in one piece."""
+
+    def __init__(self, response):
+        self._response = response
+
+    def connection_made(self, transport):
+        self._transport = transport
+
+    def data_received(self, data):
+        self._transport.write(self._response)
+
+
 @fixtures.fixture
 def network(loop):
     return networks.Network(loop)
@@ -141,6 +154,26 @@
     connection.abort()
 
 
+async def test_connection_with_an_unread_body_can_be_used_again(case, network):
+    """No further response was received, as reading stayed paused."""
+    size = 2 * client.MAX_BUFFERED_BYTES
+    body = b'x' * size
+    response = OK + b'Content-Length: %d\r\n\r\n' % size + body
+    network.listeners[HOST, PORT] = lambda: _OneResponse(response)
+    pool = client.Pool(1.0)
+    connection = await pool.open(ADDRESS)
+    connection.send(b'GET', b'/', [], b'')
+    await connection.read_head()
+    await asyncio.sleep(1.0)
+    pool.release(ADDRESS, connection)
+    case.assertIs(connection, await pool.acquire(ADDRESS))
+    async with asyncio.timeout(1.0):
+        connection.send(b'GET', b'/', [], b'')
+        await connection.read_head()
+        case.assertEqual(body, await connection.read_body())
+    connection.abort()
+
+
 async def test_trailers_are_not_taken_for_header_fields(case, network):
     """Fields after a body changed the head that its caller got."""
     response = CHUNKED + b'1\r\nx\r\n0\r\nConnection: x\r\nAge: 1\r\n\r\n'
