Let the row of a budget hold more than the largest budget.

Up to one turn may be granted beyond a budget, so the row of a budget at the upper end of the range of counts could not be decoded any more and its program got 503.

--- a/libs/programs/vanillayoke/programs/grants.py
+++ b/libs/programs/vanillayoke/programs/grants.py
@@ -36,8 +36,8 @@
     tokens, and each recognises its own write after others have written.
     """
 
-    budget: figures.Count
-    granted: figures.Count
+    budget: figures.Ordinal
+    granted: figures.Ordinal
     write_id: str
     time: figures.WallSeconds
     holders: tuple[tuple[str, str], ...] = ()
--- a/tests/programs/test_grants.py
+++ b/tests/programs/test_grants.py
@@ -1,8 +1,11 @@
 """Tests of splitting budgets into grants."""
 
 import hypothesis
+import msgspec
 from hypothesis import strategies
 
+from vanillayoke.core import decoding
+from vanillayoke.core import figures
 from vanillayoke.programs import grants
 from vanillayoke.testing import fixtures
 
@@ -112,4 +115,14 @@
     check()
 
 
+def test_row_of_the_largest_budget_can_be_decoded(case):
+    """Tokens granted beyond it made the row unreadable, and its budget lost."""
+    budget = figures.MAX_COUNT
+    row = grants.BudgetRow(budget, budget, 'w', 0.0)
+    grant = grants.plan_grant(row, budget, 40, 'w', 0.0, extra=40)
+    decoder = decoding.Decoder.for_msgpack(grants.BudgetRow)
+    value = msgspec.msgpack.encode(grant.row)
+    case.assertEqual(grant.row, decoder.decode(value))
+
+
 load_tests = fixtures.adapt(__name__)
