--- a/tests/programs/test_grants.py
+++ b/tests/programs/test_grants.py
@@ -1,8 +1,8 @@
 """Tests of splitting budgets into grants."""
 
 import hypothesis
-import msgspec
 from hypothesis import strategies
+import msgspec
 
 from vanillayoke.core import decoding
 from vanillayoke.core import figures
