--- a/tests/programs/test_grants.py
+++ b/tests/programs/test_grants.py
@@ -116,7 +116,7 @@
 
 
 def test_row_of_the_largest_budget_can_be_decoded(case):
-    """Tokens granted beyond it made the row unreadable, and its budget lost."""
+    """Tokens granted beyond it made the row of the budget unreadable."""
     budget = figures.MAX_COUNT
     row = grants.BudgetRow(budget, budget, 'w', 0.0)
     grant = grants.plan_grant(row, budget, 40, 'w', 0.0, extra=40)
