Took the replacement of an instance for a kill in the soak's stops.

The check of planned stops was wrong: the fault replace_instance kills the instance, and where that came after a SIGTERM, the end by SIGKILL was found as a stop without grace (soak). The exemption is as narrow as the fault: only an end by SIGKILL, and only beside a replacement; any other status, a late end and one that never comes are found as before.

The test failed before and covers these cases, too.

--- a/libs/soak/vanillayoke/soak/checks.py
+++ b/libs/soak/vanillayoke/soak/checks.py
@@ -302,6 +302,11 @@
             requested_at, record.at, frozenset(('kill', 'freeze'))
         ):
             continue
+        if record.status == -signal.SIGKILL and history.is_disturbed(
+            requested_at, record.at, frozenset(('replace',))
+        ):
+            # A replaced instance is killed, whatever it was told before.
+            continue
         if record.status == -signal.SIGTERM:
             # ``check_crashes`` reports this, as it knows the process's age.
             continue
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -295,6 +295,25 @@
     case.assertEqual([], _check(told, ended, started, cutoff=due_at))
 
 
+def test_replacement_amid_a_planned_stop_is_a_kill(case):
+    """The SIGKILL of the replacement was taken for an end without grace.
+
+    Other ends beside a replacement must still be found.
+    """
+    told = _request_stop(1.0)
+    replaced = records.Disturbed(1.4, 2.4, 'replace_instance', 'i1')
+
+    def end(status, at=1.5):
+        return records.Process(at, 'i1', 'ended', status)
+
+    case.assertEqual([], _check(told, replaced, end(-9)))
+    case.assertEqual(['graceful stop'], _check(told, end(-9)))
+    found = _check(told, replaced, end(1))
+    case.assertEqual(['graceful stop', 'no crash'], found)
+    late = end(0, at=1.0 + BOUNDS.grace + 0.1)
+    case.assertEqual(['graceful stop'], _check(told, replaced, late))
+
+
 def test_frozen_stop_has_a_whole_grace_period_afterwards(case):
     """A process may end late after a freeze, but it must end."""
     told = _request_stop(1.0)
