Logged and counted messages of others that can't be decoded.

Rows were logged and counted, but of datagrams and responses of the store only the kind was counted, and load reports only by target: an operator could not tell from the logs which process sends what no one can use. Now message_rejected names the source, the sender and the reason, once in ten seconds for each source and reason, and vanillayoke_rejected_messages_total counts all of them.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -666,6 +666,15 @@
     'request',
     'error',
 )
+MESSAGE_REJECTED = _define(
+    1009,
+    'message_rejected',
+    _WARNING,
+    'A message from {sender} ({source}) could not be decoded: {reason}.',
+    'source',
+    'sender',
+    'reason',
+)
 RESPONSE_SKIPPED = _define(
     1008,
     'response_skipped',
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -108,7 +108,7 @@
             self._access.record_confirmation,
             self._version_gossip.publish,
             self._software_versions,
-            self._instrumentation.record_rejected_message,
+            self._instrumentation.count_rejected_message,
             self._supervisor,
         )
 
@@ -643,10 +643,10 @@
     # Callbacks of components
 
     def _record_dropped_datagram(
-        self, kind: str, reason: decoding.Reason
+        self, kind: str, reason: decoding.Reason, sender: str
     ) -> None:
         self.metrics.datagrams_dropped.add(1, kind=kind)
-        self._instrumentation.record_rejected_message('peers', reason)
+        self._instrumentation.record_rejected_message('peers', reason, sender)
 
     def _record_store_call(
         self, call: str, outcome: str, seconds: float
@@ -660,7 +660,9 @@
             self._exclusivity.record_store_failure(self._timers.now())
 
     def _record_rejected_response(self, reason: decoding.Reason) -> None:
-        self._instrumentation.record_rejected_message('store', reason)
+        self._instrumentation.record_rejected_message(
+            'store', reason, self.settings.store.address
+        )
 
     def _record_store_state(self, is_available: bool) -> None:
         if is_available:
--- a/libs/gateway/vanillayoke/gateway/instrumentation.py
+++ b/libs/gateway/vanillayoke/gateway/instrumentation.py
@@ -10,7 +10,8 @@
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.scheduling import shared_health
 
-# At most one malformed load report of a target is logged in this time.
+# At most one malformed load report of a target, and one rejected message of a
+# source and for a reason, is logged in this time.
 REPORT_LOG_INTERVAL_SECONDS = 10.0
 _INITIAL_STATES = frozenset(
     (cluster_messages.State.ALIVE, cluster_messages.State.SUSPECTED)
@@ -31,6 +32,8 @@
         self._timers = timer_service
         # When the last malformed report of a target was logged.
         self._malformed_at: dict[str, float] = {}
+        # When the last rejected message was logged, by source and reason.
+        self._rejected_at: dict[tuple[str, decoding.Reason], float] = {}
 
     def record_store_call(
         self, call: str, outcome: str, seconds: float
@@ -99,6 +102,7 @@
         target in ``REPORT_LOG_INTERVAL_SECONDS`` is logged.
         """
         self._metrics.malformed_reports.add(1, target=target.name)
+        self.count_rejected_message('load_reports', decoding.Reason.INVALID)
         now = self._timers.now()
         last = self._malformed_at.get(target.name, float('-inf'))
         if now - last >= REPORT_LOG_INTERVAL_SECONDS:
@@ -173,14 +177,34 @@
             error=_describe(error),
         )
 
-    def record_rejected_message(
+    def count_rejected_message(
         self, source: str, reason: decoding.Reason
     ) -> None:
-        """Record that bytes of another process could not be decoded."""
+        """Count bytes of another process that could not be decoded."""
         self._metrics.rejected_messages.add(
             1, source=source, reason=reason.value
         )
 
+    def record_rejected_message(
+        self, source: str, reason: decoding.Reason, sender: str
+    ) -> None:
+        """Count a message that could not be decoded, and log it.
+
+        Of each source and reason, the first one in
+        ``REPORT_LOG_INTERVAL_SECONDS`` is logged.
+        """
+        self.count_rejected_message(source, reason)
+        now = self._timers.now()
+        last = self._rejected_at.get((source, reason), float('-inf'))
+        if now - last >= REPORT_LOG_INTERVAL_SECONDS:
+            self._rejected_at[source, reason] = now
+            self._log.write(
+                log_events.MESSAGE_REJECTED,
+                source=source,
+                sender=sender,
+                reason=reason.value,
+            )
+
     def record_refused_connection(self, status: int) -> None:
         """Record that a connection was refused for invalid input."""
         self._log.write(log_events.CONNECTION_REFUSED, status=int(status))
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -54,7 +54,15 @@
 _STATE = metrics.Label('state', ('alive', 'leaving', 'suspected', 'failed'))
 _DATAGRAM = metrics.Label('kind', peers.KIND_NAMES)
 _SOURCE = metrics.Label(
-    'source', ('configuration', 'targets', 'instances', 'store', 'peers')
+    'source',
+    (
+        'configuration',
+        'targets',
+        'instances',
+        'store',
+        'peers',
+        'load_reports',
+    ),
 )
 _REJECTION = metrics.Label(
     'reason', tuple(reason.value for reason in decoding.Reason)
--- a/libs/gateway/vanillayoke/gateway/peers.py
+++ b/libs/gateway/vanillayoke/gateway/peers.py
@@ -106,8 +106,9 @@
     """Exchanges requests, responses and gossip with other instances.
 
     ``on_membership`` returns whether it could decode the message.
-    ``on_dropped`` is called with the kind of each datagram that is dropped and
-    the reason, ``on_failure`` with unexpected errors of ``handle``.
+    ``on_dropped`` is called with the kind of each datagram that is dropped,
+    the reason and the sender, ``on_failure`` with unexpected errors of
+    ``handle``.
     """
 
     def __init__(
@@ -121,7 +122,7 @@
             [peer_messages.ConfigurationVersion], None
         ],
         first_number: int,
-        on_dropped: typing.Callable[[str, decoding.Reason], None],
+        on_dropped: typing.Callable[[str, decoding.Reason, str], None],
         on_failure: typing.Callable[[BaseException], None],
     ) -> None:
         self._timers = timer_service
@@ -188,17 +189,19 @@
         kind, payload = data[:1], data[1:]
         if kind == MEMBERSHIP:
             if not self._on_membership(payload, sender):
-                self._on_dropped(_KIND_NAMES[kind], decoding.Reason.MALFORMED)
+                self._on_dropped(
+                    _KIND_NAMES[kind], decoding.Reason.MALFORMED, sender
+                )
             return
         # The others are from an instance of another version, or not from one.
         decoder = _DECODERS.get(kind)
         if decoder is None:
-            self._on_dropped(UNKNOWN_KIND, decoding.Reason.MALFORMED)
+            self._on_dropped(UNKNOWN_KIND, decoding.Reason.MALFORMED, sender)
             return
         try:
             message = decoder.decode(payload)
         except decoding.DecodingError as error:
-            self._on_dropped(_KIND_NAMES[kind], error.reason)
+            self._on_dropped(_KIND_NAMES[kind], error.reason, sender)
             return
         # A DecodingError of these is a failure and must not be taken for a
         # malformed datagram.
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -65,7 +65,7 @@
         handler.handle,
         handler.handle,
         1,
-        lambda kind, reason: handler.dropped.append(kind),
+        lambda kind, reason, sender: handler.dropped.append(kind),
         handler.failures.append,
     )
 
@@ -141,6 +141,11 @@
     for kind, count in ('membership', 2), ('request', 1), ('response', 0):
         name = f'vanillayoke_datagrams_dropped_total{{kind="{kind}"}}'
         case.assertIn(f'{name} {count}\n', page)
+    name = 'vanillayoke_rejected_messages_total'
+    labels = '{reason="malformed",source="peers"}'
+    case.assertIn(f'{name}{labels} 3\n', page)
+    [line] = site.list_events('i1', 'message_rejected')
+    case.assertEqual((SENDER, 'peers'), (line['sender'], line['source']))
 
 
 load_tests = fixtures.adapt(__name__, [site_fixtures])
