--- a/tests/gateway/test_foreign_rows.py
+++ b/tests/gateway/test_foreign_rows.py
@@ -129,6 +129,24 @@
     await site.add_instance('i3')
     await asyncio.sleep(3.0)
     case.assertIn('i3', site.instances['i1']._members._listed)
+    case.assertEqual([], site.list_events('i1', 'task_restarted'))
+
+
+async def test_error_in_a_probe_does_not_end_the_probes(case, site):
+    """An instance no longer probed the others after one unexpected error."""
+    await site.start()
+    members = site.instances['i1']._members
+    timer = members._probe_timer
+    timer.cancel()
+
+    def fail(event):
+        raise RuntimeError('unexpected')
+
+    members._decide = fail
+    with case.assertRaises(RuntimeError):
+        members._tick()
+    case.assertIsNot(timer, members._probe_timer)
+    members._probe_timer.cancel()
 
 
 async def test_failed_feed_starts_again_and_readiness_tells(case, site):
--- a/tests/transport/test_endless_bytes.py
+++ b/tests/transport/test_endless_bytes.py
@@ -130,6 +130,17 @@
         await _check_endless(case, network, name, beginning, piece, max_bytes)
 
 
+async def test_head_with_too_many_fields_is_refused(case, network):
+    """Short fields stay below the limit in bytes, and take more memory."""
+    fields = b'A: b\r\n' * (client.MAX_HEAD_FIELDS + 1)
+    response = OK + fields + b'Content-Length: 0\r\n\r\n'
+    network.listeners[HOST, PORT] = lambda: _OneResponse(response)
+    connection = await client.Pool(1.0).open(ADDRESS)
+    with case.assertRaises(client.BadAnswer):
+        await _read(connection)
+    case.assertTrue(connection.is_closed)
+
+
 async def test_body_without_end_closes_its_connection(case, network):
     """It was taken in until the deadline, and filled the memory."""
     for name, (beginning, piece) in ENDLESS_BODIES.items():
