--- a/libs/cli/vanillayoke/cli/management/commands/explain.py
+++ b/libs/cli/vanillayoke/cli/management/commands/explain.py
@@ -6,6 +6,7 @@
 
 from vanillayoke.cli import commands
 from vanillayoke.cli import exits
+from vanillayoke.cli import log_folders
 from vanillayoke.cli import lookups
 from vanillayoke.cli import operators
 from vanillayoke.cli import queries
@@ -19,12 +20,11 @@
 def add_flags(values: flags.FlagValues) -> None:
     """Define this command's flags."""
     queries.add_flags(values)
-    flags.DEFINE_string(
-        'logs',
+    log_folders.define_flag(
+        values,
         '',
         'A folder with the log files of all instances: shows their lines '
         'about one request or program and queries no instance.',
-        flag_values=values,
     )
 
 
@@ -37,22 +37,9 @@
 
 def _explain_from_logs(invocation: commands.Invocation) -> int:
     folder = pathlib.Path(invocation.flags.logs)
-    if not folder.is_dir():
-        invocation.warn(f'{folder} is not a folder.')
+    lines = log_folders.read_folder(invocation, folder)
+    if lines is None:
         return exits.Exit.BAD_INPUT
-    lines = []
-    for path in sorted(folder.iterdir()):
-        if path.is_file():
-            text = path.read_text(errors='replace')
-            parsed = request_logs.parse_log(text.splitlines())
-            lines += parsed.lines
-            if parsed.unreadable:
-                count = len(parsed.unreadable)
-                noun = 'line' if count == 1 else 'lines'
-                invocation.warn(
-                    f'{path}: {count} {noun} could not be read, the first one '
-                    f'is line {parsed.unreadable[0]}.'
-                )
     [identifier] = invocation.arguments
     matching_lines = request_logs.select_lines(lines, identifier)
     if not matching_lines:
--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -950,6 +950,23 @@
     'granted',
     'budget',
 )
+BUDGET_CHANGED = _define(
+    1033,
+    'budget_changed',
+    _INFO,
+    'Account of program {program}: {change} of {tokens} tokens; {granted} of '
+    '{budget} are granted in the row.',
+    'program',
+    'change',
+    'tokens',
+    'need',
+    'reason',
+    'budget',
+    'granted',
+    'version',
+    'free',
+    'owed',
+)
 ZONE_SHORT = _define(
     1045,
     'zone_short',
--- a/libs/gateway/vanillayoke/gateway/budget_accounts.py
+++ b/libs/gateway/vanillayoke/gateway/budget_accounts.py
@@ -1,6 +1,7 @@
 """One instance's account of a program's budget."""
 
 import asyncio
+import enum
 import typing
 
 from vanillayoke.programs import grants
@@ -35,14 +36,53 @@
     budget: int
 
 
-Decision = Refused | TakenOver
+class Change(enum.StrEnum):
+    """Why the tokens of an account changed."""
+
+    GRANT = 'grant'
+    CREDIT = 'credit'
+    CREDIT_RECORDED = 'credit_recorded'
+    CREDIT_REPAID = 'credit_repaid'
+    CHARGE = 'charge'
+    RECEIVE = 'receive'
+    SEND = 'send'
+    RETURN = 'return'
+    # The reservation of a turn that generated nothing was freed.
+    UNUSED = 'unused'
+
+
+class Changed(typing.NamedTuple):
+    """A change of an account, with its state behind it.
+
+    ``need`` is the maximum of the turn that the change is for, 0 if it is for
+    none, ``reason`` the turn or the other instance. ``version`` is that of the
+    last known row.
+    """
+
+    program: str
+    change: Change
+    tokens: int
+    need: int
+    reason: str
+    budget: int
+    granted: int
+    version: int
+    free: int
+    owed: int
+
+
+Decision = Refused | TakenOver | Changed
 
 
 class WriteEffect(typing.NamedTuple):
-    """Change to an account once its write is known to have taken effect."""
+    """Change to an account once its write is known to have taken effect.
+
+    ``need`` is the maximum of the turn that the tokens were requested for.
+    """
 
     tokens: int
     owed: int
+    need: int = 0
 
 
 NO_EFFECT = WriteEffect(0, 0)
@@ -87,21 +127,22 @@
         unconfirmed = (effect.tokens for effect in self.unconfirmed.values())
         return self.granted + max(unconfirmed, default=0)
 
-    def confirm(self, write_id: str) -> None:
+    def confirm(self, write_id: str) -> WriteEffect:
         """Apply the effect of one of this instance's writes, once."""
         effect = self.unconfirmed.pop(write_id, NO_EFFECT)
         self.owed -= effect.owed
         self.received += effect.tokens
         self.allotment.add(effect.tokens)
+        return effect
 
     def update_row(
         self, instance: str, row: grants.BudgetRow | None, version: int
-    ) -> None:
+    ) -> list[WriteEffect]:
         """Update the account from the row in the store.
 
         A new version settles all unconfirmed writes: those that have not
         taken effect by then can't do so any more. What a row has granted stays
-        granted if the row was removed.
+        granted if the row was removed. Return the effects that were applied.
         """
         is_newer = version != self.version
         if row is not None:
@@ -109,9 +150,11 @@
         self.version = version
         self.is_current = True
         if row is None or not is_newer:
-            return
-        self.confirm(row.write_id)
-        for holder, write_id in row.holders:
-            if holder == instance:
-                self.confirm(write_id)
+            return []
+        own_writes = [row.write_id]
+        own_writes += [
+            write_id for holder, write_id in row.holders if holder == instance
+        ]
+        effects = [self.confirm(write_id) for write_id in own_writes]
         self.unconfirmed.clear()
+        return [effect for effect in effects if effect != NO_EFFECT]
--- a/libs/gateway/vanillayoke/gateway/instrumentation.py
+++ b/libs/gateway/vanillayoke/gateway/instrumentation.py
@@ -78,6 +78,10 @@
                     granted=granted,
                     budget=budget,
                 )
+            case budget_accounts.Changed():
+                self._log.write(
+                    log_events.BUDGET_CHANGED, **decision._asdict()
+                )
             case budget_accounts.Refused():
                 self._log.write(
                     log_events.BUDGET_REFUSED,
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -135,7 +135,7 @@
                 return Outcome.GRANTED
             missing = need - account.allotment.free
             if await self._request_grant(
-                account, program, budget, missing, deadline, extra
+                account, program, budget, missing, need, deadline, extra
             ):
                 continue
             if account.is_current:
@@ -223,6 +223,15 @@
         account.owed += tokens
         account.budget = budget
         account.allotment.add(tokens)
+        if tokens:
+            self._report(
+                account,
+                program,
+                budget_accounts.Change.CREDIT,
+                tokens,
+                need,
+                turn,
+            )
         return tokens if account.allotment.reserve(turn, need) else 0
 
     def charge_former_credit(
@@ -234,6 +243,9 @@
         account.owed += tokens
         account.charged += tokens
         account.budget = budget
+        self._report(
+            account, program, budget_accounts.Change.CHARGE, tokens, max_tokens
+        )
 
     def list_owing(self) -> list[str]:
         """Return the programs with credit not yet recorded in the store."""
@@ -287,7 +299,7 @@
                 return
             try:
                 await self._request_grant(
-                    account, program, budget, missing, deadline
+                    account, program, budget, missing, need, deadline
                 )
             except store_module.StoreError:
                 # The next turn requests the grant itself.
@@ -333,13 +345,20 @@
         """Return whether this instance has an account of a program."""
         return program in self._accounts
 
-    def deposit(self, program: str, tokens: int) -> None:
+    def deposit(self, program: str, tokens: int, sender: str = '') -> None:
         """Add tokens that were transferred from another instance."""
         account = self._open_account(program)
         account.received += tokens
         account.allotment.add(tokens)
+        self._report(
+            account,
+            program,
+            budget_accounts.Change.RECEIVE,
+            tokens,
+            reason=sender,
+        )
 
-    def withdraw(self, program: str) -> int:
+    def withdraw(self, program: str, receiver: str = '') -> int:
         """Remove the unreserved tokens, to transfer them; return the count."""
         account = self._accounts.get(program)
         if account is None:
@@ -348,8 +367,15 @@
         # Tokens given on credit are paid back instead of being transferred.
         repaid = min(free, account.owed)
         account.owed -= repaid
-        account.received -= free - repaid
-        return free - repaid
+        sent = free - repaid
+        account.received -= sent
+        for change, tokens in (
+            (budget_accounts.Change.CREDIT_REPAID, repaid),
+            (budget_accounts.Change.SEND, sent),
+        ):
+            if tokens:
+                self._report(account, program, change, tokens, reason=receiver)
+        return sent
 
     def list_with_free_tokens(self) -> list[str]:
         """Return the programs that have unreserved tokens here."""
@@ -369,7 +395,18 @@
             return False
         account.turn_ended.set()
         account.turn_ended = asyncio.Event()
-        return account.allotment.settle(turn, used)
+        reserved = account.allotment.reserved
+        if not account.allotment.settle(turn, used):
+            return False
+        if not used:
+            self._report(
+                account,
+                program,
+                budget_accounts.Change.UNUSED,
+                reserved - account.allotment.reserved,
+                reason=turn,
+            )
+        return True
 
     def prune(self) -> None:
         """Drop the accounts of idle programs."""
@@ -422,6 +459,7 @@
         program: str,
         budget: int,
         missing: int,
+        need: int,
         deadline: float,
         extra: int = 0,
     ) -> bool:
@@ -438,7 +476,7 @@
         if grant is None:
             return False
         row = grant.row.add_holder(self._instance)
-        effect = budget_accounts.WriteEffect(grant.tokens, owed)
+        effect = budget_accounts.WriteEffect(grant.tokens, owed, need)
         await self._write(account, program, row, deadline, effect)
         return True
 
@@ -461,6 +499,7 @@
             self._make_write_id(),
             self._timers.wall(),
         )
+        self._report(account, program, budget_accounts.Change.RETURN, tokens)
         return await self._write(account, program, row, deadline)
 
     async def _write(
@@ -487,7 +526,7 @@
             self._store, transaction, deadline, self._timers
         )
         if isinstance(outcome, messages.Committed):
-            account.update_row(self._instance, row, outcome.version)
+            self._update_row(account, program, row, outcome.version)
             return True
         self._apply_rows(account, program, outcome.rows)
         # An earlier attempt whose response was lost may have written it.
@@ -521,13 +560,52 @@
                     f'budget row {row.where.key}: {error}'
                 ) from error
             version = row.version
-        account.update_row(self._instance, decoded, version)
+        self._update_row(account, program, decoded, version)
         if decoded is not None and not account.received:
             taken_over = budget_accounts.TakenOver(
                 program, decoded.granted, decoded.budget
             )
             self._on_decision(taken_over)
 
+    def _update_row(
+        self,
+        account: budget_accounts.Account,
+        program: str,
+        row: grants.BudgetRow | None,
+        version: int,
+    ) -> None:
+        for effect in account.update_row(self._instance, row, version):
+            for change, tokens in (
+                (budget_accounts.Change.CREDIT_RECORDED, effect.owed),
+                (budget_accounts.Change.GRANT, effect.tokens),
+            ):
+                if tokens:
+                    self._report(account, program, change, tokens, effect.need)
+
+    def _report(
+        self,
+        account: budget_accounts.Account,
+        program: str,
+        change: budget_accounts.Change,
+        tokens: int,
+        need: int = 0,
+        reason: str = '',
+    ) -> None:
+        self._on_decision(
+            budget_accounts.Changed(
+                program,
+                change,
+                tokens,
+                need,
+                reason,
+                account.budget if account.row is None else account.row.budget,
+                account.granted,
+                account.version,
+                account.allotment.free,
+                account.owed,
+            )
+        )
+
     def _make_row_key(self, program: str) -> messages.RowKey:
         return messages.RowKey(
             TABLE, partitions.find_partition(program), program
--- a/libs/gateway/vanillayoke/gateway/token_transfers.py
+++ b/libs/gateway/vanillayoke/gateway/token_transfers.py
@@ -105,7 +105,7 @@
         be asked. A search finds these through the receivers returned here.
         """
         former_receivers = self._receivers.get(program, ())
-        tokens = self._ledger.withdraw(program)
+        tokens = self._ledger.withdraw(program, requester)
         if tokens > 0 and requester:
             self._record_receiver(program, requester)
         return peer_messages.HandedOver(tokens, former_receivers)
@@ -268,7 +268,7 @@
         if not isinstance(response, peer_messages.HandedOver):
             return None
         if response.tokens > 0:
-            self._ledger.deposit(program, response.tokens)
+            self._ledger.deposit(program, response.tokens, holder.instance)
         return response
 
     async def collect_from_former(self, program: str) -> None:
@@ -296,7 +296,7 @@
         coordinator = rendezvous.find_coordinator(program, peers)
         # Withdrawn before sending: a lost message loses tokens, but a late
         # one never counts them twice.
-        tokens = self._ledger.withdraw(program)
+        tokens = self._ledger.withdraw(program, coordinator.instance)
         self._record_receiver(program, coordinator.instance)
         await self._peers.send_request(
             coordinator.address,
