Reproduced two ways in which a program gets one allowance twice.

In both a coordinator that alone can't reach the store gives a turn on credit. In the first it lives on and the other instances take the program over; in the second it fails.

--- /dev/null
+++ b/tests/gateway/test_budget_cuts.py
@@ -0,0 +1,143 @@
+"""Tests of budgets while a part of the instances can't reach the store."""
+
+import asyncio
+import collections
+
+from tests.gateway import site as site_module
+from tests.gateway import site_fixtures
+from vanillayoke.core import budget_logs
+from vanillayoke.core import events
+from vanillayoke.core import request_logs
+from vanillayoke.testing import fixtures
+
+# A turn at the fake targets generates as much as it may.
+NEED = 40
+BUDGET = 2 * NEED
+STORE_HOST = site_module.STORE.partition(':')[0]
+
+
+class _Ledgers:
+    """The changes of all accounts, in the order of their times."""
+
+    def __init__(self, site):
+        self._site = site
+        self._changes = collections.defaultdict(list)
+        for name in site.instances:
+            self.follow(name)
+
+    def follow(self, instance):
+        """Record the changes that an instance logs from now on."""
+
+        def record(event, fields):
+            if event is events.BUDGET_CHANGED:
+                now = self._site.timers.now()
+                line = request_logs.LogLine(
+                    now, instance, event.name, dict(fields)
+                )
+                self._changes[fields['program']].append(line)
+
+        self._site.loggers[instance].subscribe(record)
+
+    def find_peak(self, program):
+        """Return the account of a program when most tokens were issued."""
+        changes = self._changes[program]
+        return max(
+            (
+                budget_logs.add_up(changes[: count + 1])
+                for count in range(len(changes))
+            ),
+            key=lambda issued: issued.total,
+        )
+
+
+@fixtures.fixture
+def cut(site, network):
+    """Cut an instance from the store."""
+
+    def cut_from_store(instance):
+        host = site.instances[instance].settings.ip
+        network.block_path(host, STORE_HOST)
+
+    return cut_from_store
+
+
+async def _loop(site, program, line, seconds):
+    """Send turns without end, also after a 402; return the tokens received."""
+    names = list(site.instances)
+    end = site.timers.now() + seconds
+    received = number = 0
+    while site.timers.now() < end:
+        number += 1
+        response = await site_fixtures.try_turn(
+            site,
+            names[(number + line) % len(names)],
+            f'{program}-{line}-{number}',
+            program,
+            BUDGET,
+            NEED,
+            'plan',
+        )
+        if response is not None:
+            received += response.body.count(b'data:') * 10
+        await asyncio.sleep(0.1)
+    return received
+
+
+async def _run_loops(site, program, seconds, line_count=3):
+    received = await asyncio.gather(
+        *(_loop(site, program, line, seconds) for line in range(line_count))
+    )
+    return sum(received)
+
+
+async def test_credit_of_a_cut_coordinator_is_not_granted_again(
+    case, site, network, cut
+):
+    """A program must not get one allowance from two instances.
+
+    Its coordinator can't reach the store and gives credit. The others can,
+    take the program over, and may grant one turn beyond the budget.
+    """
+    await site.start(5)
+    ledgers = _Ledgers(site)
+    await site.turn('i1', 'before', route='plan', program='old')
+    program = site_fixtures.find_program_with_ranking(*site.instances)
+    coordinator, *_ = site.instances
+    cut(coordinator)
+    received = await _run_loops(site, program, 5.0)
+    network.restore_paths()
+    received += await _run_loops(site, program, 3.0)
+    peak = ledgers.find_peak(program)
+    case.assertGreater(peak.credit, 0)
+    case.assertLessEqual(peak.total, BUDGET + NEED, peak)
+    case.assertLessEqual(received, BUDGET + NEED)
+    case.assertGreaterEqual(received, BUDGET)
+
+
+async def test_credit_of_a_cut_coordinator_counts_after_its_failure(
+    case, site, network, cut
+):
+    """A program must not get lost credit again from the next coordinator.
+
+    The coordinator can't reach the store, gives credit, and fails before it
+    has recorded any. The next one has seen no failure of the store.
+    """
+    await site.start(5)
+    ledgers = _Ledgers(site)
+    await site.turn('i1', 'before', route='plan', program='old')
+    program = site_fixtures.find_program_with_ranking(*site.instances)
+    coordinator, *_ = site.instances
+    cut(coordinator)
+    response = await site.turn(
+        'i2', 'first', b'', 'plan', program, BUDGET, NEED
+    )
+    case.assertEqual(200, response.status)
+    case.assertEqual(NEED, ledgers.find_peak(program).credit)
+    site_fixtures.kill(site, network, coordinator)
+    received = NEED + await _run_loops(site, program, 5.0)
+    case.assertLessEqual(ledgers.find_peak(program).total, BUDGET + NEED)
+    case.assertLessEqual(received, BUDGET + NEED)
+    case.assertGreaterEqual(received, BUDGET)
+
+
+load_tests = fixtures.adapt(__name__, [site_fixtures])
