Kept the accounts of idle programs that owe credit.

An account was dropped after 120 s without a turn, also with credit that the store had not recorded because it was away for that long. The tokens were then counted nowhere, and the instance itself could give or grant them again. Found by reading, while looking for the class of fault of the overrun budget; the new test of test_ledger failed before (no row was ever written) and passes now.

--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -486,7 +486,8 @@
             lambda item: item[1].used_at <= cutoff, self._accounts.items()
         )
         for program, account in list(idle):
-            if not account.lock.locked():
+            # Credit that is forgotten unrecorded could be granted again.
+            if not account.owed and not account.lock.locked():
                 del self._accounts[program]
         while self._renounced:
             program, (renounced_at, _) = next(iter(self._renounced.items()))
--- a/tests/gateway/test_ledger.py
+++ b/tests/gateway/test_ledger.py
@@ -1,11 +1,13 @@
 """Tests of an instance's account of a budget that has been spent once."""
 
+import asyncio
 import random
 
 import msgspec
 
 from tests.gateway import site_fixtures
 from vanillayoke.gateway import ledger as ledger_module
+from vanillayoke.standins import store as store_module
 from vanillayoke.testing import fixtures
 
 PROGRAM = 'new'
@@ -93,6 +95,24 @@
     case.assertIs(ledger_module.Outcome.SPENT, outcome)
 
 
+async def test_credit_of_an_idle_program_is_recorded(case, site):
+    """Credit that was forgotten unrecorded could be granted again.
+
+    The store is away for longer than accounts of idle programs are kept.
+    """
+    await site.start(1)
+    ledger = site.instances['i1']._ledger
+    site.store.mode = store_module.Mode.RESET_CONNECTION
+    case.assertEqual(50, ledger.reserve_on_credit(PROGRAM, BUDGET, 'a', 50))
+    ledger.settle(PROGRAM, 'a', 50)
+    await asyncio.sleep(ledger_module.ACCOUNT_IDLE_SECONDS + 10.0)
+    site.store.mode = store_module.Mode.SERVE
+    await asyncio.sleep(5.0)
+    case.assertEqual(50, _read_granted(site))
+    await asyncio.sleep(ledger_module.ACCOUNT_IDLE_SECONDS + 10.0)
+    case.assertFalse(ledger.has_account(PROGRAM))
+
+
 async def _run_at_random(site, ledger, program, rng):
     """Reserve, settle and top up at random; return the tokens used."""
     running, used = {}, 0
