Gave no credit while other instances may still be starting.

On the first start of the whole system each instance regards itself as the only coordinator from its own start on, and knows those only that have started. One that was early could give a program credit, and the program's coordinator, up a moment later, give it again.

--- a/libs/gateway/vanillayoke/gateway/exclusivity.py
+++ b/libs/gateway/vanillayoke/gateway/exclusivity.py
@@ -123,6 +123,7 @@
         if (
             self._ticked_at is None
             or now - self._exclusive_since < RETENTION_SECONDS
+            or now - self._joined_at < SETTLING_SECONDS
         ):
             return False
         if now - self._ticked_at > interval + MAX_LAG_SECONDS:
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -9,6 +9,7 @@
 from vanillayoke.adapter import wire
 from vanillayoke.core import logs
 from vanillayoke.core import timers
+from vanillayoke.gateway import exclusivity
 from vanillayoke.gateway import instance as instance_module
 from vanillayoke.gateway import messages
 from vanillayoke.scheduling import quotas
@@ -82,7 +83,7 @@
             await self.add_instance(f'i{number}')
         self._is_first_start = False
         # Wait until the instances know each other.
-        await self.timers.sleep(3.0)
+        await self.timers.sleep(exclusivity.SETTLING_SECONDS + 0.5)
 
     async def add_target(
         self,
--- a/tests/gateway/test_credit.py
+++ b/tests/gateway/test_credit.py
@@ -241,6 +241,7 @@
 
 def _make_exclusivity(is_first_start=True):
     tracker = exclusivity.Exclusivity('i1', 0.0, is_first_start)
+    tracker.record_joined(-exclusivity.SETTLING_SECONDS)
     tracker.record_program()
     tracker.update_members(['i1', 'i2'], 0.0)
     tracker.tick(0.0, 0.0, 0.25)
@@ -264,6 +265,25 @@
     case.assertFalse(tracker.is_exclusive(_find_program('i2'), 0.1, 0.1, 0.25))
 
 
+def test_coordinator_is_not_exclusive_while_others_may_be_starting(case):
+    """Two instances must not both give credit on the first start.
+
+    The one that joins first does not know the coordinator yet, which regards
+    itself as the only one from its start on.
+    """
+    first = exclusivity.Exclusivity('i1', 0.0, True)
+    first.record_joined(0.0)
+    first.update_members(['i1'], 0.0)
+    first.tick(0.0, 0.0, 0.25)
+    program = _find_program('i2')
+    case.assertFalse(first.is_exclusive(program, 0.1, 0.1, 0.25))
+    seconds = exclusivity.SETTLING_SECONDS
+    first.tick(seconds, seconds, 0.25)
+    case.assertTrue(first.is_exclusive(program, seconds, seconds, 0.25))
+    first.update_members(['i1', 'i2'], seconds)
+    case.assertFalse(first.is_exclusive(program, seconds, seconds, 0.25))
+
+
 def test_restarted_coordinator_is_exclusive_after_retention(case):
     tracker = _make_exclusivity(is_first_start=False)
     program = _find_program('i1')
