Taught the soak partial outages and programs that loop on small budgets.

No soak cut more than one instance at a time from the store, and its looping programs had budgets of eight turns or more in one line of turns and ended at their first refusal, so that two allowances of one turn never met in one program. Now a part of the instances, up to all but one, is cut for 1 to 6 s, in series and overlapping, and two programs at a time send turns on three lines with a budget of two, also after a refusal.

--- a/libs/soak/vanillayoke/soak/callers.py
+++ b/libs/soak/vanillayoke/soak/callers.py
@@ -24,6 +24,11 @@
 FAN_OUT_RATIO = 0.1
 ABANDON_RATIO = 0.03
 SUB_AGENT_COUNT = 3
+# Programs that loop in several lines at once, also after a refusal.
+LOOP_BUDGET = 2 * TURN_TOKENS
+LOOP_LINE_COUNT = 3
+LOOP_SECONDS = (2.0, 6.0)
+LOOP_PAUSE_SECONDS = 0.2
 # Less than two turns, so that a loss of tokens leads to a refusal.
 SMALL_BUDGET = TURN_TOKENS * 7 // 4
 MAX_RESUME_ATTEMPTS = 8
@@ -93,6 +98,37 @@
         finally:
             caller.pool.close()
 
+    async def run_loops(self) -> None:
+        """Run looping programs with small budgets until ``is_over`` is set."""
+        while not self.is_over:
+            program = f'l{next(self._numbers)}'
+            key = self._get_key(organisations.NAMES[0])
+            end = control.read_now() + self._rng.uniform(*LOOP_SECONDS)
+            await asyncio.gather(
+                *(
+                    self._run_loop(
+                        Conversation(
+                            program,
+                            f'{program}.{line}',
+                            RESUMABLE_ROUTE,
+                            LOOP_BUDGET,
+                            key,
+                        ),
+                        end,
+                    )
+                    for line in range(LOOP_LINE_COUNT)
+                )
+            )
+
+    async def _run_loop(self, conversation: Conversation, end: float) -> None:
+        caller = Caller(self)
+        try:
+            while not self.is_over and control.read_now() < end:
+                await self.run_turn(caller, conversation, '')
+                await asyncio.sleep(LOOP_PAUSE_SECONDS)
+        finally:
+            caller.pool.close()
+
     async def run_slow_reader(
         self, address: str = '', end: float = math.inf
     ) -> None:
--- a/libs/soak/vanillayoke/soak/plans.py
+++ b/libs/soak/vanillayoke/soak/plans.py
@@ -97,6 +97,11 @@
     'server_endless_event': 3,
 }
 HOSTILE_INTERVAL_SECONDS = 4.0
+# Cuts a part of the instances from the store, with a generator of its own. The
+# strength is the number of instances.
+PARTIAL_OUTAGE_KIND = 'store_part'
+PARTIAL_OUTAGE_SECONDS = (1.0, 6.0)
+PARTIAL_OUTAGE_INTERVAL_SECONDS = 5.0
 # Changes of keys and limits, which have their own generator as well.
 ACCESS_KINDS = ('configure_keys', 'configure_keys', 'configure_limit')
 ACCESS_INTERVAL_SECONDS = 4.0
@@ -144,6 +149,7 @@
     faults += _generate_many_routes(seed, faulty)
     faults += _generate_access(seed, faulty)
     faults += _generate_hostile(seed, faulty)
+    faults += _generate_partial_outages(seed, instances, faulty)
     faults += [
         Fault(*fault) for fault in streams.generate_faults(seed, faulty)
     ]
@@ -190,6 +196,23 @@
     return faults
 
 
+def _generate_partial_outages(
+    seed: int, instances: int, faulty: float
+) -> list[Fault]:
+    rng = random.Random(f'partial outages {seed}')
+    faults = []
+    at = rng.expovariate(1 / PARTIAL_OUTAGE_INTERVAL_SECONDS)
+    while at < faulty:
+        subject = rng.randrange(1000)
+        seconds = round(rng.uniform(*PARTIAL_OUTAGE_SECONDS), 2)
+        count = rng.randint(1, max(1, instances - 1))
+        faults.append(
+            Fault(round(at, 2), PARTIAL_OUTAGE_KIND, subject, seconds, count)
+        )
+        at += rng.expovariate(1 / PARTIAL_OUTAGE_INTERVAL_SECONDS)
+    return faults
+
+
 def _generate_access(seed: int, faulty: float) -> list[Fault]:
     rng = random.Random(f'access {seed}')
     faults = []
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -19,6 +19,8 @@
 
 # Instances discover each other and the servers within this time.
 STARTUP_SECONDS = 4.0
+# Programs at a time that loop on small budgets.
+LOOPING_PROGRAM_COUNT = 2
 CHECK_INTERVAL_SECONDS = 2.0
 # Maximum delay of records of servers and the store.
 RECORD_DELAY_SECONDS = 1.0
@@ -77,6 +79,8 @@
             traffic_start = control.read_now()
             for _ in range(self._plan.callers):
                 self._caller_tasks.append(self._spawn(callers.run()))
+            for _ in range(LOOPING_PROGRAM_COUNT):
+                self._caller_tasks.append(self._spawn(callers.run_loops()))
             if self._plan.has_overload:
                 for _ in range(load.SLOW_READER_COUNT):
                     work = callers.run_slow_reader()
@@ -329,6 +333,19 @@
                 if host:
                     link = site.find_store_link(host)
                     await self._change_link(link, variant, fault)
+            case 'part':
+                subjects = range(
+                    fault.subject, fault.subject + int(fault.strength)
+                )
+                hosts = {site.choose_host(subject) for subject in subjects}
+                await asyncio.gather(
+                    *(
+                        self._change_link(
+                            site.find_store_link(host), 'silent', fault
+                        )
+                        for host in hosts - {''}
+                    )
+                )
             case _:
                 site.store.send_command(control.Store(mode=variant))
                 await asyncio.sleep(fault.seconds)
