Kept promises about credit for longer, and made fewer assumptions.

A promise to give a program no more credit was dropped after 120 s, although another instance may go on with the program for longer; it is kept for a quarter of an hour now. An instance that recorded its credit took itself for the only one that can have given some; after an interruption it leaves open who has.

--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -23,6 +23,9 @@
 # stay counted as granted. Programs pause for
 # less than this.
 ACCOUNT_IDLE_SECONDS = 120.0
+# How long a promise to give a program no more credit is kept. The promise
+# outlives the account, since another instance may go on with the program.
+RENUNCIATION_SECONDS = 900.0
 # Consecutive conflicts on a program's row before the caller gets an error.
 # Each one is a successful write of another instance.
 MAX_CONFLICTS = 20
@@ -313,7 +316,9 @@
             if account.owed and not account.lock.locked()
         ]
 
-    async def record_credit(self, program: str) -> None:
+    async def record_credit(
+        self, program: str, terms: Terms = _DEFAULT_TERMS
+    ) -> None:
         """Record in the store what was given on credit."""
         account = self._open_account(program)
         deadline = self._timers.now() + TOP_UP_TIMEOUT_SECONDS
@@ -333,7 +338,7 @@
                     self._make_write_id(),
                     self._timers.wall(),
                 )
-                row = self._name_creditor(account, row, _DEFAULT_TERMS)
+                row = self._name_creditor(account, row, terms)
                 effect = budget_accounts.WriteEffect(0, owed)
                 try:
                     await self._write(account, program, row, deadline, effect)
@@ -489,6 +494,10 @@
             # Credit that is forgotten unrecorded could be granted again.
             if not account.owed and not account.lock.locked():
                 del self._accounts[program]
+        self._prune_renounced()
+
+    def _prune_renounced(self) -> None:
+        cutoff = self._timers.now() - RENUNCIATION_SECONDS
         while self._renounced:
             program, (renounced_at, _) = next(iter(self._renounced.items()))
             if renounced_at > cutoff:
--- a/libs/gateway/vanillayoke/gateway/reservations.py
+++ b/libs/gateway/vanillayoke/gateway/reservations.py
@@ -239,7 +239,8 @@
         if self._ledger.is_store_unavailable:
             return
         for program in self._ledger.list_owing()[:MAX_CREDIT_WRITES]:
-            self._spawn(self._ledger.record_credit(program))
+            terms = ledger_module.Terms(self._is_only_creditor(program))
+            self._spawn(self._ledger.record_credit(program, terms))
 
     async def _reserve_from_store(
         self, request: peer_messages.Reserve, deadline: float
@@ -356,9 +357,9 @@
         """Return whether no other instance can have granted tokens."""
         if self.is_leaving or program in self._reserved_elsewhere:
             return False
-        return self._was_only_coordinator(program)
+        return self._is_only_creditor(program)
 
-    def _was_only_coordinator(self, program: str) -> bool:
+    def _is_only_creditor(self, program: str) -> bool:
         """Return whether no other instance can have given credit."""
         now = self._timers.now()
         eligible = self._membership.list_eligible()
@@ -447,7 +448,7 @@
                 return peer_messages.Granted()
             case peer_messages.HandOver(program, requester):
                 self._ledger.renounce_credit(
-                    program, self._was_only_coordinator(program)
+                    program, self._is_only_creditor(program)
                 )
                 _add_bounded(self._reserved_elsewhere, program)
                 if self._ledger.has_unconfirmed_writes(program):
--- a/tests/gateway/test_budget_cuts.py
+++ b/tests/gateway/test_budget_cuts.py
@@ -24,6 +24,13 @@
     return cut_from_store
 
 
+async def _start(site):
+    """Start a site that has served a program; return its ledgers."""
+    await site.start(5)
+    await site.turn('i1', 'before', route='plan', program='old')
+    return budget_ledgers.BudgetLedgers(site)
+
+
 async def _loop(site, program, line, seconds):
     """Send turns without end, also after a 402; return the tokens received."""
     names = list(site.instances)
@@ -61,9 +68,7 @@
     Its coordinator can't reach the store and gives credit. The others can,
     take the program over, and may grant one turn beyond the budget.
     """
-    await site.start(5)
-    ledgers = budget_ledgers.BudgetLedgers(site)
-    await site.turn('i1', 'before', route='plan', program='old')
+    ledgers = await _start(site)
     program = site_fixtures.find_program_with_ranking(*site.instances)
     coordinator, *_ = site.instances
     cut(coordinator)
@@ -85,9 +90,7 @@
     The coordinator can't reach the store, gives credit, and fails before it
     has recorded any. The next one has seen no failure of the store.
     """
-    await site.start(5)
-    ledgers = budget_ledgers.BudgetLedgers(site)
-    await site.turn('i1', 'before', route='plan', program='old')
+    ledgers = await _start(site)
     program = site_fixtures.find_program_with_ranking(*site.instances)
     coordinator, *_ = site.instances
     cut(coordinator)
