--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -11,6 +11,7 @@
 from vanillayoke.core import decoding
 from vanillayoke.core import timers
 from vanillayoke.gateway import budget_accounts
+from vanillayoke.gateway import credit_promises
 from vanillayoke.gateway import messages
 from vanillayoke.gateway import partitions
 from vanillayoke.gateway import retention as retention_module
@@ -23,9 +24,6 @@
 # stay counted as granted. Programs pause for
 # less than this.
 ACCOUNT_IDLE_SECONDS = 120.0
-# How long a promise to give a program no more credit is kept. The promise
-# outlives the account, since another instance may go on with the program.
-RENUNCIATION_SECONDS = 900.0
 # Consecutive conflicts on a program's row before the caller gets an error.
 # Each one is a successful write of another instance.
 MAX_CONFLICTS = 20
@@ -51,17 +49,6 @@
     allow_credit: bool = True
 
 
-class CreditStatement(typing.NamedTuple):
-    """A promise that all credit of a process is recorded and no more follows.
-
-    ``creditor`` names the process. ``was_only_coordinator`` says that no other
-    instance can have given the program credit.
-    """
-
-    creditor: str
-    was_only_coordinator: bool
-
-
 _DEFAULT_TERMS = Terms()
 
 
@@ -96,17 +83,12 @@
         self._timers = timer_service
         self._make_write_id = make_write_id
         self._on_decision = on_decision
-        # Names this process: an instance that has restarted does not know what
-        # it gave on credit before.
-        self._creditor = f'{instance}/{make_write_id()}'
+        self._promises = credit_promises.CreditPromises(
+            f'{instance}/{make_write_id()}', timer_service
+        )
         self._accounts: collections.OrderedDict[
             str, budget_accounts.Account
         ] = collections.OrderedDict()
-        # When this instance last promised to give a program no more credit,
-        # and whether it was the only coordinator until then.
-        self._renounced: collections.OrderedDict[str, tuple[float, bool]] = (
-            collections.OrderedDict()
-        )
 
     @property
     def is_store_unreachable(self) -> bool:
@@ -278,25 +260,20 @@
         ``is_only_coordinator`` says that no other instance can have given
         credit until now.
         """
-        _, was_only = self._renounced.pop(program, (0.0, False))
-        self._renounced[program] = (
-            self._timers.now(),
-            was_only or is_only_coordinator,
-        )
-
-    def make_credit_statement(self, program: str) -> CreditStatement | None:
-        """Return what this instance can promise about its credit, if it can.
+        self._promises.add(program, is_only_coordinator)
 
-        It can if it has renounced further credit and owes none.
-        """
+    def make_credit_statement(
+        self, program: str
+    ) -> credit_promises.Statement | None:
+        """Return what others may rely on; ``None`` if credit may follow."""
         account = self._accounts.get(program)
-        is_owing = account is not None and account.owed > 0
-        if is_owing or program not in self._renounced:
+        if account is not None and account.owed > 0:
             return None
-        _, was_only = self._renounced[program]
-        return CreditStatement(self._creditor, was_only)
+        return self._promises.make_statement(program)
 
-    def settle_credit(self, program: str, statement: CreditStatement) -> None:
+    def settle_credit(
+        self, program: str, statement: credit_promises.Statement
+    ) -> None:
         """Record another instance's statement about its credit."""
         account = self._open_account(program)
         account.settled_creditors.add(statement.creditor)
@@ -494,15 +471,7 @@
             # Credit that is forgotten unrecorded could be granted again.
             if not account.owed and not account.lock.locked():
                 del self._accounts[program]
-        self._prune_renounced()
-
-    def _prune_renounced(self) -> None:
-        cutoff = self._timers.now() - RENUNCIATION_SECONDS
-        while self._renounced:
-            program, (renounced_at, _) = next(iter(self._renounced.items()))
-            if renounced_at > cutoff:
-                return
-            del self._renounced[program]
+        self._promises.prune()
 
     async def return_grants(self, deadline: float) -> int:
         """Return unreserved tokens to the store; return the program count.
@@ -532,7 +501,7 @@
             account = self._accounts[program] = budget_accounts.Account()
             account.opened_at = self._timers.now()
             # This instance counts its own credit with each write.
-            account.settled_creditors.add(self._creditor)
+            account.settled_creditors.add(self._promises.creditor)
         self._record_use(program, account)
         return account
 
@@ -590,7 +559,7 @@
             and not account.has_renounced_credit
         ):
             return msgspec.structs.replace(
-                row, creditor=self._creditor, credit_base=row.granted
+                row, creditor=self._promises.creditor, credit_base=row.granted
             )
         account.has_renounced_credit = True
         return msgspec.structs.replace(row, creditor=grants.NO_CREDITOR)
@@ -599,9 +568,12 @@
         self, account: budget_accounts.Account, program: str
     ) -> bool:
         """Return whether the grants of others leave room for credit."""
-        if account.has_renounced_credit or program in self._renounced:
+        if account.has_renounced_credit or program in self._promises:
             return False
-        return account.creditor in (self._creditor, grants.UNKNOWN_CREDITOR)
+        return account.creditor in (
+            self._promises.creditor,
+            grants.UNKNOWN_CREDITOR,
+        )
 
     def _compute_extra(
         self,
--- a/libs/gateway/vanillayoke/gateway/token_transfers.py
+++ b/libs/gateway/vanillayoke/gateway/token_transfers.py
@@ -10,6 +10,7 @@
 
 from vanillayoke.core import timers
 from vanillayoke.gateway import background
+from vanillayoke.gateway import credit_promises
 from vanillayoke.gateway import ledger as ledger_module
 from vanillayoke.gateway import peer_messages
 from vanillayoke.gateway import peers as peers_module
@@ -271,7 +272,7 @@
         if response.settled_creditor:
             self._ledger.settle_credit(
                 program,
-                ledger_module.CreditStatement(
+                credit_promises.Statement(
                     response.settled_creditor, response.was_only_coordinator
                 ),
             )
