--- a/libs/soak/vanillayoke/soak/budgets.py
+++ b/libs/soak/vanillayoke/soak/budgets.py
@@ -10,13 +10,14 @@
 _GRANT_LOSS_KINDS = frozenset(
     ('kill', 'freeze', 'clock', 'replace', 'isolate')
 )
-# A coordinator that takes a program over within this time of a store failure
-# charges the credit that its predecessors may have granted.
-_CREDIT_MEMORY_SECONDS = 8.0
-_CREDIT_CHARGE_KINDS = frozenset(('store', 'link'))
-# The credit that one takeover charges, relative to the budget; at least one
-# turn. On a busy machine the store may fail without an injected fault.
-_CREDIT_CHARGE_RATIO = 0.25
+# While the store fails, tokens of a program may be spread over instances that
+# can't be asked.
+_STORE_MEMORY_SECONDS = 8.0
+_STORE_KINDS = frozenset(('store', 'link'))
+# What others keep back for credit that a coordinator may have given, relative
+# to the budget; at least one turn. On a busy machine the store may fail without
+# an injected fault.
+_KEPT_BACK_RATIO = 0.25
 
 
 def check_budgets(
@@ -48,7 +49,7 @@
 
     Incomplete turns that a server ran count with their maximum, those that
     reached no server not at all. Programs whose grants may be lost, or whose
-    coordinators may have charged credit, are skipped.
+    tokens may be out of reach, are skipped.
     """
     first_sent_times: dict[str, float] = {}
     turns: dict[str, list[records.Sent]] = collections.defaultdict(list)
@@ -69,9 +70,9 @@
             _compute_max_used(history, one, answered.at)
             for one in turns[sent.program]
         )
-        charge = _compute_max_charge(sent)
-        # A first turn fits even after a charge for credit.
-        if not used or used + charge + sent.most <= sent.budget:
+        kept_back = _compute_max_kept_back(sent)
+        # A first turn fits even into what is left then.
+        if not used or used + kept_back + sent.most <= sent.budget:
             detail = f'{used} of {sent.budget} used, {sent.most} needed'
             found.append(
                 violations.Violation(
@@ -81,12 +82,12 @@
     return found
 
 
-def _compute_max_charge(sent: records.Sent) -> int:
-    """Return the tokens that may have been charged for credit."""
+def _compute_max_kept_back(sent: records.Sent) -> int:
+    """Return the tokens that may be kept back for credit."""
     if not sent.is_resumable:
         # The gateway stores turns of these routes and gives them no credit.
         return 0
-    return max(sent.most, int(sent.budget * _CREDIT_CHARGE_RATIO))
+    return max(sent.most, int(sent.budget * _KEPT_BACK_RATIO))
 
 
 def _compute_max_used(
@@ -110,5 +111,5 @@
     if history.is_disturbed(first_sent, until, _GRANT_LOSS_KINDS):
         return True
     return history.is_disturbed(
-        first_sent - _CREDIT_MEMORY_SECONDS, until, _CREDIT_CHARGE_KINDS
+        first_sent - _STORE_MEMORY_SECONDS, until, _STORE_KINDS
     )
