--- a/libs/soak/vanillayoke/soak/budgets.py
+++ b/libs/soak/vanillayoke/soak/budgets.py
@@ -15,8 +15,8 @@
 _STORE_MEMORY_SECONDS = 8.0
 _STORE_KINDS = frozenset(('store', 'link'))
 # What others keep back for credit that a coordinator may have given, relative
-# to the budget; at least one turn. On a busy machine the store may fail without
-# an injected fault.
+# to the budget; at least one turn. On a busy machine the store may fail
+# without an injected fault.
 _KEPT_BACK_RATIO = 0.25
 
 
--- a/tests/soak/test_plans.py
+++ b/tests/soak/test_plans.py
@@ -23,6 +23,7 @@
         *plans.HOSTILE_KINDS,
         *plans.ACCESS_KINDS,
         plans.MANY_ROUTES_KIND,
+        plans.PARTIAL_OUTAGE_KIND,
         load.BURST_KIND,
         load.CROWD_KIND,
         *load.KINDS,
