--- a/libs/gateway/vanillayoke/gateway/budget_accounts.py
+++ b/libs/gateway/vanillayoke/gateway/budget_accounts.py
@@ -107,9 +107,11 @@
         self.budget = 0
         # Tokens received from the store and from other instances.
         self.received = 0
-        # Whether this instance gives the program no more credit.
+        # Whether this instance has told others, by a row that it wrote, that
+        # it gives the program no more credit.
         self.has_renounced_credit = False
-        # Processes that have recorded their credit and give no more.
+        # Values of a row's ``creditor`` of which this instance knows that all
+        # credit is recorded and no more follows.
         self.settled_creditors: set[str] = set()
         # Writes of this instance with an unknown outcome, by write id.
         self.unconfirmed: dict[str, WriteEffect] = {}
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -332,6 +332,8 @@
         if account is None or account.lock.locked():
             return False
         missing = need - account.allotment.free
+        # Whether this instance is the only coordinator takes longer to find
+        # out than to keep back too much in a few cases.
         terms = Terms(is_only_coordinator=False)
         extra = min(0, self._compute_extra(account, budget, need, terms))
         return 0 < missing <= budget + extra - account.granted - account.owed
@@ -552,6 +554,7 @@
         The row counts all credit that this instance has given until now.
         """
         if not terms.is_only_coordinator and account.may_owe_credit(True):
+            # Others may owe credit; only they can settle that.
             return row
         if (
             terms.is_only_coordinator
