Limited credit to what others keep back for it.

Others keep back what the budget had left when the creditor last wrote the row. The creditor reckoned with the row's present count: once another instance had returned tokens, it could give credit that nobody kept back.

--- a/libs/gateway/vanillayoke/gateway/budget_accounts.py
+++ b/libs/gateway/vanillayoke/gateway/budget_accounts.py
@@ -130,6 +130,11 @@
             grants.UNKNOWN_CREDITOR if self.row is None else self.row.creditor
         )
 
+    @property
+    def credit_base(self) -> int:
+        """The ``credit_base`` of the last known row."""
+        return 0 if self.row is None else self.row.credit_base
+
     def may_owe_credit(self, allow_credit: bool) -> bool:
         """Return whether others may have given credit that no row counts.
 
--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -235,9 +235,10 @@
         if not self._may_give_credit(account, program):
             return 0
         missing = max(0, need - account.allotment.free)
-        tokens = grants.plan_credit(
-            budget, account.max_granted, account.owed, missing
-        )
+        # Tokens that others returned since this instance wrote the row do not
+        # raise what is kept back for it.
+        granted = max(account.max_granted, account.credit_base)
+        tokens = grants.plan_credit(budget, granted, account.owed, missing)
         if tokens < missing:
             return 0
         account.owed += tokens
--- a/tests/gateway/test_credit_promises.py
+++ b/tests/gateway/test_credit_promises.py
@@ -81,4 +81,22 @@
     case.assertEqual(grants.NO_CREDITOR, _read_row(site).creditor)
 
 
+async def test_returned_tokens_leave_no_more_credit(case, site, ledger):
+    """A creditor must not give what nobody keeps back for it.
+
+    Others know what was granted when it last wrote the row. Tokens that they
+    return later do not raise its credit.
+    """
+    deadline = site.timers.now() + 1.0
+    for turn in ('a', 'b'):
+        await ledger.reserve(PROGRAM, BUDGET, turn, NEED, deadline)
+    ledger.settle(PROGRAM, 'a', 0)
+    other = site.instances['i2']._ledger
+    other.deposit(PROGRAM, ledger.withdraw(PROGRAM))
+    await other.return_grants(deadline)
+    case.assertEqual(NEED, _read_row(site).granted)
+    await ledger.confirm_writes(PROGRAM)
+    case.assertEqual(0, ledger.reserve_on_credit(PROGRAM, BUDGET, 'c', NEED))
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
