Covered a takeover after a failure of the store.

Cause: an instance that took a program over within 8 s of a failed or slow call of the store charged a quarter of the budget for credit, although none had been given.

--- a/tests/gateway/test_budget_cuts.py
+++ b/tests/gateway/test_budget_cuts.py
@@ -5,6 +5,9 @@
 from tests.gateway import budget_ledgers
 from tests.gateway import site as site_module
 from tests.gateway import site_fixtures
+from vanillayoke.gateway import ledger as ledger_module
+from vanillayoke.gateway import peer_messages
+from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.testing import fixtures
 
 # A turn at the fake targets generates as much as it may.
@@ -106,4 +109,43 @@
     case.assertGreaterEqual(received, BUDGET)
 
 
+async def test_takeover_after_a_store_failure_withholds_nothing(case, site):
+    """A program must not be told that its budget is spent too early.
+
+    Its coordinator lives and has given no credit. Another instance takes the
+    program over shortly after slow responses of the store.
+    """
+    await site.start(3)
+    # Instances that have just joined ask for tokens beforehand.
+    await asyncio.sleep(reservations_module.JOIN_PERIOD_SECONDS)
+    program = site_fixtures.find_program_with_ranking(*site.instances)
+    coordinator, other, _ = site.instances
+    budget = 9 * NEED
+    for number in range(5):
+        await site.turn(
+            coordinator, f'a{number}', b'', 'plan', program, budget, NEED
+        )
+    site.store.response_delay = 0.2
+    for name in site.instances:
+        await site.turn(name, f'slow-{name}', b'', 'plan', f'p-{name}')
+    site.store.response_delay = 0.004
+    await asyncio.sleep(1.0)
+    used = 5 * NEED
+    reservations = site.instances[other]._reservations
+    outcome = ledger_module.Outcome.GRANTED
+    while outcome is ledger_module.Outcome.GRANTED:
+        request = peer_messages.Reserve(
+            program, budget, f'b{used}', NEED, allow_credit=True
+        )
+        outcome = await reservations._reserve_from_store(
+            request, site.timers.now() + 1.0
+        )
+        if outcome is ledger_module.Outcome.GRANTED:
+            used += NEED
+            settlement = peer_messages.Settle(program, request.turn, NEED)
+            await reservations.settle('', settlement)
+    case.assertGreaterEqual(used, budget)
+    case.assertLessEqual(used, budget + NEED)
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
