Measured the time of a parser by the processor time of its thread.

Traced: it took the time of day, and a run over 3,000 events is long enough to be interrupted each of five times, one over 500 is not. The processor time of the thread leaves out what others take; the bound is the same, and a parser that copies the rest of the chunk for each event still exceeds it.

--- a/tests/gateway/test_sse.py
+++ b/tests/gateway/test_sse.py
@@ -36,9 +36,9 @@
         chunk = event * count
         best = float('inf')
         for _ in range(5):
-            started_at = time.perf_counter()
+            started_at = time.thread_time()
             sse.EventParser().feed(chunk)
-            best = min(best, time.perf_counter() - started_at)
+            best = min(best, time.thread_time() - started_at)
         times.append(best / count)
     case.assertLess(times[1], 3 * times[0])
 
