--- a/tests/gateway/test_credit_promises.py
+++ b/tests/gateway/test_credit_promises.py
@@ -63,6 +63,25 @@
     case.assertEqual(grants.UNKNOWN_CREDITOR, row.creditor)
 
 
+async def test_interrupted_instance_gives_no_more_credit(case, site):
+    """It must not name itself as creditor while it may have been replaced."""
+    await site.start(2)
+    program = site_fixtures.find_program_with_ranking('i1', 'i2')
+    instance = site.instances['i1']
+    creditors = []
+    for turn in ('a', 'b'):
+        instance._ledger.reserve_on_credit(program, 10 * NEED, turn, NEED)
+        instance._reservations.record_credit()
+        await asyncio.sleep(0.1)
+        value = site.store.list_table('budgets')[program]
+        row = msgspec.msgpack.decode(value, type=grants.BudgetRow)
+        creditors.append(row.creditor)
+        instance._exclusivity.record_program()
+        instance._exclusivity.record_interruption(site.timers.now())
+    case.assertTrue(creditors[0].startswith('i1/'))
+    case.assertEqual(grants.NO_CREDITOR, creditors[1])
+
+
 async def test_settled_creditor_frees_what_was_kept_back(case, site, ledger):
     """One turn beyond the budget must be granted as soon as this is safe."""
     other = site.instances['i2']._ledger
