Installed again where the environment is of another kind of machine.

An environment or target folder that was carried over from x86-64 was kept on arm64, as only the pins were compared. The stamp now names machine and Python too.

Looked through for what depends on the processor: TIOCOUTQ comes from termios, figures of /proc are read as text, no struct layouts. Nothing to change there. Not run on x86-64.

--- a/tools/build_binary.sh
+++ b/tools/build_binary.sh
@@ -13,19 +13,21 @@
 output=build/vanillayoke
 
 mkdir -p build
-if ! cmp -s requirements/build.txt "$tools/requirements.stamp"; then
+wanted=$(python3.11 tools/stamps.py requirements/build.txt)
+if [ "$(cat "$tools/requirements.stamp" 2> /dev/null)" != "$wanted" ]; then
     rm -rf "$tools"
     python3.11 -m venv "$tools"
     "$tools/bin/pip" install --quiet --quiet --disable-pip-version-check \
         --require-hashes --no-deps -r requirements/build.txt
-    cp requirements/build.txt "$tools/requirements.stamp"
+    echo "$wanted" > "$tools/requirements.stamp"
 fi
-if ! cmp -s requirements/run.txt "$contents.stamp"; then
+wanted=$(python3.11 tools/stamps.py requirements/run.txt)
+if [ "$(cat "$contents.stamp" 2> /dev/null)" != "$wanted" ]; then
     rm -rf "$contents"
     "$tools/bin/pip" install --quiet --quiet --disable-pip-version-check \
         --require-hashes --no-deps --no-compile --target "$contents" \
         -r requirements/run.txt
-    cp requirements/run.txt "$contents.stamp"
+    echo "$wanted" > "$contents.stamp"
 fi
 rm -rf "$contents/vanillayoke"
 for library in $libraries; do
--- a/tools/build_target.py
+++ b/tools/build_target.py
@@ -1,7 +1,8 @@
 """Put what an instance needs under target/: libraries and dependencies.
 
 Written for a clean checkout without a virtual environment; a second call
-installs the dependencies again only if their pins changed.
+installs the dependencies again only if their pins, the kind of machine or the
+Python changed.
 """
 
 import compileall
@@ -29,7 +30,12 @@
 
 def install_dependencies() -> None:
     """Install the pinned packages unless they are there."""
-    if STAMP.exists() and STAMP.read_bytes() == PINS.read_bytes():
+    stamp = subprocess.run(
+        [sys.executable, str(ROOT / 'tools' / 'stamps.py'), str(PINS)],
+        check=True,
+        capture_output=True,
+    ).stdout
+    if STAMP.exists() and STAMP.read_bytes() == stamp:
         return
     shutil.rmtree(DEPENDENCIES, ignore_errors=True)
     subprocess.run(
@@ -40,7 +46,7 @@
         ],
         check=True,
     )  # fmt: skip
-    STAMP.write_bytes(PINS.read_bytes())
+    STAMP.write_bytes(stamp)
 
 
 def copy_libraries() -> None:
--- a/tools/make_venv.sh
+++ b/tools/make_venv.sh
@@ -1,15 +1,17 @@
 #!/bin/sh
 # Builds .venv from pinned requirements with hashes, once for each change of
-# them, and puts the workspace's libraries on its path.
+# them, of the kind of machine or of Python, and puts the workspace's libraries
+# on its path.
 set -eu
 cd "$(dirname "$0")/.."
 stamp=.venv/requirements.stamp
-if [ ! -f "$stamp" ] || ! cmp -s requirements/dev.txt "$stamp"; then
+wanted=$(python3 tools/stamps.py requirements/dev.txt)
+if [ ! -f "$stamp" ] || [ "$(cat "$stamp")" != "$wanted" ]; then
     rm -rf .venv
     python3 -m venv .venv
     .venv/bin/pip install --quiet --quiet --disable-pip-version-check \
         --require-hashes --no-deps -r requirements/dev.txt
-    cp requirements/dev.txt "$stamp"
+    echo "$wanted" > "$stamp"
 fi
 site=$(.venv/bin/python -c \
     'import sysconfig; print(sysconfig.get_path("purelib"))')
