Logged what tells the hypotheses of requests cut by a stop apart.

Lines of requests say how long the instance had been draining when they arrived. drain_closed says when it stopped accepting and how many connections were in use. A handler that is cancelled while its caller is connected is logged as interrupted in place of caller_gone. No change of behaviour.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -121,6 +121,15 @@
     'The drain took {seconds} s.',
     'seconds',
 )
+DRAIN_CLOSED = _define(
+    114,
+    'drain_closed',
+    _INFO,
+    'No more requests are accepted, {seconds} s after the start of the'
+    ' shutdown; {active} connections were in use.',
+    'seconds',
+    'active',
+)
 TASK_FAILED = _define(
     120,
     'task_failed',
@@ -604,6 +613,7 @@
     'urgency',
     'first',
     'version',
+    'draining',
     'detail',
 )
 REQUEST_ENDED = _define(
--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -76,7 +76,9 @@
             refusal = refusals.RefusalError(reason)
             self._refuse(refusal, progress, responder)
         except asyncio.CancelledError:
-            self._record_end(progress, 0, 'caller_gone')
+            is_connected = responder.is_connected
+            outcome = 'interrupted' if is_connected else 'caller_gone'
+            self._record_end(progress, 0, outcome)
             raise
         except Exception as error:
             self._context.on_failure(error, call.request)
@@ -277,9 +279,20 @@
             urgency=progress.urgency,
             first=_to_ms(progress.first_event_delay),
             version=self._context.configuration_version,
+            draining=self._find_draining_seconds(progress),
             detail=detail or None,
         )
 
+    def _find_draining_seconds(
+        self, progress: dispatch.Progress
+    ) -> float | None:
+        """Return how long this instance had been draining on arrival.
+
+        ``None`` if the request arrived before that.
+        """
+        age = self._context.shutdown.find_age(progress.started_at)
+        return None if age is None or age < 0 else round(age, 2)
+
 
 def _make_arrival(
     progress: dispatch.Progress,
--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -16,6 +16,7 @@
 from vanillayoke.gateway import program_admission
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import resumptions as resumptions_module
+from vanillayoke.gateway import shutdown as shutdown_module
 from vanillayoke.gateway import slot_requests as slot_requests_module
 from vanillayoke.gateway import store as store_module
 from vanillayoke.gateway import zone_loads
@@ -55,6 +56,7 @@
     memory_limit: memory_limit_module.MemoryLimit
     program_admission: program_admission.ProgramAdmission
     resumptions: resumptions_module.Resumptions
+    shutdown: shutdown_module.Shutdown
     get_settings: typing.Callable[[], messages.Settings]
     # Called with an unexpected error and the request that it ended.
     on_failure: typing.Callable[[BaseException, str], None]
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -37,6 +37,7 @@
 from vanillayoke.gateway import reservations as reservations_module
 from vanillayoke.gateway import resumptions as resumptions_module
 from vanillayoke.gateway import retention
+from vanillayoke.gateway import shutdown
 from vanillayoke.gateway import slot_queues
 from vanillayoke.gateway import slot_requests
 from vanillayoke.gateway import store as store_module
@@ -86,6 +87,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._started_at = timer_service.now()
         self.is_draining = False
+        self._shutdown = shutdown.Shutdown()
         self.metrics = metrics_module.Metrics()
         self._instrumentation = instrumentation.Instrumentation(
             log, self.metrics, timer_service
@@ -172,6 +174,7 @@
             started_at + self.settings.bounds.grace - GRACE_MARGIN_SECONDS
         )
         self.is_draining = True
+        self._shutdown.start(started_at)
         self._log.write(log_events.DRAIN_STARTED, reason='stop requested')
         self._caller_server.drain()
         self._members.leave()
@@ -184,6 +187,11 @@
             if may_end and not self._caller_server.active_connections:
                 break
             await self._timers.sleep(0.05)
+        self._log.write(
+            log_events.DRAIN_CLOSED,
+            seconds=round(self._timers.now() - started_at, 2),
+            active=self._caller_server.active_connections,
+        )
         for http_server, _ in self._listeners:
             http_server.close()
         await self._reservations.hand_over()
@@ -451,6 +459,7 @@
             self._memory_limit,
             self._program_admission,
             self._resumptions,
+            self._shutdown,
             lambda: self.settings,
             self._instrumentation.record_failure,
         )
--- a/libs/transport/vanillayoke/transport/responses.py
+++ b/libs/transport/vanillayoke/transport/responses.py
@@ -25,6 +25,11 @@
         self.is_started = False
         self.is_finished = False
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the caller is still connected."""
+        return self._connection.is_open
+
     def set_request_name(self, name: str) -> None:
         """Set the name of the request for reports on the connection."""
         self._connection.request_name = name
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -213,6 +213,10 @@
     def is_idle(self) -> bool:
         return self._task is None and not self._is_reading and not self._queue
 
+    @property
+    def is_open(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
     @property
     def has_unsent_bytes(self) -> bool:
         return self._transport.get_write_buffer_size() > 0
