Reproduced requests that a planned stop cuts.

Callers that keep their connections, or open new ones, until the process is gone lose the requests that run when the instance closes its sockets: closed connections for hedged calls and streams, failures with AttributeError for calls that run once. A request on a connection that was accepted at the end is passed on and then cut while budgets are handed over, if another instance does not respond (hypothesis 2).

--- a/libs/testing/vanillayoke/testing/networks.py
+++ b/libs/testing/vanillayoke/testing/networks.py
@@ -203,11 +203,18 @@
         self._network = network
         self.address = address
         self.protocol = protocol
+        self._is_closed = False
 
     def sendto(self, data: bytes, addr: Address | None = None) -> None:
+        if self._is_closed:
+            # As asyncio's transport does.
+            raise AttributeError(
+                "'NoneType' object has no attribute 'call_exception_handler'"
+            )
         self._network.send_datagram(bytes(data), self.address, addr)
 
     def close(self) -> None:
+        self._is_closed = True
         self._network.sockets.pop(self.address, None)
 
 
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -161,15 +161,15 @@
 
 @fixtures.fixture
 def stop_signals():
-    numbers = (signal.SIGTERM, signal.SIGINT)
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     handlers = [signal.getsignal(number) for number in numbers]
     yield numbers
     for number, handler in zip(numbers, handlers, strict=True):
         signal.signal(number, handler)
 
 
-def test_second_stop_signal_is_ignored(case, stop_signals):
-    """A second stop signal during shutdown must not kill the process.
+def test_signals_after_the_shutdown_are_ignored(case, stop_signals):
+    """A second SIGTERM or a SIGHUP must not kill the process at its end.
 
     The event loop restores the default handlers as it closes.
     """
@@ -182,6 +182,7 @@
 
     asyncio.run(run())
     for number in stop_signals:
+        case.assertEqual(signal.SIG_IGN, signal.getsignal(number))
         os.kill(os.getpid(), number)
 
 
--- a/tests/gateway/site_fixtures.py
+++ b/tests/gateway/site_fixtures.py
@@ -87,6 +87,25 @@
         del network.sockets[address]
 
 
+async def stop(site, name):
+    """Stop an instance gracefully; its process ends right after that."""
+    instance = site.instances[name]
+    await instance.stop()
+    # As asyncio.run does before it closes the loop.
+    connections = [
+        connection
+        for listener, _ in instance._listeners
+        for connection in listener.connections
+    ]
+    tasks = [one._task for one in connections if one._task is not None]
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        await asyncio.wait(tasks)
+    for connection in connections:
+        connection.abort()
+
+
 async def wait_for_background_work():
     """Wait until background work after a request has finished."""
     await asyncio.sleep(0.5)
--- a/tests/transport/test_datagrams.py
+++ b/tests/transport/test_datagrams.py
@@ -26,4 +26,19 @@
     receiver.close()
 
 
+@fixtures.on_real_loop
+async def test_datagram_after_the_end_is_dropped_and_counted(case):
+    """It raised AttributeError in the request that sent it."""
+    unsent = []
+    socket = await datagrams.DatagramSocket.bind(
+        '127.0.0.1', 0, lambda data, sender: None, lambda: unsent.append(1)
+    )
+    socket.close()
+    for _ in range(3):
+        await asyncio.sleep(0.01)
+        socket.send('127.0.0.1:9', b'late')
+    case.assertEqual(3, len(unsent))
+    socket.close()
+
+
 load_tests = fixtures.adapt(__name__)
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -161,4 +161,93 @@
     case.assertTrue(caller.is_closed)
 
 
+async def _start_server(handler):
+    http_server = server.HttpServer(
+        handler.handle, lambda error: None, handler.refused.append
+    )
+    await http_server.listen(*ADDRESS)
+    return http_server
+
+
+async def _open():
+    loop = asyncio.get_running_loop()
+    _, caller = await loop.create_connection(_Caller, *ADDRESS)
+    return caller
+
+
+async def test_pipelined_requests_are_answered_before_a_drained_end(
+    case, network, handler
+):
+    """Those behind the first one were read whole and then dropped."""
+    http_server = await _start_server(handler)
+    caller = await _open()
+    handler.delay = 0.1
+    await _send(
+        caller, b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n', 0.05
+    )
+    http_server.drain()
+    await asyncio.sleep(1.0)
+    case.assertIn(b'to /a', caller.received)
+    case.assertIn(b'to /b', caller.received)
+    case.assertEqual(1, caller.received.count(b'Connection: close'))
+    case.assertTrue(caller.is_closed)
+
+
+async def test_cancelled_handler_leaves_no_silent_connection(
+    case, network, handler
+):
+    """The connection stayed open without a response."""
+    http_server = await _start_server(handler)
+    caller = await _open()
+    handler.delay = 5.0
+    await _send(caller, b'GET /a HTTP/1.1\r\n\r\n', 0.1)
+    case.assertEqual(1, http_server.interrupt())
+    await asyncio.sleep(1.0)
+    case.assertTrue(caller.received.startswith(b'HTTP/1.1 500 '))
+    case.assertTrue(caller.is_closed)
+    case.assertEqual(0, http_server.active_connections)
+
+
+async def test_interrupt_refuses_a_request_that_is_being_read(
+    case, network, handler
+):
+    """Its connection was closed without a response."""
+    http_server = await _start_server(handler)
+    caller = await _open()
+    await _send(
+        caller, b'POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nab', 0.1
+    )
+    case.assertEqual(0, http_server.interrupt())
+    await asyncio.sleep(0.1)
+    case.assertTrue(caller.received.startswith(b'HTTP/1.1 503 '))
+    case.assertEqual([], handler.requests)
+
+
+async def test_response_under_way_outlives_the_end_of_listening(
+    case, network, handler
+):
+    """A connection that lingered was closed, and the response lost."""
+    http_server = await _start_server(handler)
+    caller, idle = await _open(), await _open()
+    http_server.drain()
+    await _send(caller, b'GET /a HTTP/1.1\r\n\r\n', 0.0005)
+    await asyncio.sleep(0.001)
+    http_server.stop_listening()
+    await asyncio.sleep(0.1)
+    case.assertIn(b'to /a', caller.received)
+    case.assertTrue(idle.is_closed)
+
+
+async def test_closed_server_reads_no_request(case, network, handler):
+    """One on a connection accepted just before was begun and then cut."""
+    http_server = await _start_server(handler)
+    accept = network.listeners[ADDRESS]
+    http_server.close()
+    network.listeners[ADDRESS] = accept
+    caller = await _open()
+    await _send(caller, b'GET /a HTTP/1.1\r\n\r\n')
+    case.assertEqual([], handler.requests)
+    case.assertTrue(caller.is_closed)
+
+
 load_tests = fixtures.adapt(__name__)
