Closed nothing that requests use before the last one has ended.

Callers saw connections closed without a response although a target had run their request, or a 500 of the instance, when an instance stopped. The stop went on accepting until no request was under way at one moment, or until 0.7 s before the end of the grace period; then it closed listeners, the datagram socket, the pool and the store under the requests that ran. With callers that keep coming the first never holds.

A stream that may last longer is refused at once. A handler that is cancelled while its caller is connected answers, in the gateway and in the server below it. Pipelined requests that were read are answered before a connection is closed. Datagrams to a closed socket are dropped and counted. SIGHUP at the end of the process is ignored like SIGTERM.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -130,6 +130,15 @@
     'seconds',
     'active',
 )
+DRAIN_REQUESTS_ENDED = _define(
+    115,
+    'drain_requests_ended',
+    _INFO,
+    'The last request ended {seconds} s after the start of the shutdown;'
+    ' {interrupted} were interrupted.',
+    'seconds',
+    'interrupted',
+)
 TASK_FAILED = _define(
     120,
     'task_failed',
--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -76,9 +76,7 @@
             refusal = refusals.RefusalError(reason)
             self._refuse(refusal, progress, responder)
         except asyncio.CancelledError:
-            is_connected = responder.is_connected
-            outcome = 'interrupted' if is_connected else 'caller_gone'
-            self._record_end(progress, 0, outcome)
+            self._end_cancelled(progress, responder)
             raise
         except Exception as error:
             self._context.on_failure(error, call.request)
@@ -111,6 +109,9 @@
             route, self._context.random_float()
         )
         progress.set_route(route, service)
+        is_stream = route.kind is messages.RouteKind.STREAM
+        if not self._context.shutdown.accepts(progress.deadline, is_stream):
+            raise refusals.RefusalError(refusals.Reason.STOPPING)
         memory_limit = self._context.memory_limit
         name = progress.organisation_name
         progress.expected = memory_limit.admit(route.name, name)
@@ -223,6 +224,21 @@
         self._context.metrics.refusals.add(1, reason=reason)
         self._record_end(progress, refusal.status, reason, refusal.detail)
 
+    def _end_cancelled(
+        self, progress: dispatch.Progress, responder: server.Responder
+    ) -> None:
+        """End a request whose handler was cancelled.
+
+        A caller that is still connected gets a response.
+        """
+        if not responder.is_connected:
+            self._record_end(progress, 0, 'caller_gone')
+            return
+        reason = refusals.Reason.INTERRUPTED
+        if progress.may_have_run:
+            reason = refusals.Reason.INTERRUPTED_RUNNING
+        self._refuse(refusals.RefusalError(reason), progress, responder)
+
     def _send_refusal(
         self,
         responder: server.Responder,
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -16,7 +16,6 @@
 from vanillayoke.gateway import catalog as catalog_module
 from vanillayoke.gateway import context as context_module
 from vanillayoke.gateway import dialect as dialect_module
-from vanillayoke.gateway import directory
 from vanillayoke.gateway import endpoints
 from vanillayoke.gateway import exclusivity as exclusivity_module
 from vanillayoke.gateway import health_gossip
@@ -58,14 +57,9 @@
 MAINTENANCE_INTERVAL_SECONDS = 0.25
 # Relative to the first peer port, which receives datagrams.
 RELAY_PORT_OFFSET = 1
-# Callers may use an address for up to three times its lifetime; the last
-# second is for requests sent at the end of that time.
-MIN_DRAIN_SECONDS = 3 * directory.TTL_SECONDS + 1.0
 # Of the memory limit, for one response that is held as a whole. Several may be
 # held at a time, each in two copies.
 MAX_BODY_RATIO = 1 / 16
-# Reserved at the end of the grace period for ending the process.
-GRACE_MARGIN_SECONDS = 0.7
 
 
 class Instance:
@@ -149,7 +143,10 @@
         """Start listening, and start to synchronise with the store."""
         host, _, port = self._peer_address.rpartition(':')
         sender = await datagrams.DatagramSocket.bind(
-            host, int(port), self._peers.receive
+            host,
+            int(port),
+            self._peers.receive,
+            lambda: self.metrics.datagrams_unsent.add(1),
         )
         self._peers.set_sender(sender)
         self._sender = sender
@@ -168,38 +165,64 @@
         self._zone_loads_timer = self._zone_loads.start()
 
     async def stop(self) -> None:
-        """Drain and shut down within the grace period."""
-        started_at = self._timers.now()
-        deadline = (
-            started_at + self.settings.bounds.grace - GRACE_MARGIN_SECONDS
+        """Drain and shut down within the grace period.
+
+        Nothing that handlers use is closed before the last one has ended.
+        """
+        schedule = shutdown.Schedule.from_config(
+            self.settings.bounds, self._timers.now()
+        )
+        self._leave(schedule)
+        await self._reservations.hand_over()
+        await self._timers.sleep(
+            max(0.0, schedule.accept_until - self._timers.now())
+        )
+        await self._finish_requests(schedule)
+        await self._hand_over_state(schedule)
+        await shutdown.finish_requests(
+            self._auxiliary_servers, self._timers, schedule.end_by
         )
+        self._log.write(
+            log_events.DRAIN_ENDED,
+            seconds=self._compute_draining_seconds(),
+        )
+        self._close()
+
+    def _leave(self, schedule: shutdown.Schedule) -> None:
+        """Send callers and other instances elsewhere."""
         self.is_draining = True
-        self._shutdown.start(started_at)
+        self._shutdown.start(schedule)
         self._log.write(log_events.DRAIN_STARTED, reason='stop requested')
-        self._caller_server.drain()
+        for http_server in self._request_servers:
+            http_server.drain()
         self._members.leave()
         self._slot_queues.leave()
         self._reservations.is_leaving = True
-        await self._reservations.hand_over()
-        min_drain_end = started_at + MIN_DRAIN_SECONDS
-        while self._timers.now() < deadline:
-            may_end = self._timers.now() >= min_drain_end
-            if may_end and not self._caller_server.active_connections:
-                break
-            await self._timers.sleep(0.05)
+
+    async def _finish_requests(self, schedule: shutdown.Schedule) -> None:
+        """Accept no more requests, and wait until the last one has ended."""
+        self._shutdown.stop_accepting()
         self._log.write(
             log_events.DRAIN_CLOSED,
-            seconds=round(self._timers.now() - started_at, 2),
+            seconds=self._compute_draining_seconds(),
             active=self._caller_server.active_connections,
         )
-        for http_server, _ in self._listeners:
-            http_server.close()
+        interrupted = await shutdown.finish_requests(
+            self._request_servers, self._timers, schedule.finish_until
+        )
+        self._log.write(
+            log_events.DRAIN_REQUESTS_ENDED,
+            seconds=self._compute_draining_seconds(),
+            interrupted=interrupted,
+        )
+
+    async def _hand_over_state(self, schedule: shutdown.Schedule) -> None:
         await self._reservations.hand_over()
-        await self._ledger.return_grants(deadline)
+        await self._ledger.return_grants(schedule.end_by)
         self._members.depart()
-        seconds = round(self._timers.now() - started_at, 2)
-        self._log.write(log_events.DRAIN_ENDED, seconds=seconds)
-        self._close()
+
+    def _compute_draining_seconds(self) -> float:
+        return round(self._shutdown.find_age(self._timers.now()) or 0.0, 2)
 
     def render_metrics(self) -> metrics.Page:
         """Render all metrics in the Prometheus text format."""
@@ -485,11 +508,17 @@
             on_body_refused=self._memory_limit.record_refused_body,
             on_stalled=self._memory_limit.record_stalled_caller,
         )
+        relay_server = make(self._endpoints.handle_relay)
+        readiness_server = make(self._endpoints.handle_readiness)
+        directory_server = make(self._endpoints.handle_lookup)
+        # Their handlers may wait for targets, other instances or the store.
+        self._request_servers = [self._caller_server, relay_server]
+        self._auxiliary_servers = [readiness_server, directory_server]
         self._listeners = [
             (self._caller_server, self.settings.front),
-            (make(self._endpoints.handle_readiness), self.settings.ready),
-            (make(self._endpoints.handle_lookup), self.settings.directory),
-            (make(self._endpoints.handle_relay), self._relay_address),
+            (readiness_server, self.settings.ready),
+            (directory_server, self.settings.directory),
+            (relay_server, self._relay_address),
         ]
 
     # Other instances
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -222,6 +222,11 @@
             'Datagrams received that could not be decoded, by kind.',
             _DATAGRAM,
         )
+        self.datagrams_unsent = metrics.Counter(
+            registry,
+            'datagrams_unsent_total',
+            'Datagrams that were not sent as the socket was closed.',
+        )
         self.rejected_messages = metrics.Counter(
             registry,
             'rejected_messages_total',
--- a/libs/gateway/vanillayoke/gateway/process.py
+++ b/libs/gateway/vanillayoke/gateway/process.py
@@ -140,12 +140,13 @@
 
 
 def ignore_stop_signals() -> None:
-    """Ignore stop signals that arrive after a graceful shutdown.
+    """Ignore signals that arrive after a graceful shutdown.
 
     Closing the event loop restores the default signal handlers. A second
-    stop signal would then kill the process, which would look like a crash.
+    stop signal, or one to reload the settings, would then kill the process,
+    which would look like a crash.
     """
     loop = asyncio.get_running_loop()
-    for signal_number in _STOP_SIGNALS:
+    for signal_number in (*_STOP_SIGNALS, signal.SIGHUP):
         loop.remove_signal_handler(signal_number)
         signal.signal(signal_number, signal.SIG_IGN)
--- a/libs/gateway/vanillayoke/gateway/refusals.py
+++ b/libs/gateway/vanillayoke/gateway/refusals.py
@@ -40,6 +40,9 @@
     NOT_SAVED = 'not_kept'
     FAILED = 'failed'
     FAILED_RUNNING = 'failed_running'
+    STOPPING = 'stopping'
+    INTERRUPTED = 'interrupted'
+    INTERRUPTED_RUNNING = 'interrupted_running'
 
 
 _STATUSES = {
@@ -66,6 +69,9 @@
     Reason.NOT_SAVED: 502,
     Reason.FAILED: 503,
     Reason.FAILED_RUNNING: 500,
+    Reason.STOPPING: 503,
+    Reason.INTERRUPTED: 503,
+    Reason.INTERRUPTED_RUNNING: 504,
 }
 
 _RETRY_AFTER_SECONDS = {
@@ -80,6 +86,8 @@
     Reason.MEMORY: _SHORT_RETRY_SECONDS,
     Reason.ISOLATED: _OTHER_INSTANCE_RETRY_SECONDS,
     Reason.FAILED: _SHORT_RETRY_SECONDS,
+    Reason.STOPPING: _OTHER_INSTANCE_RETRY_SECONDS,
+    Reason.INTERRUPTED: _OTHER_INSTANCE_RETRY_SECONDS,
 }
 
 _RAN = {
@@ -87,6 +95,7 @@
     Reason.OUTCOME_UNKNOWN: failures.Ran.UNKNOWN,
     Reason.NOT_SAVED: failures.Ran.YES,
     Reason.FAILED_RUNNING: failures.Ran.UNKNOWN,
+    Reason.INTERRUPTED_RUNNING: failures.Ran.UNKNOWN,
 }
 
 
--- a/libs/transport/vanillayoke/transport/datagrams.py
+++ b/libs/transport/vanillayoke/transport/datagrams.py
@@ -11,21 +11,31 @@
 class DatagramSocket(asyncio.DatagramProtocol):
     """A UDP socket.
 
-    ``receive`` is called with the data and the sender's ``IP:PORT``.
+    ``receive`` is called with the data and the sender's ``IP:PORT``,
+    ``on_unsent`` for each datagram that is sent after ``close``.
     """
 
-    def __init__(self, receive: Receiver) -> None:
+    def __init__(
+        self,
+        receive: Receiver,
+        on_unsent: typing.Callable[[], None] = lambda: None,
+    ) -> None:
         self._receive = receive
+        self._on_unsent = on_unsent
         self._transport: asyncio.DatagramTransport | None = None
 
     @classmethod
     async def bind(
-        cls, host: str, port: int, receive: Receiver
+        cls,
+        host: str,
+        port: int,
+        receive: Receiver,
+        on_unsent: typing.Callable[[], None] = lambda: None,
     ) -> typing.Self:
         """Open a socket bound to an address."""
         loop = asyncio.get_running_loop()
         _, protocol = await loop.create_datagram_endpoint(
-            lambda: cls(receive), local_addr=(host, port)
+            lambda: cls(receive, on_unsent), local_addr=(host, port)
         )
         return protocol
 
@@ -45,13 +55,16 @@
         Nothing is sent to an invalid address: it would close the socket.
         """
         destination = _parse_address(address)
-        if self._transport is not None and destination is not None:
+        if self._transport is None:
+            self._on_unsent()
+        elif destination is not None:
             self._transport.sendto(data, destination)
 
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
 
 @functools.lru_cache(maxsize=4096)
--- a/libs/transport/vanillayoke/transport/responses.py
+++ b/libs/transport/vanillayoke/transport/responses.py
@@ -57,7 +57,7 @@
         The body is sent chunked if ``length`` is ``None``.
         """
         self.is_started = True
-        if self._connection.is_draining:
+        if self._connection.must_close:
             self._closes_connection = True
         lines = [b'HTTP/1.1 %d %s\r\n' % (status, get_phrase(status))]
         for name, value in headers:
--- a/libs/transport/vanillayoke/transport/server.py
+++ b/libs/transport/vanillayoke/transport/server.py
@@ -70,6 +70,7 @@
         self.limits = Limits()
         self.connections: set[server_connection.Connection] = set()
         self.is_draining = False
+        self.is_closed = False
         self.on_failure = on_failure
         self.on_refused = on_refused
         self.handle = handler
@@ -94,24 +95,48 @@
 
     @property
     def active_connections(self) -> int:
-        """The number of connections with a request or unsent response."""
-        return sum(
-            not connection.is_idle or connection.has_unsent_bytes
-            for connection in self.connections
-        )
+        """The number of connections with a request or a response.
+
+        The latter is counted until the client has received it or the
+        connection has lingered long enough.
+        """
+        return sum(connection.is_active for connection in self.connections)
 
     def drain(self) -> None:
         """Close each connection after its next response."""
         self.is_draining = True
 
-    def close(self) -> None:
-        """Stop listening and close idle connections."""
+    def stop_listening(self) -> None:
+        """Accept no connections, and close those without a request.
+
+        The others are closed after their response.
+        """
+        self.drain()
         for server in self._servers:
             server.close()
         for connection in list(self.connections):
-            if connection.is_idle:
+            if not connection.is_active:
                 connection.close()
 
+    def interrupt(self) -> int:
+        """Cancel all handlers, and refuse requests that are being read.
+
+        Handlers may still respond. Return the number of handlers.
+        """
+        return sum(
+            connection.interrupt() for connection in list(self.connections)
+        )
+
+    def close(self) -> None:
+        """Stop listening, and close all connections.
+
+        Unsent bytes are sent as long as the event loop runs.
+        """
+        self.stop_listening()
+        self.is_closed = True
+        for connection in list(self.connections):
+            connection.close()
+
     # Where memory is limited
 
     def check_later(self, connection: server_connection.Connection) -> None:
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -95,6 +95,11 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
+        if self._server.is_closed:
+            # It was accepted just before.
+            self._is_closing = True
+            transport.close()
+            return
         if self._memory is not None:
             self._memory.add(memory_module.Kind.CONNECTIONS, CONNECTION_BYTES)
         self._set_timer(self._server.limits.idle_timeout)
@@ -206,13 +211,26 @@
     # Called by responders
 
     @property
-    def is_draining(self) -> bool:
-        return self._server.is_draining
+    def must_close(self) -> bool:
+        """Whether to close the connection after the present response.
+
+        Pipelined requests that have been read are answered before.
+        """
+        return self._server.is_draining and not self._queue
 
     @property
     def is_idle(self) -> bool:
         return self._task is None and not self._is_reading and not self._queue
 
+    @property
+    def is_active(self) -> bool:
+        """Whether it has a request, or a response on its way."""
+        return (
+            not self.is_idle
+            or self.has_unsent_bytes
+            or (self._is_closing and self.is_open)
+        )
+
     @property
     def is_open(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
@@ -248,6 +266,25 @@
         if self._transport is not None:
             self._transport.close()
 
+    # Called by the server
+
+    def interrupt(self) -> bool:
+        """Cancel the handler; return whether there is one.
+
+        A request without a handler is refused.
+        """
+        if self._task is not None:
+            self._task.cancel()
+            return True
+        if self._queue:
+            self._queue.clear()
+            if self._bodies is not None:
+                self._bodies.release_queued()
+            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        elif self._is_reading:
+            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        return False
+
     # Called by the server where memory is limited
 
     @property
@@ -413,15 +450,11 @@
         self._task = None
         if self._bodies is not None:
             self._bodies.end_running()
-        if not task.cancelled() and task.exception() is not None:
+        if task.cancelled():
+            self._end_response()
+        elif task.exception() is not None:
             self._server.on_failure(task.exception())
-            if self._responder.is_started:
-                self.abort()
-                return
-            self._responder.close_connection_after()
-            self._responder.send(
-                http.HTTPStatus.INTERNAL_SERVER_ERROR, [], b''
-            )
+            self._end_response()
         if self._transport is None or self._transport.is_closing():
             return
         if self._queue:
@@ -432,6 +465,18 @@
             self._set_timer(self._server.limits.idle_timeout)
             self._send_continue()
 
+    def _end_response(self) -> None:
+        """End the response of a handler that failed or was cancelled."""
+        if self._responder.is_finished:
+            return
+        if self._responder.is_started:
+            self.abort()
+        elif self.is_open:
+            self._responder.close_connection_after()
+            self._responder.send(
+                http.HTTPStatus.INTERNAL_SERVER_ERROR, [], b''
+            )
+
     def _set_timer(self, delay: float) -> None:
         self._cancel_timer()
         self._timer = self._loop.call_later(delay, self._expire)
