Let the store confirm that the system starts for the first time.

Callers got streams joined from two software versions, answered 200 to the end, after all instances had died and come back: the settings still said that the whole system starts for the first time, so each instance concluded that the only version it knew had begun every stream. Coordinators' credit and the limits drew conclusions from the same field, as if no former process could have granted or counted anything.

Now such a claim counts only once the store has confirmed it: the process has created the row of its instance, and no row is older. Until then nothing is served, so each process that has served has left a row.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -734,6 +734,14 @@
     'outcome',
     'ms',
 )
+FIRST_START_DECIDED = _define(
+    1013,
+    'first_start_decided',
+    _INFO,
+    'The settings say that the whole system starts for the first time: {state}'
+    ' by the store.',
+    'state',
+)
 ROUTES_CHANGED = _define(
     1020,
     'routes_changed',
--- a/libs/gateway/vanillayoke/gateway/calls.py
+++ b/libs/gateway/vanillayoke/gateway/calls.py
@@ -98,6 +98,8 @@
         configuration = catalog.configuration
         if configuration is None:
             raise refusals.RefusalError(refusals.Reason.NO_CONFIGURATION)
+        if not self._context.first_start.is_decided:
+            raise refusals.RefusalError(refusals.Reason.STARTING)
         route = catalog.find_route(call.host, call.path)
         progress.set_organisation(
             self._context.access.identify(configuration, route, call.key),
--- a/libs/gateway/vanillayoke/gateway/context.py
+++ b/libs/gateway/vanillayoke/gateway/context.py
@@ -7,6 +7,7 @@
 from vanillayoke.gateway import access as access_module
 from vanillayoke.gateway import catalog as catalog_module
 from vanillayoke.gateway import dialect as dialect_module
+from vanillayoke.gateway import first_start as first_start_module
 from vanillayoke.gateway import histories as histories_module
 from vanillayoke.gateway import limits as limits_module
 from vanillayoke.gateway import load_queries
@@ -57,6 +58,7 @@
     program_admission: program_admission.ProgramAdmission
     resumptions: resumptions_module.Resumptions
     shutdown: shutdown_module.Shutdown
+    first_start: first_start_module.FirstStart
     get_settings: typing.Callable[[], messages.Settings]
     # Called with an unexpected error and the request that it ended.
     on_failure: typing.Callable[[BaseException, str], None]
--- a/libs/gateway/vanillayoke/gateway/exclusivity.py
+++ b/libs/gateway/vanillayoke/gateway/exclusivity.py
@@ -22,17 +22,11 @@
 
 
 class Exclusivity:
-    """Tracks interruptions of this instance and changes of membership.
+    """Tracks interruptions of this instance and changes of membership."""
 
-    ``is_first_start`` says that the whole system starts for the first time,
-    so there was no former coordinator.
-    """
-
-    def __init__(
-        self, instance: str, now: float, is_first_start: bool
-    ) -> None:
+    def __init__(self, instance: str, now: float) -> None:
         self._instance = instance
-        self._exclusive_since = float('-inf') if is_first_start else now
+        self._exclusive_since = now
         self._members: frozenset[str] = frozenset()
         self._removed: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -52,6 +46,13 @@
         """
         self._is_active = True
 
+    def record_first_start(self) -> None:
+        """Record that the whole system starts for the first time.
+
+        There was no former coordinator.
+        """
+        self._exclusive_since = float('-inf')
+
     def record_joined(self, now: float) -> None:
         """Record that this instance has started to serve."""
         self._joined_at = now
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -18,6 +18,7 @@
 from vanillayoke.gateway import dialect as dialect_module
 from vanillayoke.gateway import endpoints
 from vanillayoke.gateway import exclusivity as exclusivity_module
+from vanillayoke.gateway import first_start
 from vanillayoke.gateway import health_gossip
 from vanillayoke.gateway import histories
 from vanillayoke.gateway import instrumentation
@@ -135,6 +136,7 @@
         return (
             not self.is_draining
             and not self.is_isolated
+            and self._first_start.is_decided
             and self._catalog.configuration is not None
             and self._catalog.has_read_targets
         )
@@ -235,9 +237,7 @@
         settings = self.settings
         random_float = self._rng.random
         self._catalog = catalog_module.Catalog()
-        self._software_versions = software_versions.SoftwareVersions(
-            settings.is_first_start
-        )
+        self._software_versions = software_versions.SoftwareVersions()
         self._access = access_module.Access(
             lambda: self.settings.bounds, self._timers
         )
@@ -307,7 +307,10 @@
             peer=self._peer_address,
         )
         self._exclusivity = exclusivity_module.Exclusivity(
-            settings.instance, self._started_at, settings.is_first_start
+            settings.instance, self._started_at
+        )
+        self._first_start = first_start.FirstStart(
+            settings.is_first_start, self._row, self._store, self._timers
         )
         membership_view = rendezvous.MembershipView(
             lambda: self._members.list_eligible(),
@@ -455,7 +458,6 @@
             self._rng,
             self._peers.send_membership,
             self._instrumentation.record_member_change,
-            settings.is_first_start,
         )
 
     def _make_servers(self) -> None:
@@ -483,6 +485,7 @@
             self._program_admission,
             self._resumptions,
             self._shutdown,
+            self._first_start,
             lambda: self.settings,
             self._instrumentation.record_failure,
         )
@@ -570,6 +573,7 @@
 
     async def _join(self) -> None:
         """Join the other instances once the store's tables are loaded."""
+        await self._decide_first_start()
         await self._table_sync.wait_until_loaded()
         self._members.start()
         self._exclusivity.record_joined(self._timers.now())
@@ -593,6 +597,17 @@
         )
         await self._supervisor.run('sweeping', sweeper.run)
 
+    async def _decide_first_start(self) -> None:
+        if self._first_start.is_decided:
+            return
+        state = await self._first_start.decide()
+        if state is first_start.State.CONFIRMED:
+            self._software_versions.record_first_start()
+            self._exclusivity.record_first_start()
+            self._members.record_first_start()
+            self._program_admission.record_first_start()
+        self._log.write(log_events.FIRST_START_DECIDED, state=state.value)
+
     def _update_exclusivity(self) -> None:
         """Check for interruptions of this instance.
 
--- a/libs/gateway/vanillayoke/gateway/members.py
+++ b/libs/gateway/vanillayoke/gateway/members.py
@@ -41,7 +41,7 @@
     )
 )
 
-_ROW_DECODER: decoding.Decoder[messages.InstanceRow] = (
+ROW_DECODER: decoding.Decoder[messages.InstanceRow] = (
     decoding.Decoder.for_json(messages.InstanceRow)
 )
 
@@ -58,15 +58,10 @@
         on_change: typing.Callable[
             [cluster_messages.Member | None, cluster_messages.Member], None
         ],
-        is_first_start: bool = False,
     ) -> None:
         self._timers = timer_service
         # Wall time after which starts no longer belong to the first start.
         self._first_start_ends_at = 0.0
-        if is_first_start:
-            self._first_start_ends_at = (
-                timer_service.wall() + FIRST_START_SECONDS
-            )
         self._send = send
         self._on_change = on_change
         self._last_received_at = timer_service.now()
@@ -88,6 +83,10 @@
         """Start probing."""
         self._schedule()
 
+    def record_first_start(self) -> None:
+        """Record that the whole system starts for the first time."""
+        self._first_start_ends_at = self._timers.wall() + FIRST_START_SECONDS
+
     def receive(self, data: bytes, sender: str) -> bool:
         """Handle a membership datagram; return whether it could be decoded."""
         self._last_received_at = self._timers.now()
@@ -108,7 +107,7 @@
             if instance is not None:
                 self._decide(membership_events.Removed(instance))
             return
-        row = _ROW_DECODER.decode(value)
+        row = ROW_DECODER.decode(value)
         self._listed[key] = row.instance
         member = cluster_messages.Member(
             row.instance, 0, row.zone, row.region, row.front, row.peer
--- a/libs/gateway/vanillayoke/gateway/program_admission.py
+++ b/libs/gateway/vanillayoke/gateway/program_admission.py
@@ -95,11 +95,9 @@
         self._refused = refused_programs.RefusedPrograms()
         # Until when programs may be under way that began at another
         # coordinator, whose successor this instance is.
-        self._uncertain_until = -math.inf
-        if not settings.is_first_start:
-            self._uncertain_until = (
-                timer_service.now() + FORMER_COORDINATOR_SECONDS
-            )
+        self._uncertain_until = (
+            timer_service.now() + FORMER_COORDINATOR_SECONDS
+        )
         self._incarnation: int | None = None
         self._eligible: typing.Sequence[rendezvous.Peer] = ()
         # When instances that may have been coordinators were removed.
@@ -110,6 +108,10 @@
         """Set the connection to other instances."""
         self._peers = peers
 
+    def record_first_start(self) -> None:
+        """Record that the whole system starts for the first time."""
+        self._uncertain_until = -math.inf
+
     async def admit(self, arrival: Arrival) -> None:
         """Raise ``RefusalError`` if the request starts a program too many."""
         name = self._find_new_program(arrival)
--- a/libs/gateway/vanillayoke/gateway/refusals.py
+++ b/libs/gateway/vanillayoke/gateway/refusals.py
@@ -40,6 +40,7 @@
     NOT_SAVED = 'not_kept'
     FAILED = 'failed'
     FAILED_RUNNING = 'failed_running'
+    STARTING = 'starting'
     STOPPING = 'stopping'
     INTERRUPTED = 'interrupted'
     INTERRUPTED_RUNNING = 'interrupted_running'
@@ -69,6 +70,7 @@
     Reason.NOT_SAVED: 502,
     Reason.FAILED: 503,
     Reason.FAILED_RUNNING: 500,
+    Reason.STARTING: 503,
     Reason.STOPPING: 503,
     Reason.INTERRUPTED: 503,
     Reason.INTERRUPTED_RUNNING: 504,
@@ -86,6 +88,7 @@
     Reason.MEMORY: _SHORT_RETRY_SECONDS,
     Reason.ISOLATED: _OTHER_INSTANCE_RETRY_SECONDS,
     Reason.FAILED: _SHORT_RETRY_SECONDS,
+    Reason.STARTING: _SHORT_RETRY_SECONDS,
     Reason.STOPPING: _OTHER_INSTANCE_RETRY_SECONDS,
     Reason.INTERRUPTED: _OTHER_INSTANCE_RETRY_SECONDS,
 }
--- a/libs/scheduling/vanillayoke/scheduling/software_versions.py
+++ b/libs/scheduling/vanillayoke/scheduling/software_versions.py
@@ -19,12 +19,13 @@
 class SoftwareVersions:
     """A record of versions, for the time that the targets were followed.
 
-    Times are in seconds. ``is_first_start`` says that there were no targets
-    before the first read.
+    Times are in seconds.
     """
 
-    def __init__(self, is_first_start: bool = False) -> None:
-        self._starts_at = float('-inf') if is_first_start else None
+    def __init__(self) -> None:
+        # Whether no stream had begun when the record started.
+        self._is_whole = False
+        self._first_read_at: float | None = None
         self._followed_since = float('inf')
         self._news_at = float('-inf')
         # When a target of each version was last in use, by service.
@@ -35,10 +36,17 @@
         self._destinations: dict[str, typing.Hashable] = {}
         self._rerouted_at: dict[str, float] = {}
 
+    def record_first_start(self) -> None:
+        """Record that no stream has begun before this."""
+        self._is_whole = True
+        if self._followed_since == self._first_read_at:
+            self._followed_since = float('-inf')
+
     def record_read(self, now: float) -> None:
         """Record that the present targets were read, without the changes."""
-        if self._starts_at is not None:
-            self._followed_since, self._starts_at = self._starts_at, None
+        if self._first_read_at is None:
+            self._first_read_at = now
+            self._followed_since = float('-inf') if self._is_whole else now
         elif now - self._news_at > MAX_GAP_SECONDS:
             self._followed_since = now
         self._news_at = now
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -60,7 +60,10 @@
         self._set_host = set_host
         self._rng = random.Random(seed)
         self._request_count = 0
-        self._is_first_start = False
+        # What the settings of the next instances say.
+        self.is_first_start = False
+        # How long instances that start together get to know one another.
+        self.settling_seconds = exclusivity.SETTLING_SECONDS + 0.5
         self.tolerance = LIMITS
         # Fields of the settings that differ from those of make_settings.
         self.settings_changes: dict[str, typing.Any] = {}
@@ -78,12 +81,12 @@
         )
         for name in ('m1', 'm2', 't1', 't2'):
             await self.add_target(name)
-        self._is_first_start = True
+        self.is_first_start = True
         for number in range(1, instances + 1):
             await self.add_instance(f'i{number}')
-        self._is_first_start = False
+        self.is_first_start = False
         # Wait until the instances know each other.
-        await self.timers.sleep(exclusivity.SETTLING_SECONDS + 0.5)
+        await self.timers.sleep(self.settling_seconds)
 
     async def add_target(
         self,
@@ -125,7 +128,7 @@
         """Start an instance."""
         host = host or f'10.1.0.{name[1:]}'
         settings = make_settings(
-            name, host, self._is_first_start, self.tolerance
+            name, host, self.is_first_start, self.tolerance
         )._replace(zone=zone, **self.settings_changes)
         logger = logs.Logger.from_config(name, self.timers, 5000)
         instance = instance_module.Instance(
--- a/tests/gateway/test_credit.py
+++ b/tests/gateway/test_credit.py
@@ -240,7 +240,9 @@
 
 
 def _make_exclusivity(is_first_start=True):
-    tracker = exclusivity.Exclusivity('i1', 0.0, is_first_start)
+    tracker = exclusivity.Exclusivity('i1', 0.0)
+    if is_first_start:
+        tracker.record_first_start()
     tracker.record_joined(-exclusivity.SETTLING_SECONDS)
     tracker.record_program()
     tracker.update_members(['i1', 'i2'], 0.0)
@@ -271,7 +273,8 @@
     The one that joins first does not know the coordinator yet, which regards
     itself as the only one from its start on.
     """
-    first = exclusivity.Exclusivity('i1', 0.0, True)
+    first = exclusivity.Exclusivity('i1', 0.0)
+    first.record_first_start()
     first.record_joined(0.0)
     first.update_members(['i1'], 0.0)
     first.tick(0.0, 0.0, 0.25)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -458,4 +458,63 @@
         case.assertEqual([], _list_servers(site, f'b-{resumes}'))
 
 
+async def _lose_all_instances(site, network):
+    """Kill all instances, and start them with the settings of the start."""
+    names = list(site.instances)
+    for name in names:
+        site_fixtures.kill(site, network, name)
+    await asyncio.sleep(0.5)
+    network.restore_paths()
+    site.is_first_start = True
+    for name in names:
+        await site.add_instance(name)
+    await asyncio.sleep(1.0)
+
+
+async def _replace_version(site):
+    """Let servers of another version take the place of all others."""
+    for name in ('m1', 'm2'):
+        site.store.put('servers', name, None)
+    await site.add_target('m3', software_version='v2')
+
+
+async def test_streams_of_before_the_loss_of_all_instances_are_not_joined(
+    case, site, network
+):
+    """Restarted instances took settings of a first start for the truth.
+
+    They concluded that the present version had begun each stream.
+    """
+    await site.start(3)
+    await (await _begin_at(site, 'i1', 'm1', 'a'))
+    await _replace_version(site)
+    await _lose_all_instances(site, network)
+    for number in range(1, 4):
+        request = f'b{number}'
+        response = await _resume(site, f'i{number}', request, 'a')
+        case.assertEqual(503, response.status)
+        case.assertEqual([], _list_servers(site, request))
+
+
+async def test_streams_are_not_joined_after_a_death_within_the_first_start(
+    case, site, network
+):
+    """The instances had served for less than a second when they died."""
+    site.settling_seconds = 0.3
+    await site.start(3)
+    await (await _begin_at(site, 'i1', 'm1', 'a'))
+    await _replace_version(site)
+    await _lose_all_instances(site, network)
+    response = await _resume(site, 'i2', 'b', 'a')
+    case.assertEqual(503, response.status)
+    case.assertEqual([], _list_servers(site, 'b'))
+
+
+async def test_streams_are_resumed_after_a_true_first_start(case, site):
+    """Without a record, the only version that ever served is the origin."""
+    await site.start(2)
+    response = await _resume(site, 'i1', 'b', 'a')
+    case.assertEqual(200, response.status)
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
--- a/tests/scheduling/test_software_versions.py
+++ b/tests/scheduling/test_software_versions.py
@@ -33,10 +33,26 @@
 
 
 def test_first_start_has_no_unknown_past(case):
-    versions = software_versions.SoftwareVersions(is_first_start=True)
+    for is_known_before in (True, False):
+        versions = software_versions.SoftwareVersions()
+        if is_known_before:
+            versions.record_first_start()
+        versions.record_read(0.0)
+        versions.record_use('models', 'v1', 0.0)
+        if not is_known_before:
+            case.assertIsNone(_find(versions, 1.0))
+            versions.record_first_start()
+        case.assertEqual('v1', _find(versions, 1.0))
+
+
+def test_late_news_of_the_first_start_hides_no_gap(case):
+    """A target that came and went may have begun a stream."""
+    versions = software_versions.SoftwareVersions()
     versions.record_read(0.0)
     versions.record_use('models', 'v1', 0.0)
-    case.assertEqual('v1', _find(versions, 1.0))
+    versions.record_missed(0.5)
+    versions.record_first_start()
+    case.assertIsNone(_find(versions, 1.0))
 
 
 def test_reading_the_table_again_keeps_the_record(case, versions):
