--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -182,7 +182,9 @@
         await self._finish_requests(schedule)
         await self._hand_over_state(schedule)
         await shutdown.finish_requests(
-            self._auxiliary_servers, self._timers, schedule.end_by
+            [http_server for http_server, _ in self._listeners],
+            self._timers,
+            schedule.end_by,
         )
         self._log.write(
             log_events.DRAIN_ENDED,
@@ -516,7 +518,6 @@
         directory_server = make(self._endpoints.handle_lookup)
         # Their handlers may wait for targets, other instances or the store.
         self._request_servers = [self._caller_server, relay_server]
-        self._auxiliary_servers = [readiness_server, directory_server]
         self._listeners = [
             (self._caller_server, self.settings.front),
             (readiness_server, self.settings.ready),
--- a/libs/soak/vanillayoke/soak/callers.py
+++ b/libs/soak/vanillayoke/soak/callers.py
@@ -33,6 +33,8 @@
 SMALL_BUDGET = TURN_TOKENS * 7 // 4
 MAX_RESUME_ATTEMPTS = 8
 RESUMABLE_ROUTE = 'plan'
+FAITHFUL_ROUTES = (('look', 'safe'), ('order', 'unsafe'))
+FAITHFUL_PAUSE_SECONDS = 0.1
 DEADLINE_MS = 3000
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 # Probes are enough to fill the slots of their service several times.
@@ -88,6 +90,23 @@
         finally:
             caller.pool.close()
 
+    async def run_faithful(self) -> None:
+        """Make calls to one instance until its process is gone."""
+        caller = FaithfulCaller(self)
+        try:
+            while not self.is_over:
+                number = next(self._numbers)
+                conversation = Conversation(
+                    f'f{number}', '0', '', 0, self._get_key('blue')
+                )
+                route, kind = self._rng.choice(FAITHFUL_ROUTES)
+                await self._send_attempt(caller, route, kind, conversation)
+                await asyncio.sleep(
+                    self._rng.uniform(0, FAITHFUL_PAUSE_SECONDS)
+                )
+        finally:
+            caller.pool.close()
+
     async def run_burst(self, subject: int, end: float) -> None:
         """Run programs of one organisation until a time."""
         organisation = organisations.NAMES[subject % len(organisations.NAMES)]
@@ -498,6 +517,25 @@
         )
 
 
+class FaithfulCaller(Caller):
+    """A caller that learns of a stop only when it can't connect."""
+
+    def __init__(self, callers: Callers) -> None:
+        super().__init__(callers)
+        self._address = ''
+
+    async def choose_address(self) -> str:
+        """Return the same address until it has failed."""
+        if not self._address:
+            self._address = await super().choose_address()
+        return self._address
+
+    def record_failure(self, address: str) -> None:
+        """Choose another address for the next request."""
+        super().record_failure(address)
+        self._address = ''
+
+
 class SlowReader(Caller):
     """A caller that reads responses slowly, on connections of its own."""
 
--- a/libs/soak/vanillayoke/soak/checks.py
+++ b/libs/soak/vanillayoke/soak/checks.py
@@ -24,6 +24,23 @@
 # A process that gets SIGTERM within this time of its start may be terminated
 # before it has installed its signal handler.
 STARTUP_SECONDS = 2.0
+# Requests may be under way for this time when their instance stops.
+MAX_REQUEST_SECONDS = 3.0
+# Kinds of faults that may cut requests; others, as stops, must not.
+CUTTING_KINDS = frozenset(
+    (
+        'kill',
+        'freeze',
+        'replace',
+        'isolate',
+        'store',
+        'server',
+        'link',
+        'stream',
+        'burst',
+        'crowd',
+    )
+)
 
 
 Violation = violations.Violation
@@ -341,6 +358,45 @@
     ]
 
 
+def check_cut_requests(
+    history: histories.History, cutoff: float
+) -> list[Violation]:
+    """Find requests that were read, and cut by a planned stop.
+
+    A server has started each of them. With a failure of the instance in place
+    of the response, they count as well.
+    """
+    stops = [one for one in history.processes if one.event == 'told']
+    found = []
+    for sent, answered in history.list_pairs(cutoff):
+        is_cut = not answered.is_whole or answered.status == 500
+        if not is_cut or answered.gave_up:
+            continue
+        if not history.started.get(sent.request):
+            continue
+        age = _find_stop_age(stops, sent, history.bounds.grace)
+        if age is None or history.is_disturbed(
+            sent.at, answered.at, CUTTING_KINDS
+        ):
+            continue
+        detail = f'{answered.status}, sent {age:.1f} s after SIGTERM'
+        found.append(Violation('requests at stops', sent.request, detail))
+    return found
+
+
+def _find_stop_age(
+    stops: list[records.Process], sent: records.Sent, grace: float
+) -> float | None:
+    """Return when a request was sent, relative to its instance's stop."""
+    ages = [
+        sent.at - stop.at
+        for stop in stops
+        if stop.instance == sent.instance
+        and -MAX_REQUEST_SECONDS <= sent.at - stop.at <= grace
+    ]
+    return ages[-1] if ages else None
+
+
 def check_crashes(
     history: histories.History, cutoff: float
 ) -> list[Violation]:
@@ -435,6 +491,7 @@
     'memory limit': load.check_memory,
     'idle site': load.check_idle_site,
     'graceful stop': check_graceful_stops,
+    'requests at stops': check_cut_requests,
     'no crash': check_crashes,
     'recovery': check_recovery,
 }
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -14,6 +14,7 @@
 from vanillayoke.soak import histories
 from vanillayoke.soak import load
 from vanillayoke.soak import plans
+from vanillayoke.soak import processes
 from vanillayoke.soak import records
 from vanillayoke.soak import sites
 
@@ -26,6 +27,12 @@
 RECORD_DELAY_SECONDS = 1.0
 MIN_PROBE_SECONDS = 3.0
 PROBE_INTERVAL_SECONDS = 0.5
+# Callers that keep using an instance while it stops.
+FAITHFUL_CALLER_COUNT = 8
+# Between the stops of two instances, shorter than a stop.
+STOP_INTERVAL_SECONDS = (0.3, 2.5)
+# Signals to an instance that stops.
+STOP_SIGNAL_COUNT = 2
 
 
 class Result(msgspec.Struct):
@@ -91,6 +98,8 @@
             while control.read_now() < end and not self._violations:
                 await asyncio.sleep(CHECK_INTERVAL_SECONDS)
                 self._check()
+            if not self._violations:
+                await self._roll_instances()
             callers.is_over = True
             if self._plan.has_overload and not self._violations:
                 await self._probe()
@@ -150,6 +159,36 @@
                 self._history, cutoff, self._is_timed
             )
 
+    async def _roll_instances(self) -> None:
+        """Stop and start all instances while callers go on.
+
+        The stops overlap, and further signals arrive during each of them.
+        """
+        rng = random.Random(f'roll {self._plan.seed}')
+        for _ in range(FAITHFUL_CALLER_COUNT):
+            self._caller_tasks.append(
+                self._spawn(self._callers.run_faithful())
+            )
+        restarts = []
+        for host in list(self._site.instances):
+            await asyncio.sleep(rng.uniform(*STOP_INTERVAL_SECONDS))
+            fault = plans.Fault(0.0, 'term_instance', seconds=rng.random())
+            restarts.append(
+                self._spawn(self._restart(host, signal.SIGTERM, fault))
+            )
+            child = self._site.instances[host]
+            for _ in range(rng.randint(0, STOP_SIGNAL_COUNT)):
+                number = rng.choice((signal.SIGTERM, signal.SIGHUP))
+                delay = rng.uniform(0.0, self._history.bounds.grace)
+                self._spawn(self._signal_later(child, number, delay))
+        await asyncio.gather(*restarts)
+
+    async def _signal_later(
+        self, child: processes.Child, number: signal.Signals, delay: float
+    ) -> None:
+        await asyncio.sleep(delay)
+        child.signal(number)
+
     async def _stop_instances(self) -> None:
         for host in list(self._site.instances):
             self._site.request_stop(host)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -54,6 +54,29 @@
     return [one.guarantee for one in checks.check_all(history, cutoff)]
 
 
+def test_request_that_a_stop_cuts_is_found(case):
+    def stop(instance):
+        return (
+            records.Process(0.5, instance, 'told'),
+            records.Process(4.5, instance, 'ended'),
+        )
+
+    told = stop('i1')
+    cut = _answer('a', 0, '', is_whole=False)
+    sent = (_send('a'), _start('a'))
+    case.assertEqual(['requests at stops'], _check(*told, *sent, cut))
+    failed = _answer('a', 500, '')
+    case.assertEqual(['requests at stops'], _check(*told, *sent, failed))
+    case.assertEqual([], _check(*told, *sent, _answer('a')))
+    # Never read, given up by its caller, or cut by something else.
+    case.assertEqual([], _check(*told, sent[0], cut))
+    gave_up = records.Answered(2.0, 'a', 0, False, gave_up=True)
+    case.assertEqual([], _check(*told, *sent, gave_up))
+    killed = records.Disturbed(0.0, 0.1, 'kill', 'i2')
+    case.assertEqual([], _check(*told, killed, *sent, cut))
+    case.assertEqual([], _check(*stop('i2'), *sent, cut))
+
+
 GOOD = (_send('a'), _start('a'), _answer('a'))
 GOOD_TURN = (
     _turn('t1'),
