Asked restarted holders for tokens before their return is known.

A program was told that its budget was spent (402) with 80 of 360 tokens unused. While stops overlapped, its coordinator still took another instance, which had left and come back within a second, for gone, and did not ask it for the tokens that the row in the store names it for. Holders that left are now asked like those that failed.

--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -318,7 +318,7 @@
             lambda: self._members.list_eligible(),
             lambda: self._members.list_live_eligible(),
             lambda: self._members.list_reachable(),
-            lambda: self._members.list_failed(),
+            lambda: self._members.list_lost(),
         )
         self._reservations = reservations_module.Reservations(
             settings.instance,
--- a/libs/gateway/vanillayoke/gateway/members.py
+++ b/libs/gateway/vanillayoke/gateway/members.py
@@ -33,6 +33,9 @@
     (cluster_messages.State.LEAVING, cluster_messages.State.LEFT)
 )
 
+_FAILED_OR_LEFT = frozenset(
+    (cluster_messages.State.FAILED, cluster_messages.State.LEFT)
+)
 _REACHABLE = frozenset(
     (
         cluster_messages.State.ALIVE,
@@ -152,13 +155,15 @@
             if member.state in _REACHABLE
         ]
 
-    def list_failed(self) -> list[rendezvous.Peer]:
-        """Return the failed instances, which may recover."""
-        failed = cluster_messages.State.FAILED
+    def list_lost(self) -> list[rendezvous.Peer]:
+        """Return the instances that failed or left.
+
+        They may have recovered, or started again under their name.
+        """
         return [
             _make_peer(member)
             for member in self.list_members()
-            if member.state is failed
+            if member.state in _FAILED_OR_LEFT
         ]
 
     def compute_lost_ratio(self, age: float) -> float:
--- a/libs/gateway/vanillayoke/gateway/rendezvous.py
+++ b/libs/gateway/vanillayoke/gateway/rendezvous.py
@@ -27,14 +27,14 @@
 
     Eligible ones may become coordinators; the live ones among these have been
     in contact with this instance. Reachable ones are alive, suspected or
-    leaving; those that are leaving are not eligible. Failed ones do not
-    respond.
+    leaving; those that are leaving are not eligible. Lost ones have failed or
+    left, and may have come back.
     """
 
     list_eligible: ListPeers
     list_live_eligible: ListPeers
     list_reachable: ListPeers
-    list_failed: ListPeers
+    list_lost: ListPeers
 
 
 @functools.lru_cache(maxsize=4096)
--- a/libs/gateway/vanillayoke/gateway/token_transfers.py
+++ b/libs/gateway/vanillayoke/gateway/token_transfers.py
@@ -169,7 +169,7 @@
         named = self._list_known_holders(program)
         holders = self._list_possible_holders(program, named)
         queried = {self._instance, *(peer.instance for peer in holders)}
-        self._query_failed(program, named, queried)
+        self._query_lost(program, named, queried)
         results = await self._wait_within(
             timeout_seconds,
             [self._collect_from(program, peer, queried) for peer in holders],
@@ -220,16 +220,16 @@
         possible = named.union(peer.instance for peer in ranked)
         return [peer for peer in peers if peer.instance in possible]
 
-    def _query_failed(
+    def _query_lost(
         self, program: str, named: set[str], queried: set[str]
     ) -> None:
-        """Ask holders regarded as failed, without waiting for them.
+        """Ask holders regarded as failed or gone, without waiting for them.
 
         While many instances start together, each regards those that start
-        later as failed for some seconds. Their tokens arrive before the
-        search is repeated.
+        later as failed, or as gone since their last stop, for some seconds.
+        Their tokens arrive before the search is repeated.
         """
-        for peer in self._membership.list_failed():
+        for peer in self._membership.list_lost():
             if peer.instance in named and peer.instance not in queried:
                 queried.add(peer.instance)
                 self._spawn(self._collect_from(program, peer, queried))
--- a/libs/soak/vanillayoke/soak/checks.py
+++ b/libs/soak/vanillayoke/soak/checks.py
@@ -24,7 +24,7 @@
 # A process that gets SIGTERM within this time of its start may be terminated
 # before it has installed its signal handler.
 STARTUP_SECONDS = 2.0
-# Requests may be under way for this time when their instance stops.
+# The deadline of callers' requests.
 MAX_REQUEST_SECONDS = 3.0
 # Kinds of faults that may cut requests; others, as stops, must not.
 CUTTING_KINDS = frozenset(
@@ -370,7 +370,9 @@
     found = []
     for sent, answered in history.list_pairs(cutoff):
         is_cut = not answered.is_whole or answered.status == 500
-        if not is_cut or answered.gave_up:
+        seconds = answered.at - sent.at
+        # At its deadline the caller has closed the connection itself.
+        if not is_cut or answered.gave_up or seconds >= MAX_REQUEST_SECONDS:
             continue
         if not history.started.get(sent.request):
             continue
@@ -379,7 +381,10 @@
             sent.at, answered.at, CUTTING_KINDS
         ):
             continue
-        detail = f'{answered.status}, sent {age:.1f} s after SIGTERM'
+        detail = (
+            f'{answered.status} after {seconds:.1f} s,'
+            f' sent {age:.1f} s after SIGTERM'
+        )
         found.append(Violation('requests at stops', sent.request, detail))
     return found
 
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -28,7 +28,7 @@
 MIN_PROBE_SECONDS = 3.0
 PROBE_INTERVAL_SECONDS = 0.5
 # Callers that keep using an instance while it stops.
-FAITHFUL_CALLER_COUNT = 8
+FAITHFUL_CALLER_COUNT = 32
 # Between the stops of two instances, shorter than a stop.
 STOP_INTERVAL_SECONDS = (0.3, 2.5)
 # Signals to an instance that stops.
