Told failures of servers from those of instances in the soak.

A server's 500 that is left from the faults would count as a request cut by a stop: found by reading, not seen in a run. The 500 of an instance has no body.

--- a/libs/soak/vanillayoke/soak/checks.py
+++ b/libs/soak/vanillayoke/soak/checks.py
@@ -369,7 +369,7 @@
     stops = [one for one in history.processes if one.event == 'told']
     found = []
     for sent, answered in history.list_pairs(cutoff):
-        is_cut = not answered.is_whole or answered.status == 500
+        is_cut = not answered.is_whole or _is_own_failure(answered)
         seconds = answered.at - sent.at
         # At its deadline the caller has closed the connection itself.
         if not is_cut or answered.gave_up or seconds >= MAX_REQUEST_SECONDS:
@@ -389,6 +389,11 @@
     return found
 
 
+def _is_own_failure(answered: records.Answered) -> bool:
+    """Return whether a 500 is the instance's, which has no body."""
+    return answered.status == 500 and not answered.body
+
+
 def _find_stop_age(
     stops: list[records.Process], sent: records.Sent, grace: float
 ) -> float | None:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -65,6 +65,8 @@
     cut = _answer('a', 0, '', is_whole=False)
     sent = (_send('a'), _start('a'))
     case.assertEqual(['requests at stops'], _check(*told, *sent, cut))
+    by_server = _answer('a', 500, 'failed')
+    case.assertEqual([], _check(*told, *sent, by_server))
     failed = _answer('a', 500, '')
     case.assertEqual(['requests at stops'], _check(*told, *sent, failed))
     case.assertEqual([], _check(*told, *sent, _answer('a')))
