--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -250,4 +250,34 @@
     case.assertTrue(caller.is_closed)
 
 
+@fixtures.on_real_loop
+async def test_closed_server_sends_what_a_slow_client_has_not_read(case):
+    """The end of a large response was lost when the server was closed."""
+    size = 8_000_000
+
+    async def handle(request, responder):
+        responder.send(200, [], bytes(size))
+
+    http_server = server.HttpServer(
+        handle, lambda error: None, lambda status: None
+    )
+    await http_server.listen('127.0.0.1', 0)
+    name = http_server._servers[0].sockets[0].getsockname()
+    loop = asyncio.get_running_loop()
+    transport, caller = await loop.create_connection(_Caller, *name)
+    transport.pause_reading()
+    transport.write(b'GET /a HTTP/1.1\r\n\r\n')
+    await asyncio.sleep(0.1)
+    http_server.close()
+    await asyncio.sleep(0.1)
+    case.assertEqual(1, http_server.active_connections)
+    transport.resume_reading()
+    for _ in range(100):
+        if not http_server.active_connections:
+            break
+        await asyncio.sleep(0.1)
+    case.assertEqual(size, caller.received.partition(b'\r\n\r\n')[2].count(0))
+    case.assertEqual(0, http_server.active_connections)
+
+
 load_tests = fixtures.adapt(__name__)
