--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -94,12 +94,11 @@
                     self._caller_tasks.append(self._spawn(work))
             for fault in self._plan.faults:
                 self._spawn(self._inject(fault, traffic_start))
-            end = traffic_start + self._plan.faulty + self._plan.calm
-            while control.read_now() < end and not self._violations:
-                await asyncio.sleep(CHECK_INTERVAL_SECONDS)
-                self._check()
+            end = traffic_start + self._plan.faulty
+            await self._check_until(end + histories.FAULT_AFTERMATH_SECONDS)
             if not self._violations:
                 await self._roll_instances()
+            await self._check_until(control.read_now() + self._plan.calm)
             callers.is_over = True
             if self._plan.has_overload and not self._violations:
                 await self._probe()
@@ -159,6 +158,11 @@
                 self._history, cutoff, self._is_timed
             )
 
+    async def _check_until(self, end: float) -> None:
+        while control.read_now() < end and not self._violations:
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            self._check()
+
     async def _roll_instances(self) -> None:
         """Stop and start all instances while callers go on.
 
