--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -181,6 +181,7 @@
         )
         await self._finish_requests(schedule)
         await self._hand_over_state(schedule)
+        # Also waits for callers that read the end of a response slowly.
         await shutdown.finish_requests(
             [http_server for http_server, _ in self._listeners],
             self._timers,
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -276,13 +276,11 @@
         if self._task is not None:
             self._task.cancel()
             return True
-        if self._queue:
+        if not self.is_idle:
             self._queue.clear()
             if self._bodies is not None:
                 self._bodies.release_queued()
             self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
-        elif self._is_reading:
-            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
         return False
 
     # Called by the server where memory is limited
@@ -451,10 +449,10 @@
         if self._bodies is not None:
             self._bodies.end_running()
         if task.cancelled():
-            self._end_response()
+            self._end_unfinished_response()
         elif task.exception() is not None:
             self._server.on_failure(task.exception())
-            self._end_response()
+            self._end_unfinished_response()
         if self._transport is None or self._transport.is_closing():
             return
         if self._queue:
@@ -465,7 +463,7 @@
             self._set_timer(self._server.limits.idle_timeout)
             self._send_continue()
 
-    def _end_response(self) -> None:
+    def _end_unfinished_response(self) -> None:
         """End the response of a handler that failed or was cancelled."""
         if self._responder.is_finished:
             return
--- a/tests/gateway/site_fixtures.py
+++ b/tests/gateway/site_fixtures.py
@@ -87,6 +87,19 @@
         del network.sockets[address]
 
 
+async def restart_all_as_first(site, network):
+    """Kill all instances, and start them with settings of a first start."""
+    names = list(site.instances)
+    for name in names:
+        kill(site, network, name)
+    await asyncio.sleep(0.5)
+    network.restore_paths()
+    site.is_first_start = True
+    for name in names:
+        await site.add_instance(name)
+    await asyncio.sleep(1.0)
+
+
 async def stop(site, name):
     """Stop an instance gracefully; its process ends right after that."""
     instance = site.instances[name]
--- a/tests/gateway/test_first_start.py
+++ b/tests/gateway/test_first_start.py
@@ -10,18 +10,6 @@
 from vanillayoke.testing import fixtures
 
 
-async def _restart_with_old_settings(site, network, names):
-    """Kill instances, and start them as on the first start."""
-    for name in names:
-        site_fixtures.kill(site, network, name)
-    await asyncio.sleep(0.5)
-    network.restore_paths()
-    site.is_first_start = True
-    for name in names:
-        await site.add_instance(name)
-    await asyncio.sleep(1.0)
-
-
 async def test_first_start_is_confirmed_by_the_store(case, site):
     await site.start(3)
     for instance in site.instances.values():
@@ -38,7 +26,7 @@
     limits took the lost counts of former processes for complete.
     """
     await site.start(3)
-    await _restart_with_old_settings(site, network, ['i1', 'i2', 'i3'])
+    await site_fixtures.restart_all_as_first(site, network)
     for name, instance in site.instances.items():
         now = site.timers.now()
         case.assertIs(first_start.State.REFUTED, instance._first_start.state)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -458,19 +458,6 @@
         case.assertEqual([], _list_servers(site, f'b-{resumes}'))
 
 
-async def _lose_all_instances(site, network):
-    """Kill all instances, and start them with the settings of the start."""
-    names = list(site.instances)
-    for name in names:
-        site_fixtures.kill(site, network, name)
-    await asyncio.sleep(0.5)
-    network.restore_paths()
-    site.is_first_start = True
-    for name in names:
-        await site.add_instance(name)
-    await asyncio.sleep(1.0)
-
-
 async def _replace_version(site):
     """Let servers of another version take the place of all others."""
     for name in ('m1', 'm2'):
@@ -488,7 +475,7 @@
     await site.start(3)
     await (await _begin_at(site, 'i1', 'm1', 'a'))
     await _replace_version(site)
-    await _lose_all_instances(site, network)
+    await site_fixtures.restart_all_as_first(site, network)
     for number in range(1, 4):
         request = f'b{number}'
         response = await _resume(site, f'i{number}', request, 'a')
@@ -504,7 +491,7 @@
     await site.start(3)
     await (await _begin_at(site, 'i1', 'm1', 'a'))
     await _replace_version(site)
-    await _lose_all_instances(site, network)
+    await site_fixtures.restart_all_as_first(site, network)
     response = await _resume(site, 'i2', 'b', 'a')
     case.assertEqual(503, response.status)
     case.assertEqual([], _list_servers(site, 'b'))
