Refused unnamed resumptions that no other instance can confirm.

A caller got a stream joined from two software versions, answered 200. An instance that had been cut off for a second knew only an older stream of the session, and went by it, as none of the instances that it asked responded. The test fails with the code before. Named streams are not affected.

--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -178,6 +178,9 @@
             return None, 'unknown'
         if recorded:
             return recorded.pop(), 'peer_record'
+        if own is not None and not responses and self._has_others(stream):
+            # Others may know a newer stream of the session.
+            return None, 'unknown'
         if own is not None:
             return own, 'own_record'
         if only_version is not None:
@@ -262,6 +265,9 @@
                 task.cancel()
         return responses
 
+    def _has_others(self, stream: StreamName) -> bool:
+        return bool(self._list_others(stream.key, QUERY_COUNT))
+
     def _list_others(self, key: str, count: int) -> list[rendezvous.Peer]:
         """Return the instances with replicas except this one."""
         highest = self._zones.list_highest(key, self._list_eligible(), count)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -504,4 +504,18 @@
     case.assertEqual(200, response.status)
 
 
+async def test_instance_without_contact_does_not_trust_an_older_stream(
+    case, site, network
+):
+    """It knew an older stream of the session only, of another version."""
+    await _start(site, {'m3': 'v1', 'm4': 'v2'})
+    session = {'program': 'p', 'session_id': 's'}
+    await (await _begin_at(site, 'i1', 'm3', 'old', **session))
+    network.block_path('10.1.0.1', '10.1.0.2')
+    await (await _begin_at(site, 'i2', 'm4', 'new', **session))
+    response = await _resume(site, 'i1', 'b', None, **session)
+    case.assertEqual(503, response.status)
+    case.assertEqual([], _list_servers(site, 'b'))
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
