--- a/tests/adapter/test_untrusted_input.py
+++ b/tests/adapter/test_untrusted_input.py
@@ -144,7 +144,7 @@
         lambda value: rows.decode_outcome(200, value), dialect.BadRowError
     ),
     'instance': _Decoder(
-        members._ROW_DECODER.decode, decoding.DecodingError, _INSTANCE
+        members.ROW_DECODER.decode, decoding.DecodingError, _INSTANCE
     ),
     'turn': _Decoder(
         lambda value: transcripts.decode_rows('t', {'t': value}),
