Covered six parts of the fixes whose removal no test had noticed.

Lingering connections, the close before budgets are handed over, the relay, slow readers at the end of a stop, readiness before the first start is decided, and the condition under which a row is created.

--- a/tests/gateway/test_first_start.py
+++ b/tests/gateway/test_first_start.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import msgspec
+
 from tests.gateway import site_fixtures
 from vanillayoke.gateway import first_start
 from vanillayoke.gateway import members
@@ -60,6 +62,7 @@
     added._catalog.put_configuration(
         site.instances['i1']._catalog.configuration
     )
+    added._catalog.replace_targets([], 1, None)
     response = await site.call('i2', 'order', request='early')
     case.assertEqual(503, response.status)
     case.assertFalse(added.is_ready)
@@ -91,6 +94,27 @@
     case.assertIs(first_start.State.CONFIRMED, instance._first_start.state)
 
 
+async def test_late_write_of_a_former_process_refutes_the_first_start(
+    case, site
+):
+    """The store may apply it between the read and the creation."""
+    await site.start(1)
+    [instance] = site.instances.values()
+    row = msgspec.structs.replace(instance._row, instance='i9')
+    store = instance._store
+    read = store.read
+
+    async def read_and_write(*arguments):
+        page = await read(*arguments)
+        former = msgspec.structs.replace(row, incarnation=1)
+        site.store.put(members.TABLE, 'i9', msgspec.to_builtins(former))
+        return page
+
+    store.read = read_and_write
+    decision = first_start.FirstStart(True, row, store, site.timers)
+    case.assertIs(first_start.State.REFUTED, await decision.decide())
+
+
 async def test_unreadable_row_refutes_the_first_start(case, site):
     """A row that nobody can decode may be of any age."""
     site.store.put(members.TABLE, 'foreign', {'instance': 7})
--- a/tests/gateway/test_planned_stops.py
+++ b/tests/gateway/test_planned_stops.py
@@ -379,6 +379,72 @@
     )
     case.assertEqual(200, response.status)
     case.assertEqual([], seen)
+    for listener, _ in instance._listeners:
+        case.assertTrue(listener.is_closed)
+
+
+async def test_listeners_are_closed_before_budgets_are_handed_over(case, site):
+    """What was read meanwhile would be cut by the end of the process."""
+    await _start(site)
+    instance = site.instances['i1']
+    return_grants = instance._ledger.return_grants
+    states = []
+
+    async def record_and_return(deadline):
+        states.extend(one.is_closed for one in instance._request_servers)
+        return await return_grants(deadline)
+
+    instance._ledger.return_grants = record_and_return
+    await site_fixtures.stop(site, 'i1')
+    case.assertEqual([True, True], states)
+
+
+class _SlowConnection:
+    """A connection with bytes that its caller has not read yet."""
+
+    is_active = False
+    is_idle = True
+
+    def close(self):
+        self.is_active = True
+
+    def interrupt(self):
+        return False
+
+
+async def test_stop_waits_for_callers_that_read_slowly(case, site):
+    """The end of a response was lost with the process."""
+    await _start(site)
+    instance = site.instances['i1']
+    slow = _SlowConnection()
+    instance._caller_server.connections.add(slow)
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    loop.call_later(7.1, instance._caller_server.connections.discard, slow)
+    await instance.stop()
+    case.assertAlmostEqual(7.1, loop.time() - started_at, delta=0.1)
+
+
+async def test_relayed_store_call_is_answered(case, site):
+    """The store's connections were closed under a call of another one."""
+    await _start(site)
+    instance = site.instances['i1']
+    relay = instance._store.relay
+
+    async def relay_slowly(request):
+        await asyncio.sleep(1.0)
+        return await relay(request)
+
+    instance._store.relay = relay_slowly
+    stop = asyncio.create_task(site_fixtures.stop(site, 'i1'))
+    await asyncio.sleep(3.9)
+    connection = await client.Pool(1.0).open(instance._relay_address)
+    connection.send(
+        b'GET', b'/-/rows-get?table=instances&part=', [(b'Host', b'x')], b''
+    )
+    head = await connection.read_head()
+    case.assertEqual(200, head.status)
+    await stop
 
 
 async def test_directory_and_readiness_answer_until_the_end(case, site):
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -5,6 +5,7 @@
 from vanillayoke.testing import fixtures
 from vanillayoke.testing import networks
 from vanillayoke.transport import server
+from vanillayoke.transport import server_connection
 
 ADDRESS = ('10.0.0.1', 80)
 
@@ -238,6 +239,30 @@
     case.assertTrue(idle.is_closed)
 
 
+class _HalfOpenCaller(_Caller):
+    """A caller that leaves its connection open at the server's end."""
+
+    def eof_received(self):
+        return True
+
+
+async def test_connection_lingers_after_the_end_of_listening(
+    case, network, handler
+):
+    """It was closed at once, which resets it if there are unread bytes."""
+    http_server = await _start_server(handler)
+    loop = asyncio.get_running_loop()
+    _, caller = await loop.create_connection(_HalfOpenCaller, *ADDRESS)
+    http_server.drain()
+    await _send(caller, b'GET /a HTTP/1.1\r\n\r\n', 0.1)
+    case.assertIn(b'to /a', caller.received)
+    http_server.stop_listening()
+    await asyncio.sleep(0.1)
+    case.assertEqual(1, http_server.active_connections)
+    await asyncio.sleep(server_connection.LINGER_SECONDS)
+    case.assertEqual(0, http_server.active_connections)
+
+
 async def test_closed_server_reads_no_request(case, network, handler):
     """One on a connection accepted just before was begun and then cut."""
     http_server = await _start_server(handler)
