--- a/libs/soak/vanillayoke/soak/callers.py
+++ b/libs/soak/vanillayoke/soak/callers.py
@@ -33,8 +33,8 @@
 SMALL_BUDGET = TURN_TOKENS * 7 // 4
 MAX_RESUME_ATTEMPTS = 8
 RESUMABLE_ROUTE = 'plan'
-FAITHFUL_ROUTES = (('look', 'safe'), ('order', 'unsafe'))
-FAITHFUL_PAUSE_SECONDS = 0.1
+STICKY_ROUTES = (('look', 'safe'), ('order', 'unsafe'))
+STICKY_PAUSE_SECONDS = 0.1
 DEADLINE_MS = 3000
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 # Probes are enough to fill the slots of their service several times.
@@ -90,20 +90,18 @@
         finally:
             caller.pool.close()
 
-    async def run_faithful(self) -> None:
+    async def run_sticky(self) -> None:
         """Make calls to one instance until its process is gone."""
-        caller = FaithfulCaller(self)
+        caller = StickyCaller(self)
         try:
             while not self.is_over:
                 number = next(self._numbers)
                 conversation = Conversation(
                     f'f{number}', '0', '', 0, self._get_key('blue')
                 )
-                route, kind = self._rng.choice(FAITHFUL_ROUTES)
+                route, kind = self._rng.choice(STICKY_ROUTES)
                 await self._send_attempt(caller, route, kind, conversation)
-                await asyncio.sleep(
-                    self._rng.uniform(0, FAITHFUL_PAUSE_SECONDS)
-                )
+                await asyncio.sleep(self._rng.uniform(0, STICKY_PAUSE_SECONDS))
         finally:
             caller.pool.close()
 
@@ -517,7 +515,7 @@
         )
 
 
-class FaithfulCaller(Caller):
+class StickyCaller(Caller):
     """A caller that learns of a stop only when it can't connect."""
 
     def __init__(self, callers: Callers) -> None:
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -28,7 +28,7 @@
 MIN_PROBE_SECONDS = 3.0
 PROBE_INTERVAL_SECONDS = 0.5
 # Callers that keep using an instance while it stops.
-FAITHFUL_CALLER_COUNT = 32
+STICKY_CALLER_COUNT = 32
 # Between the stops of two instances, shorter than a stop.
 STOP_INTERVAL_SECONDS = (0.3, 2.5)
 # Signals to an instance that stops.
@@ -169,10 +169,8 @@
         The stops overlap, and further signals arrive during each of them.
         """
         rng = random.Random(f'roll {self._plan.seed}')
-        for _ in range(FAITHFUL_CALLER_COUNT):
-            self._caller_tasks.append(
-                self._spawn(self._callers.run_faithful())
-            )
+        for _ in range(STICKY_CALLER_COUNT):
+            self._caller_tasks.append(self._spawn(self._callers.run_sticky()))
         restarts = []
         for host in list(self._site.instances):
             await asyncio.sleep(rng.uniform(*STOP_INTERVAL_SECONDS))
--- a/tests/gateway/test_first_start.py
+++ b/tests/gateway/test_first_start.py
@@ -12,6 +12,14 @@
 from vanillayoke.testing import fixtures
 
 
+async def _add_without_store(site):
+    """Add an instance as on a first start, while the store is away."""
+    await site.start(1)
+    site.store.mode = store_module.Mode.UNAVAILABLE
+    site.is_first_start = True
+    return await site.add_instance('i2')
+
+
 async def test_first_start_is_confirmed_by_the_store(case, site):
     await site.start(3)
     for instance in site.instances.values():
@@ -55,10 +63,7 @@
 
 async def test_nothing_is_served_before_the_first_start_is_decided(case, site):
     """A process that served and left no row would be forgotten."""
-    await site.start(1)
-    site.store.mode = store_module.Mode.UNAVAILABLE
-    site.is_first_start = True
-    added = await site.add_instance('i2')
+    added = await _add_without_store(site)
     added._catalog.put_configuration(
         site.instances['i1']._catalog.configuration
     )
@@ -76,10 +81,7 @@
 
 async def test_late_decision_is_no_first_start(case, site):
     """Other instances may have served while the store was away."""
-    await site.start(1)
-    site.store.mode = store_module.Mode.UNAVAILABLE
-    site.is_first_start = True
-    added = await site.add_instance('i2')
+    added = await _add_without_store(site)
     await asyncio.sleep(members.FIRST_START_SECONDS + 1.0)
     site.store.mode = store_module.Mode.SERVE
     await asyncio.sleep(2.0)
--- a/tests/gateway/test_planned_stops.py
+++ b/tests/gateway/test_planned_stops.py
@@ -109,6 +109,20 @@
         site.targets[name]._free_slots = asyncio.Semaphore(40)
 
 
+async def _start_with_short_grace(site):
+    site.settings_changes = {
+        'bounds': messages.Bounds(
+            SHORT_GRACE_SECONDS, 3.0, 2.0, 5.0, site.tolerance
+        )
+    }
+    await _start(site)
+
+
+def _silence_tools(site):
+    for name in ('t1', 't2'):
+        site.targets[name].faults.append(targets.Fault.UNRESPONSIVE)
+
+
 async def _stop_under_load(site, routes, keeps_connection):
     """Stop an instance whose callers never learn of it.
 
@@ -275,14 +289,8 @@
 
 async def test_call_that_its_target_does_not_answer_is_answered(case, site):
     """A call that outlasted the grace period got a closed connection."""
-    site.settings_changes = {
-        'bounds': messages.Bounds(
-            SHORT_GRACE_SECONDS, 3.0, 2.0, 5.0, site.tolerance
-        )
-    }
-    await _start(site)
-    for name in ('t1', 't2'):
-        site.targets[name].faults.append(targets.Fault.UNRESPONSIVE)
+    await _start_with_short_grace(site)
+    _silence_tools(site)
     response, _ = await _stop_while(
         site, 2.9, lambda: site.call('i1', 'order', request='slow')
     )
@@ -292,14 +300,8 @@
 
 async def test_interrupted_requests_are_counted_and_logged(case, site):
     """Nothing told how many requests a stop had cut, and which."""
-    site.settings_changes = {
-        'bounds': messages.Bounds(
-            SHORT_GRACE_SECONDS, 3.0, 2.0, 5.0, site.tolerance
-        )
-    }
-    await _start(site)
-    for name in ('t1', 't2'):
-        site.targets[name].faults.append(targets.Fault.UNRESPONSIVE)
+    await _start_with_short_grace(site)
+    _silence_tools(site)
     await _stop_while(
         site, 2.9, lambda: site.call('i1', 'order', request='slow')
     )
@@ -315,12 +317,7 @@
     case, site
 ):
     """Such a stream was broken off when the process ended."""
-    site.settings_changes = {
-        'bounds': messages.Bounds(
-            SHORT_GRACE_SECONDS, 3.0, 2.0, 5.0, site.tolerance
-        )
-    }
-    await _start(site)
+    await _start_with_short_grace(site)
     for name in ('m1', 'm2'):
         site.targets[name].event_interval = 0.7
     response, seconds = await _stop_while(
