Returned grants that are on their way when an instance stops.

A program was told that its budget is spent (402) though 80 of 440 tokens were unused: a stopping instance returned its grants, left out accounts without free tokens, and lost a grant that the store had just given to one. An account with a write under way is now waited for. The test fails with the code before.

--- a/libs/gateway/vanillayoke/gateway/ledger.py
+++ b/libs/gateway/vanillayoke/gateway/ledger.py
@@ -489,11 +489,13 @@
                 max(0.0, deadline - self._timers.now())
             ):
                 for program, account in list(self._accounts.items()):
-                    if account.allotment.free > 0:
+                    # A grant may be on its way to a locked account.
+                    if account.allotment.free > 0 or account.lock.locked():
                         async with account.lock:
-                            returned_count += await self._return(
-                                account, program, deadline
-                            )
+                            if account.allotment.free > 0:
+                                returned_count += await self._return(
+                                    account, program, deadline
+                                )
         except (TimeoutError, store_module.StoreError):
             return returned_count
         return returned_count
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -440,4 +440,18 @@
     case.assertGreaterEqual(row[1], MAX_TOKENS)
 
 
+async def test_grant_that_arrives_while_others_are_returned_is_returned(
+    case, site
+):
+    """It was left out, as the account had no free tokens yet."""
+    await site.start(1)
+    ledger = site.instances['i1']._ledger
+    grant = asyncio.create_task(ledger.top_up('late', BUDGET, MAX_TOKENS))
+    await asyncio.sleep(0.001)
+    await ledger.return_grants(site.timers.now() + 1.0)
+    await grant
+    row = msgspec.msgpack.decode(site.store.list_table('budgets')['late'])
+    case.assertEqual(0, row[1])
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
