Granted nothing to other instances after the grants were returned.

Callers got a 402 with 80 of 440 tokens unused. Reservations for others are now refused once the grants are handed over, so that they ask the next instance or the store themselves. The test fails with the code before.

--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -222,6 +222,7 @@
         )
 
     async def _hand_over_state(self, schedule: shutdown.Schedule) -> None:
+        self._reservations.close()
         await self._reservations.hand_over()
         await self._ledger.return_grants(schedule.end_by)
         self._members.depart()
--- a/libs/gateway/vanillayoke/gateway/reservations.py
+++ b/libs/gateway/vanillayoke/gateway/reservations.py
@@ -104,6 +104,7 @@
             membership, timer_service, spawn
         )
         self.is_leaving = False
+        self._is_closed = False
         # Turns that have ended, by program. A request to reserve for one may
         # still arrive, late or duplicated, and would never be settled.
         self._ended_turns: collections.OrderedDict[tuple[str, str], None] = (
@@ -140,6 +141,13 @@
         """
         return await self._transfers.hand_over()
 
+    def close(self) -> None:
+        """Reserve nothing more for turns of other instances.
+
+        What is granted after the other grants were returned would be lost.
+        """
+        self._is_closed = True
+
     def reserve_locally(
         self, request: peer_messages.Reserve
     ) -> Reservation | None:
@@ -455,7 +463,7 @@
                     return self._confirm_and_release(program, requester)
                 return self._transfers.release(program, requester)
             case peer_messages.Reserve(program, _, turn, need):
-                if (program, turn) in self._ended_turns:
+                if self._is_closed or (program, turn) in self._ended_turns:
                     return peer_messages.Unavailable(False)
                 if self._ledger.try_reserve(program, turn, need):
                     self._top_up(request)
--- a/tests/gateway/test_stranded_grants.py
+++ b/tests/gateway/test_stranded_grants.py
@@ -440,6 +440,30 @@
     case.assertGreaterEqual(row[1], MAX_TOKENS)
 
 
+async def test_stopping_instance_grants_nothing_after_returning_its_grants(
+    case, site
+):
+    """A grant for a turn of another instance was lost with the process."""
+    await site.start(1)
+    instance = site.instances['i1']
+    request = peer_messages.Reserve('late', BUDGET, 'turn', MAX_TOKENS)
+    return_grants = instance._ledger.return_grants
+    responses = []
+
+    async def return_and_ask(deadline):
+        count = await return_grants(deadline)
+        response = instance._reservations.handle_request(request)
+        if asyncio.iscoroutine(response):
+            response = await response
+        responses.append(response)
+        return count
+
+    instance._ledger.return_grants = return_and_ask
+    await instance.stop()
+    case.assertEqual([peer_messages.Unavailable(False)], responses)
+    case.assertNotIn('late', site.store.list_table('budgets'))
+
+
 async def test_grant_that_arrives_while_others_are_returned_is_returned(
     case, site
 ):
