Logged what each resumption of a stream was decided on.

resumption_decided names the request, the source of the origin and the age of the news of the targets, which resumption_news_age_seconds counts by source. So far no line told an origin that was recorded from one that was concluded, nor how old the knowledge behind it was.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -1151,3 +1151,18 @@
     'fingerprint',
     'reason',
 )
+RESUMPTION_DECIDED = _define(
+    1061,
+    'resumption_decided',
+    _INFO,
+    'The stream that {request} resumes began at {service} {software}, by '
+    '{source}; the news of the targets was {news_ms} ms old.',
+    'request',
+    'resumes',
+    'session',
+    'service',
+    'software',
+    'source',
+    'news_ms',
+    'waited_ms',
+)
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -439,6 +439,7 @@
             self._software_versions,
             lambda: self._members.list_eligible(),
             self._timers,
+            self._log,
             self.metrics,
         )
         self._suspects = suspects.Suspects(
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -198,6 +198,13 @@
             'Streams that callers resumed, by where the origin was found.',
             _ORIGIN_SOURCE,
         )
+        self.resumption_news_age = metrics.Histogram(
+            registry,
+            'resumption_news_age_seconds',
+            'Age of the news of the targets when a resumption was decided on.',
+            metrics.WAIT_BUCKETS,
+            _ORIGIN_SOURCE,
+        )
         self._define_slot_queues(registry)
         self._define_zones(registry)
         self.hedged_calls = metrics.Counter(
--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -8,8 +8,11 @@
 """
 
 import asyncio
+import math
 import typing
 
+from vanillayoke.core import events as log_events
+from vanillayoke.core import logs
 from vanillayoke.core import timers
 from vanillayoke.gateway import catalog as catalog_module
 from vanillayoke.gateway import messages
@@ -61,6 +64,7 @@
         versions: software_versions.SoftwareVersions,
         list_eligible: rendezvous.ListPeers,
         timer_service: timers.TimerService,
+        log: logs.Logger,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._instance = instance
@@ -68,6 +72,7 @@
         self._versions = versions
         self._list_eligible = list_eligible
         self._timers = timer_service
+        self._log = log
         self._metrics = metrics
         self._peers: peers_module.Peers | None = None
         self._by_request: origin_cache.OriginCache[messages.StreamOrigin] = (
@@ -135,15 +140,16 @@
             self._by_session.record(begun.session, origin, now, lifetime)
 
     async def find_origin(
-        self, stream: StreamName, route: messages.Route
+        self, request: str, stream: StreamName, route: messages.Route
     ) -> messages.StreamOrigin:
-        """Return the origin of a stream that a caller resumes.
+        """Return the origin of a stream that a caller's request resumes.
 
         Raise ``RefusalError`` if it is unknown, or if the route no longer
         leads to its service.
         """
+        started_at = self._timers.now()
         origin, source = await self._search(stream, route)
-        self._metrics.resumed_streams.add(1, source=source)
+        self._record_decision(request, stream, origin, source, started_at)
         services = _list_services(route)
         if origin is None:
             raise refusals.RefusalError(
@@ -158,6 +164,32 @@
             )
         return origin
 
+    def _record_decision(
+        self,
+        request: str,
+        stream: StreamName,
+        origin: messages.StreamOrigin | None,
+        source: str,
+        started_at: float,
+    ) -> None:
+        now = self._timers.now()
+        news_age = self._versions.get_news_age(now)
+        self._metrics.resumed_streams.add(1, source=source)
+        if math.isfinite(news_age):
+            self._metrics.resumption_news_age.observe(news_age, source=source)
+        service, software = origin or (None, None)
+        self._log.write(
+            log_events.RESUMPTION_DECIDED,
+            request=request,
+            resumes=stream.request or None,
+            session=stream.session or None,
+            service=service,
+            software=software,
+            source=source,
+            news_ms=None if math.isinf(news_age) else round(1000 * news_age),
+            waited_ms=round(1000 * (now - started_at)),
+        )
+
     async def _search(
         self, stream: StreamName, route: messages.Route
     ) -> tuple[messages.StreamOrigin | None, str]:
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -131,7 +131,9 @@
         if call.resumes is None and call.last_event is None:
             return
         progress.origin = await self._context.resumptions.find_origin(
-            _name_stream(progress, call.resumes or ''), progress.route
+            call.request,
+            _name_stream(progress, call.resumes or ''),
+            progress.route,
         )
         progress.service = progress.origin.service
 
--- a/libs/scheduling/vanillayoke/scheduling/software_versions.py
+++ b/libs/scheduling/vanillayoke/scheduling/software_versions.py
@@ -73,6 +73,10 @@
                     self._rerouted_at[route] = now
         self._destinations = dict(destinations)
 
+    def get_news_age(self, now: float) -> float:
+        """Return the seconds since the last news, infinite without any."""
+        return now - self._news_at
+
     def find_only_version(
         self,
         route: str,
