--- a/libs/testing/vanillayoke/testing/networks.py
+++ b/libs/testing/vanillayoke/testing/networks.py
@@ -136,7 +136,9 @@
         """Receive something from the peer after the network delay."""
         self._pending_deliveries.append(deliver)
         self.network.deliver_later(
-            self.host, lambda: self._pending_deliveries.popleft()(self)
+            self.peer.host,
+            self.host,
+            lambda: self._pending_deliveries.popleft()(self),
         )
 
     def receive_data(self, data: bytes) -> None:
@@ -229,6 +231,8 @@
         self.transports: set[_Transport] = set()
         self.unreachable_hosts: set[str] = set()
         self.blocked_paths: set[frozenset[str]] = set()
+        # Packets that are held, by sender and receiver.
+        self._held: dict[tuple[str, str], list[typing.Callable]] = {}
         self.connection_counts: collections.Counter[Address] = (
             collections.Counter()
         )
@@ -270,10 +274,29 @@
     # Delivery
 
     def deliver_later(
-        self, host: str, deliver: typing.Callable[[], None]
+        self, sender: str, host: str, deliver: typing.Callable[[], None]
     ) -> None:
-        """Call ``deliver`` in a host's context after the network delay."""
-        self._loop.call_later(self.delay, deliver, context=make_context(host))
+        """Call ``deliver`` in a host's context after the network delay.
+
+        Packets of a sender that are held arrive when they are released.
+        """
+        self._loop.call_later(
+            self.delay,
+            self._arrive,
+            sender,
+            host,
+            deliver,
+            context=make_context(host),
+        )
+
+    def _arrive(
+        self, sender: str, host: str, deliver: typing.Callable[[], None]
+    ) -> None:
+        held = self._held.get((sender, host))
+        if held is None:
+            deliver()
+        else:
+            held.append(deliver)
 
     def has_path(self, host: str, other_host: str) -> bool:
         """Return whether packets pass between two hosts."""
@@ -296,7 +319,7 @@
             if transport is not None:
                 transport.protocol.datagram_received(data, sender)
 
-        self.deliver_later(receiver[0], deliver)
+        self.deliver_later(sender[0], receiver[0], deliver)
 
     # Fault injection
 
@@ -304,6 +327,15 @@
         """Block all packets between two hosts, in both directions."""
         self.blocked_paths.add(frozenset((host, other_host)))
 
+    def hold_packets(self, sender: str, host: str) -> None:
+        """Hold all packets from a sender to a host until they are released."""
+        self._held.setdefault((sender, host), [])
+
+    def release_packets(self, sender: str, host: str) -> None:
+        """Deliver the packets that were held, in order."""
+        for deliver in self._held.pop((sender, host), ()):
+            make_context(host).run(deliver)
+
     def restore_paths(self) -> None:
         """Remove all blocked paths and make all hosts reachable."""
         self.blocked_paths.clear()
