Followed the changes of a table from its first page on.

A table of more than 500 rows is read in several pages. A row of the first page that changed while a later one was read was missed until it changed again, as the changes were followed from the version of the last page: a target that left or announced so in that time still got requests.

--- a/libs/gateway/vanillayoke/gateway/store.py
+++ b/libs/gateway/vanillayoke/gateway/store.py
@@ -146,8 +146,12 @@
         start: str = '',
         end: str | None = None,
     ) -> messages.Page:
-        """Return the rows of a partition from ``start`` to before ``end``."""
+        """Return the rows of a partition from ``start`` to before ``end``.
+
+        All changes up to the page's version are in it.
+        """
         rows: list[messages.Row] = []
+        version: int | None = None
         while True:
             request = self._dialect.encode_read(table, partition, start, end)
             _, body = await self._call(
@@ -155,8 +159,13 @@
             )
             page = self._decode(self._dialect.decode_page, body)
             rows += page.rows
+            if version is None:
+                # Rows of this page may change while the next one is read.
+                version = page.version
             if not page.has_more or not page.rows:
-                return page._replace(rows=tuple(rows), has_more=False)
+                return page._replace(
+                    rows=tuple(rows), version=version, has_more=False
+                )
             start = page.rows[-1].where.key + '\0'
 
     async def follow(
--- a/tests/gateway/test_table_sync.py
+++ b/tests/gateway/test_table_sync.py
@@ -295,4 +295,22 @@
         await asyncio.sleep(seconds)
 
 
+async def test_change_between_two_pages_of_a_table_is_not_missed(case, site):
+    """A row of the first page changed while the second one was read.
+
+    The changes were followed from the last page on.
+    """
+    await site.start(1)
+    for number in range(600):
+        site.store.put('large', f'{number:03}', number)
+    asyncio.get_running_loop().call_later(
+        1.5 * site.store.response_delay, site.store.put, 'large', '000', -1
+    )
+    page = await site.instances['i1']._store.read('large', '', 1.0)
+    case.assertEqual(600, len(page.rows))
+    changed = site.store.rows['large', '', '000']
+    case.assertEqual(b'-1', changed.value)
+    case.assertLess(page.version, changed.version)
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
