Confirmed with the store that a service had only one version.

Cause: without a record of the origin, the only version that an instance knew was taken for the origin, on news up to 3 s old, or by the word of the first peer that knew one. That no other version served is a claim about an absence, and old knowledge can't support it. For a session, any record counted, although the instances that know its newest stream had not answered.

Now such a conclusion is drawn only after a read of the configuration and of the changes of the targets that began after the resumption arrived; one read serves all that wait. The version of the configuration's read tells whether the changes lag; then the table is read whole. An instance that can't confirm, or has not followed the targets for long enough, asks three others to do so. The age of news counts from when the store was asked. A record by session counts if both replicas have answered, lost ones included. What stays: named records, which are facts about one stream and do not age.

--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -437,7 +437,8 @@
             settings.instance,
             self._catalog,
             self._software_versions,
-            lambda: self._members.list_eligible(),
+            lambda seconds: self._table_sync.confirm(seconds),
+            membership_view,
             self._timers,
             self._log,
             self.metrics,
@@ -580,6 +581,8 @@
                 return self._program_admission.handle_query(request)
             case peer_messages.OriginQuery():
                 return self._resumptions.handle_query(request)
+            case peer_messages.VersionQuery():
+                return self._resumptions.handle_version_query(request)
             case peer_messages.SuspectQuery():
                 return self._suspects.handle_query(request)
             case peer_messages.TargetQuery():
--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -346,26 +346,46 @@
     """Ask which software version began a stream that a caller resumes.
 
     ``request`` is the one that began it, empty if the caller does not say;
-    ``session`` is as in ``StreamBegun``. ``service`` is the only one that
-    ``route`` leads to, empty if there are several. Streams that began more
-    than ``window_ms`` ago have ended.
+    ``session`` is as in ``StreamBegun``. The other fields are for instances of
+    earlier releases.
     """
 
     request: str
     session: str
+    route: str = ''
+    service: str = ''
+    window_ms: figures.Ordinal = 1
+
+
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True, tag='o'):
+    """The service and software version that began a stream, if recorded.
+
+    ``only_version`` is for instances of earlier releases.
+    """
+
+    origin: tuple[str, str] | None
+    only_version: None = None
+
+
+class VersionQuery(msgspec.Struct, frozen=True, array_like=True, tag='v'):
+    """Ask which software versions streams of a route may have begun at.
+
+    ``service`` is the only one that ``route`` leads to. Streams that began
+    more than ``window_ms`` ago have ended.
+    """
+
     route: str
     service: str
     window_ms: figures.Ordinal
 
 
-class StreamOrigin(msgspec.Struct, frozen=True, array_like=True, tag='o'):
-    """The service and software version that began a stream, if known.
+class ServedVersions(msgspec.Struct, frozen=True, array_like=True, tag='w'):
+    """All software versions that a service had within a window.
 
-    ``only_version`` is set if the service had no other within the window.
+    ``None`` if that is not known, or could not be confirmed.
     """
 
-    origin: tuple[str, str] | None
-    only_version: str | None
+    versions: tuple[str, ...] | None
 
 
 class ProcessEnd(msgspec.Struct, frozen=True, array_like=True):
@@ -510,6 +530,7 @@
     | SlotRequest
     | ProgramQuery
     | OriginQuery
+    | VersionQuery
     | SuspectQuery
     | TargetQuery
 )
@@ -525,6 +546,7 @@
     | SlotRefused
     | ProgramStatus
     | StreamOrigin
+    | ServedVersions
     | SuspectStatus
 )
 # Not acknowledged. A lost one makes the load less exact for a time, or leaves
--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -3,8 +3,12 @@
 A caller may resume at any instance. The instance that sends the first event of
 a resumable stream therefore replicates the stream's origin, its service and
 software version, to two others. They are in different zones if possible, and
-follow from the session of the stream. Nothing is stored: a stream whose origin
-is lost with its replicas can't continue, and the caller begins anew.
+follow from the session of the stream.
+
+Without a record, a stream's origin follows only if its service had a single
+version. That nothing else served can't be told from old knowledge, so it is
+confirmed with the store after the request has arrived. A stream whose origin
+can't be found does not continue, and the caller begins anew.
 """
 
 import asyncio
@@ -30,6 +34,10 @@
 # The caller waits for the response; a peer that is busy or gone is not worth
 # a large part of the time that the stream has left.
 QUERY_TIMEOUTS_SECONDS = (0.02, 0.05)
+# Others are asked to confirm the versions if this instance has not done so.
+CONFIRMATION_HEAD_START_SECONDS = 0.05
+# A store that is away or slow must not delay the refusal for longer.
+CONFIRMATION_TIMEOUT_SECONDS = 0.6
 # A caller's time for a request may be longer than the route's.
 LIFETIME_FACTOR = 2.0
 LIFETIME_MARGIN_SECONDS = 1.0
@@ -55,14 +63,19 @@
 
 
 class Resumptions:
-    """Records the origins of streams, and finds those of resumed streams."""
+    """Records the origins of streams, and finds those of resumed streams.
+
+    ``confirm`` gets the seconds that it may take and returns whether all
+    changes of routes and targets until now are known.
+    """
 
     def __init__(
         self,
         instance: str,
         catalog: catalog_module.Catalog,
         versions: software_versions.SoftwareVersions,
-        list_eligible: rendezvous.ListPeers,
+        confirm: typing.Callable[[float], typing.Awaitable[bool]],
+        membership: rendezvous.MembershipView,
         timer_service: timers.TimerService,
         log: logs.Logger,
         metrics: metrics_module.Metrics,
@@ -70,7 +83,8 @@
         self._instance = instance
         self._catalog = catalog
         self._versions = versions
-        self._list_eligible = list_eligible
+        self._confirm = confirm
+        self._membership = membership
         self._timers = timer_service
         self._log = log
         self._metrics = metrics
@@ -194,45 +208,110 @@
         self, stream: StreamName, route: messages.Route
     ) -> tuple[messages.StreamOrigin | None, str]:
         """Return an origin and where it was found."""
-        query = _make_query(stream, route)
+        query = peer_messages.OriginQuery(*stream)
         own = self._find_recorded(query)
         if own is not None and stream.request:
             return own, 'own_record'
-        only_version = self._find_only_version(query)
         responses = await self._query_replicas(stream.key, query)
         recorded = {
             messages.StreamOrigin(*response.origin)
-            for response in responses
+            for response in responses.values()
             if response.origin is not None
         }
-        if len(recorded | {own} - {None}) > 1:
+        source = 'peer_record' if recorded else 'own_record'
+        if own is not None:
+            recorded.add(own)
+        if len(recorded) > 1:
             # Some know only an older stream of the session.
             return None, 'unknown'
-        if recorded:
-            return recorded.pop(), 'peer_record'
-        if own is not None and not responses and self._has_others(stream):
-            # Others may know a newer stream of the session.
+        if recorded and (
+            stream.request or self._replicas_of(stream) <= responses.keys()
+        ):
+            return recorded.pop(), source
+        # Others may know a newer stream of the session.
+        origin, source = await self._conclude(stream, route)
+        if origin is None or not recorded <= {origin}:
             return None, 'unknown'
-        if own is not None:
-            return own, 'own_record'
-        if only_version is not None:
-            return only_version, 'only_version'
-        for response in responses:
-            if response.only_version is not None:
-                service, version = query.service, response.only_version
-                return messages.StreamOrigin(service, version), 'peer_version'
-        return None, 'unknown'
+        return origin, source
 
     def handle_query(
         self, query: peer_messages.OriginQuery
     ) -> peer_messages.StreamOrigin:
         """Respond with what this instance knows of a stream's origin."""
-        only_version = self._find_only_version(query)
-        return peer_messages.StreamOrigin(
-            self._find_recorded(query),
-            None if only_version is None else only_version.software_version,
+        return peer_messages.StreamOrigin(self._find_recorded(query))
+
+    # Conclusions from the versions of a service
+
+    async def _conclude(
+        self, stream: StreamName, route: messages.Route
+    ) -> tuple[messages.StreamOrigin | None, str]:
+        """Return the origin if the service had a single version."""
+        services = _list_services(route)
+        if len(services) != 1:
+            return None, 'unknown'
+        query = peer_messages.VersionQuery(
+            route.name,
+            next(iter(services)),
+            round(1000 * LIFETIME_FACTOR * route.timeout),
+        )
+        deadline = self._timers.now() + CONFIRMATION_TIMEOUT_SECONDS
+        own = asyncio.ensure_future(self._confirm_versions(query))
+        try:
+            await asyncio.wait((own,), timeout=CONFIRMATION_HEAD_START_SECONDS)
+            versions, source = None, 'only_version'
+            if own.done():
+                versions = own.result()
+            if versions is None:
+                versions = await self._query_versions(stream, query, deadline)
+                source = 'peer_version'
+            if versions is None:
+                versions, source = await own, 'only_version'
+        finally:
+            own.cancel()
+        if versions is None or len(versions) != 1:
+            return None, 'unknown'
+        [version] = versions
+        return messages.StreamOrigin(query.service, version), source
+
+    async def _confirm_versions(
+        self, query: peer_messages.VersionQuery
+    ) -> typing.Collection[str] | None:
+        """Return all versions that served, ``None`` if that is not certain."""
+        if not await self._confirm(CONFIRMATION_TIMEOUT_SECONDS):
+            return None
+        targets = self._catalog.list_targets(query.service)
+        return self._versions.list_versions(
+            query.route,
+            query.service,
+            {target.software_version for target in targets},
+            query.window_ms / 1000,
+            self._timers.now(),
         )
 
+    async def handle_version_query(
+        self, query: peer_messages.VersionQuery
+    ) -> peer_messages.ServedVersions:
+        """Respond with all versions that a service had, if that is certain."""
+        versions = await self._confirm_versions(query)
+        return peer_messages.ServedVersions(
+            None if versions is None else tuple(sorted(versions))
+        )
+
+    async def _query_versions(
+        self,
+        stream: StreamName,
+        query: peer_messages.VersionQuery,
+        deadline: float,
+    ) -> typing.Collection[str] | None:
+        """Return what the first instance says that is certain of it."""
+        async for _, response in self._query(stream.key, query, deadline):
+            if (
+                isinstance(response, peer_messages.ServedVersions)
+                and response.versions is not None
+            ):
+                return response.versions
+        return None
+
     def prune(self) -> None:
         """Forget streams that callers can't resume any more."""
         now = self._timers.now()
@@ -248,61 +327,88 @@
             return self._by_request.find(query.request, now)
         return self._by_session.find(query.session, now)
 
-    def _find_only_version(
-        self, query: peer_messages.OriginQuery
-    ) -> messages.StreamOrigin | None:
-        version = self._versions.find_only_version(
-            query.route,
-            query.service,
-            {
-                target.software_version
-                for target in self._catalog.list_targets(query.service)
-            },
-            query.window_ms / 1000,
-            self._timers.now(),
-        )
-        if version is None:
-            return None
-        return messages.StreamOrigin(query.service, version)
-
     async def _query_replicas(
         self, key: str, query: peer_messages.OriginQuery
-    ) -> list[peer_messages.StreamOrigin]:
-        """Return the responses of instances with replicas.
+    ) -> dict[str, peer_messages.StreamOrigin]:
+        """Return the responses by instance.
 
         The first one that knows the origin of a named stream is enough.
         """
-        tasks = [
-            asyncio.ensure_future(
-                self._peers.send_request(
-                    peer.address,
-                    query,
-                    self._timers.now(),
-                    QUERY_TIMEOUTS_SECONDS,
-                )
+        responses = {}
+        async for instance, response in self._query(
+            key, query, self._timers.now()
+        ):
+            if not isinstance(response, peer_messages.StreamOrigin):
+                continue
+            responses[instance] = response
+            if response.origin is not None and query.request:
+                break
+        return responses
+
+    async def _query(
+        self, key: str, query: peer_messages.Request, deadline: float
+    ) -> typing.AsyncIterator[tuple[str, peer_messages.Response | None]]:
+        """Yield responses as they arrive, and their instances."""
+
+        async def send(
+            peer: rendezvous.Peer,
+        ) -> tuple[str, peer_messages.Response | None]:
+            response = await self._peers.send_request(
+                peer.address, query, deadline, QUERY_TIMEOUTS_SECONDS
             )
-            for peer in self._list_others(key, QUERY_COUNT)
+            return peer.instance, response
+
+        tasks = [
+            asyncio.ensure_future(send(peer))
+            for peer in self._list_holders(key)
         ]
-        responses = []
         try:
             for task in asyncio.as_completed(tasks):
-                response = await task
-                if not isinstance(response, peer_messages.StreamOrigin):
-                    continue
-                responses.append(response)
-                if response.origin is not None and query.request:
-                    break
+                yield await task
         finally:
             for task in tasks:
                 task.cancel()
-        return responses
 
-    def _has_others(self, stream: StreamName) -> bool:
-        return bool(self._list_others(stream.key, QUERY_COUNT))
+    def _list_holders(self, key: str) -> list[rendezvous.Peer]:
+        """Return the other instances that may have the record of a stream.
+
+        An instance that stood still takes others for lost when it wakes up.
+        """
+        known = rendezvous.ZoneRanking().list_highest(
+            key, self._list_known(), QUERY_COUNT
+        )
+        holders = {
+            peer.instance: peer
+            for peer in (*self._list_others(key, QUERY_COUNT), *known)
+        }
+        holders.pop(self._instance, None)
+        return list(holders.values())
+
+    def _replicas_of(self, stream: StreamName) -> set[str]:
+        """Return the other instances that know the newest of a session.
+
+        Lost ones count: while they are only cut off, a newer stream may have
+        begun there.
+        """
+        highest = rendezvous.ZoneRanking().list_highest(
+            stream.key, self._list_known(), REPLICA_COUNT
+        )
+        return {peer.instance for peer in highest} - {self._instance}
+
+    def _list_known(self) -> list[rendezvous.Peer]:
+        """Return all instances, lost ones and those that leave too."""
+        known = (
+            *self._membership.list_eligible(),
+            *self._membership.list_reachable(),
+            *self._membership.list_lost(),
+        )
+        return list({peer.instance: peer for peer in known}.values())
 
     def _list_others(self, key: str, count: int) -> list[rendezvous.Peer]:
-        """Return the instances with replicas except this one."""
-        highest = self._zones.list_highest(key, self._list_eligible(), count)
+        """Return the instances that get replicas, except this one."""
+        highest = self._zones.list_highest(
+            key, self._membership.list_eligible(), count
+        )
         return [peer for peer in highest if peer.instance != self._instance]
 
 
@@ -311,19 +417,3 @@
     return {share.service for share in route.shares if share.weight > 0} or {
         route.shares[0].service
     }
-
-
-def _make_query(
-    stream: StreamName, route: messages.Route
-) -> peer_messages.OriginQuery:
-    """Return the query about a stream of a route.
-
-    It names no service if the route leads to several.
-    """
-    services = _list_services(route)
-    return peer_messages.OriginQuery(
-        *stream,
-        route.name,
-        services.pop() if len(services) == 1 else '',
-        round(1000 * LIFETIME_FACTOR * route.timeout),
-    )
--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -10,6 +10,7 @@
 from vanillayoke.core import supervision
 from vanillayoke.core import timers
 from vanillayoke.gateway import catalog as catalog_module
+from vanillayoke.gateway import confirmation
 from vanillayoke.gateway import dialect as dialect_module
 from vanillayoke.gateway import feeds
 from vanillayoke.gateway import members as members_module
@@ -68,7 +69,8 @@
             self._change_configuration,
             self._reject,
             min(wait, bounds.revocation_timeout * WAIT_RATIO),
-            on_confirmed,
+            timer_service,
+            lambda asked_at: on_confirmed(),
         )
         self._targets = feeds.TableFeed(
             store,
@@ -77,7 +79,8 @@
             self._change_target,
             self._reject,
             wait,
-            lambda: versions.record_news(timer_service.now()),
+            timer_service,
+            versions.record_news,
         )
         self._instances = feeds.TableFeed(
             store,
@@ -86,7 +89,9 @@
             self._change_instance,
             self._reject,
             wait,
+            timer_service,
         )
+        self._confirmation = confirmation.Confirmation(self._read_changes)
 
     def start(self, spawn: typing.Callable[[typing.Coroutine], None]) -> None:
         """Start the feeds."""
@@ -106,6 +111,21 @@
         await self._targets.loaded.wait()
         await self._instances.loaded.wait()
 
+    async def confirm(self, timeout_seconds: float) -> bool:
+        """Return whether all changes of before this call are known.
+
+        This concerns the configuration and the targets.
+        """
+        return await self._confirmation.confirm(timeout_seconds)
+
+    async def _read_changes(self) -> bool:
+        try:
+            version = await self._configuration.read()
+            await self._targets.catch_up(version)
+        except store_module.StoreError:
+            return False
+        return True
+
     async def publish_instance(self, row: messages.InstanceRow) -> None:
         """Write an instance's row; retry until it succeeds."""
         key = messages.RowKey(members_module.TABLE, '', row.instance)
--- a/libs/scheduling/vanillayoke/scheduling/software_versions.py
+++ b/libs/scheduling/vanillayoke/scheduling/software_versions.py
@@ -77,19 +77,19 @@
         """Return the seconds since the last news, infinite without any."""
         return now - self._news_at
 
-    def find_only_version(
+    def list_versions(
         self,
         route: str,
         service: str,
         present: typing.Iterable[str],
         window: float,
         now: float,
-    ) -> str | None:
-        """Return the only version that a service had within ``window``.
+    ) -> frozenset[str] | None:
+        """Return all versions that a service had within ``window``.
 
         ``present`` has the versions of the present targets. Return ``None`` if
-        there were several or none, if the record does not cover the time, or
-        if the route did not lead to the service all the time.
+        the record does not cover the time, or if the route did not lead to the
+        service all the time.
         """
         since = now - window
         if (
@@ -98,11 +98,27 @@
             or self._rerouted_at.get(route, float('-inf')) > since
         ):
             return None
-        versions = set(present)
-        for version, used_at in self._used_at.get(service, {}).items():
-            if used_at > since:
-                versions.add(version)
-        return versions.pop() if len(versions) == 1 else None
+        used_at = self._used_at.get(service, {})
+        recent = (version for version, at in used_at.items() if at > since)
+        return frozenset((*present, *recent))
+
+    def find_only_version(
+        self,
+        route: str,
+        service: str,
+        present: typing.Iterable[str],
+        window: float,
+        now: float,
+    ) -> str | None:
+        """Return the only version that a service had within ``window``.
+
+        Return ``None`` if there were several or none, or if ``list_versions``
+        can't tell.
+        """
+        versions = self.list_versions(route, service, present, window, now)
+        if versions is None or len(versions) != 1:
+            return None
+        return next(iter(versions))
 
     def prune(self, now: float) -> None:
         """Forget what no stream can depend on any more."""
