Showed by a failing test that an instance out of step runs a suspect again.

What callers see: an instance that was cut off or stood still, and that takes itself for the coordinator, ends two or three more targets where one can't be avoided: its retry asks nobody. 6 targets ended under a request for which 4 are allowed.

--- a/tests/gateway/test_poison_requests.py
+++ b/tests/gateway/test_poison_requests.py
@@ -441,4 +441,29 @@
     case.assertEqual(200, responses[0].status)
 
 
+async def test_instance_that_was_out_of_step_asks_before_a_second_run(
+    case, crash_site, network
+):
+    """It believed that it coordinates, and that nothing else had ended.
+
+    Its first run can't be known to be a suspect's.
+    """
+    await crash_site.start()
+    for number in range(6):
+        body = POISON + b' %d' % number
+        host = crash_site.site.instances['i1'].settings.ip
+        for name in ('i2', 'i3'):
+            other = crash_site.site.instances[name].settings.ip
+            network.block_path(host, other)
+        await asyncio.sleep(3.0)
+        await crash_site.call(['i2', 'i3', 'i2', 'i3'], body)
+        case.assertEqual(MAX_ENDED_TARGETS, crash_site.count_ends(body))
+        network.restore_paths()
+        await crash_site.call(['i1', 'i1'], body)
+        case.assertLessEqual(
+            crash_site.count_ends(body), MAX_ENDED_TARGETS + 1
+        )
+        await asyncio.sleep(2.0)
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
