--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -32,6 +32,7 @@
 from vanillayoke.gateway import metrics as metrics_module
 from vanillayoke.gateway import peer_messages
 from vanillayoke.gateway import peers as peers_module
+from vanillayoke.gateway import permits
 from vanillayoke.gateway import program_admission
 from vanillayoke.gateway import quarantine
 from vanillayoke.gateway import rendezvous
@@ -453,6 +454,15 @@
             self._log,
             self.metrics,
             self._instrumentation.count_rejected_message,
+            lambda fingerprint: self._permits.notify_waiting(fingerprint),
+        )
+        self._permits = permits.Permits(
+            settings.instance,
+            self._suspects,
+            membership_view,
+            self._timers,
+            self._spawn,
+            self._log,
         )
         self._target_ends = target_ends.TargetEnds(
             self._pool,
@@ -466,6 +476,7 @@
         self._quarantine = quarantine.Quarantine(
             settings.instance,
             self._suspects,
+            self._permits,
             self._target_ends,
             self._catalog,
             self._timers,
@@ -493,6 +504,7 @@
         self._resumptions.set_peers(self._peers)
         self._health_gossip.set_peers(self._peers)
         self._suspects.set_peers(self._peers)
+        self._permits.set_peers(self._peers)
         self._members = members_module.Members(
             self._row,
             self._timers,
@@ -584,9 +596,9 @@
             case peer_messages.VersionQuery():
                 return self._resumptions.handle_version_query(request)
             case peer_messages.SuspectQuery():
-                return self._suspects.handle_query(request)
+                return self._permits.handle_query(request)
             case peer_messages.TargetQuery():
-                return self._suspects.handle_target_query(request)
+                return self._permits.handle_target_query(request)
         return self._reservations.handle_request(request)
 
     def _has_slot_queues(self) -> bool:
@@ -689,6 +701,7 @@
         self._program_admission.maintain()
         self._resumptions.prune()
         self._suspects.maintain()
+        self._permits.maintain()
         self._target_ends.prune()
         self._occupancy.retain(self._catalog.target_names)
         self._slot_queues.retain(self._catalog.target_names)
--- a/libs/gateway/vanillayoke/gateway/quarantine.py
+++ b/libs/gateway/vanillayoke/gateway/quarantine.py
@@ -9,6 +9,7 @@
 from vanillayoke.gateway import catalog as catalog_module
 from vanillayoke.gateway import fingerprints
 from vanillayoke.gateway import messages
+from vanillayoke.gateway import permits as permits_module
 from vanillayoke.gateway import refusals
 from vanillayoke.gateway import suspects as suspects_module
 from vanillayoke.gateway import target_ends as target_ends_module
@@ -80,6 +81,7 @@
         self,
         instance: str,
         suspects: suspects_module.Suspects,
+        permits: permits_module.Permits,
         target_ends: target_ends_module.TargetEnds,
         catalog: catalog_module.Catalog,
         timer_service: timers.TimerService,
@@ -88,6 +90,7 @@
     ) -> None:
         self._instance = instance
         self._suspects = suspects
+        self._permits = permits
         self._target_ends = target_ends
         self._catalog = catalog
         self._timers = timer_service
@@ -155,7 +158,7 @@
         # Set before the answer, so that the permit is returned if the request
         # is cancelled meanwhile.
         runs.permit = ticket
-        if not await self._suspects.request_run(
+        if not await self._permits.request_run(
             runs.fingerprint, ticket, deadline
         ):
             runs.permit = None
@@ -170,7 +173,7 @@
             return True
         self._release_target(runs)
         runs.target = target
-        return await self._suspects.request_target(
+        return await self._permits.request_target(
             target, runs.permit, suspect.must_run_exclusively, deadline
         )
 
@@ -204,7 +207,7 @@
                     runs.ended_targets.add(target.name)
                     self.record_crash(attempt, ticket)
                 elif ticket:
-                    self._suspects.report(runs.fingerprint, ticket)
+                    self._permits.report(runs.fingerprint, ticket)
             finally:
                 check.set()
 
@@ -237,7 +240,7 @@
                 started=target.started,
                 ends=len(suspect.ends),
             )
-        self._suspects.report(attempt.fingerprint, ticket)
+        self._permits.report(attempt.fingerprint, ticket)
 
     def record_completed(self, runs: Runs, target: messages.Target) -> None:
         """Record that a run has ended whole, which clears the request."""
@@ -245,19 +248,19 @@
             runs.fingerprint, target.software
         )
         if was_cleared and runs.permit is None:
-            self._suspects.report(runs.fingerprint, '')
+            self._permits.report(runs.fingerprint, '')
         self.end_permit(runs)
 
     def end_permit(self, runs: Runs) -> None:
         """Record that no run of the request is under way any more."""
         self._release_target(runs)
         if runs.permit is not None:
-            self._suspects.report(runs.fingerprint, runs.permit)
+            self._permits.report(runs.fingerprint, runs.permit)
             runs.permit = None
 
     def _release_target(self, runs: Runs) -> None:
         if runs.target is not None and runs.permit is not None:
-            self._suspects.release_target(runs.target, runs.permit)
+            self._permits.release_target(runs.target, runs.permit)
         runs.target = None
 
     def _list_versions(self, service: str) -> tuple[str, ...]:
--- a/libs/gateway/vanillayoke/gateway/suspects.py
+++ b/libs/gateway/vanillayoke/gateway/suspects.py
@@ -1,12 +1,10 @@
 """What the instances know of suspects: requests under which targets ended.
 
-Coordinators of each suspect collect the ends that instances report, and the
-first one permits a single run at a time while the suspect may be to blame.
-From the second end on they tell all instances and keep a row in the store, so
-that it is not forgotten when an instance, or all of them, are lost.
+Coordinators of each suspect collect the ends that instances report. From the
+second end on they tell all instances and keep a row in the store, so that it
+is not forgotten when an instance, or all of them, are lost.
 """
 
-import asyncio
 import random
 import typing
 
@@ -40,22 +38,12 @@
 MAX_LOAD_SECONDS = 2.0
 
 
-class _TargetRun(typing.NamedTuple):
-    """The run of a suspect at a target, until ``expires_at``."""
-
-    is_exclusive: bool
-    expires_at: float
-
-
-class _Permit(typing.NamedTuple):
-    """The run of a suspect that is under way, until ``expires_at``."""
-
-    ticket: str
-    expires_at: float
-
-
 class Suspects:
-    """One instance's copy of the suspects, and those that it coordinates."""
+    """One instance's copy of the suspects.
+
+    ``on_news`` is called with the fingerprint of each suspect of which more or
+    less is known than before.
+    """
 
     def __init__(
         self,
@@ -68,7 +56,9 @@
         log: logs.Logger,
         metrics: metrics_module.Metrics,
         on_rejected: typing.Callable[[str, decoding.Reason], None],
+        on_news: typing.Callable[[str], None],
     ) -> None:
+        self._on_news = on_news
         self._instance = instance
         self._store = store
         self._membership = membership
@@ -82,11 +72,6 @@
         self.known = quarantine.SuspectList()
         # Those that all instances know and that have a row.
         self._shared: set[str] = set()
-        self._permits: dict[str, _Permit] = {}
-        # By target and ticket.
-        self._target_runs: dict[str, dict[str, _TargetRun]] = {}
-        # Set when a permit ends or when there is news of a suspect.
-        self._changes: dict[str, asyncio.Event] = {}
         self._repeat_at = 0.0
         self.is_loaded = False
 
@@ -157,185 +142,6 @@
             self._handle_cleared(fingerprint)
         return was_cleared
 
-    def report(self, fingerprint: str, ticket: str) -> None:
-        """Tell the coordinators what is known, and that a run has ended."""
-        query = self._make_query(fingerprint, ticket, 0.0)
-        for peer in self._list_coordinators(fingerprint):
-            if peer.instance == self._instance:
-                self.handle_query(query)
-            else:
-                self._spawn(self._send_report(peer, query))
-
-    async def _send_report(
-        self, peer: rendezvous.Peer, query: peer_messages.SuspectQuery
-    ) -> None:
-        status = await self._peers.send_request(
-            peer.address,
-            query,
-            self._timers.now(),
-            peers_module.LONG_RETRY_TIMEOUTS_SECONDS,
-        )
-        if isinstance(status, peer_messages.SuspectStatus):
-            self._merge(query.fingerprint, status.ends, status.completed)
-
-    async def request_run(
-        self, fingerprint: str, ticket: str, deadline: float
-    ) -> bool:
-        """Return whether a suspect may run now, and no other run does.
-
-        Otherwise there is news, or the deadline has passed.
-        """
-        query = self._make_query(
-            fingerprint, ticket, deadline - self._timers.now()
-        )
-        for peer in self._list_coordinators(fingerprint):
-            if peer.instance == self._instance:
-                break
-            status = await self._peers.send_request(
-                peer.address, query, deadline
-            )
-            match status:
-                case peer_messages.SuspectStatus():
-                    self._merge(fingerprint, status.ends, status.completed)
-                    return status.is_permitted
-                case peer_messages.Pending():
-                    return False
-        # Without another coordinator, at least one run at a time here.
-        status = await self._permit(query)
-        return status.is_permitted
-
-    async def request_target(
-        self, target: str, ticket: str, is_exclusive: bool, deadline: float
-    ) -> bool:
-        """Return whether a suspect may run at a target now.
-
-        An exclusive run has no other suspect's run beside it.
-        """
-        query = peer_messages.TargetQuery(
-            target,
-            ticket,
-            is_exclusive,
-            max(1, int(1000 * (deadline - self._timers.now()))),
-        )
-        coordinator = rendezvous.find_coordinator(
-            target, self._membership.list_eligible()
-        )
-        if coordinator is not None and coordinator.instance != self._instance:
-            status = await self._peers.send_request(
-                coordinator.address, query, deadline
-            )
-            if isinstance(status, peer_messages.SuspectStatus):
-                return status.is_permitted
-        return self.handle_target_query(query).is_permitted
-
-    def release_target(self, target: str, ticket: str) -> None:
-        """Tell that a suspect's run at a target has ended."""
-        query = peer_messages.TargetQuery(target, ticket, False, 0)
-        self.handle_target_query(query)
-        coordinator = rendezvous.find_coordinator(
-            target, self._membership.list_eligible()
-        )
-        if coordinator is not None and coordinator.instance != self._instance:
-            self._spawn(
-                self._peers.send_request(
-                    coordinator.address, query, self._timers.now()
-                )
-            )
-
-    # Coordination
-
-    def handle_target_query(
-        self, query: peer_messages.TargetQuery
-    ) -> peer_messages.SuspectStatus:
-        """Answer an instance that wants to run a suspect at a target."""
-        now = self._timers.now()
-        runs = {
-            ticket: run
-            for ticket, run in self._target_runs.get(query.target, {}).items()
-            if ticket != query.ticket and run.expires_at > now
-        }
-        is_permitted = query.time_left_ms > 0 and not any(
-            run.is_exclusive or query.is_exclusive for run in runs.values()
-        )
-        if is_permitted:
-            runs[query.ticket] = _TargetRun(
-                query.is_exclusive, now + query.time_left_ms / 1000
-            )
-        self._target_runs[query.target] = runs
-        if not runs:
-            del self._target_runs[query.target]
-        return peer_messages.SuspectStatus((), None, is_permitted)
-
-    def handle_query(
-        self, query: peer_messages.SuspectQuery
-    ) -> (
-        peer_messages.SuspectStatus
-        | typing.Coroutine[typing.Any, typing.Any, peer_messages.SuspectStatus]
-    ):
-        """Answer an instance at which a suspect wants to run or has run."""
-        if query.time_left_ms:
-            return self._permit(query)
-        self._end_permit(query.fingerprint, query.ticket)
-        self._merge(query.fingerprint, query.ends, query.completed)
-        return self._make_status(query.fingerprint, False)
-
-    async def _permit(
-        self, query: peer_messages.SuspectQuery
-    ) -> peer_messages.SuspectStatus:
-        fingerprint = query.fingerprint
-        self._end_permit(fingerprint, query.ticket)
-        self._merge(fingerprint, query.ends, query.completed)
-        deadline = self._timers.now() + query.time_left_ms / 1000
-        known = self._count_ends(fingerprint)
-        while True:
-            now = self._timers.now()
-            permit = self._permits.get(fingerprint)
-            if (
-                self._count_ends(fingerprint) != known
-                or self._is_quarantined(fingerprint, now)
-                or now >= deadline
-            ):
-                return self._make_status(fingerprint, False)
-            if permit is None or permit.expires_at <= now:
-                break
-            await self._wait(fingerprint, min(deadline, permit.expires_at))
-        if known:
-            self._permits[fingerprint] = _Permit(query.ticket, deadline)
-            self._log_permit(query)
-        return self._make_status(fingerprint, True)
-
-    async def _wait(self, fingerprint: str, until: float) -> None:
-        change = self._changes.setdefault(fingerprint, asyncio.Event())
-        try:
-            async with asyncio.timeout(until - self._timers.now()):
-                await change.wait()
-        except TimeoutError:
-            pass
-
-    def _notify_waiting(self, fingerprint: str) -> None:
-        change = self._changes.pop(fingerprint, None)
-        if change is not None:
-            change.set()
-
-    def _end_permit(self, fingerprint: str, ticket: str) -> None:
-        permit = self._permits.get(fingerprint)
-        if permit is not None and permit.ticket == ticket:
-            del self._permits[fingerprint]
-            self._notify_waiting(fingerprint)
-
-    def _is_quarantined(self, fingerprint: str, now: float) -> bool:
-        """Return whether all services at which processes ended refuse it."""
-        suspect = self.known.get(fingerprint)
-        return (
-            suspect is not None
-            and suspect.is_quarantined(now)
-            and not suspect.must_run_alone(now)
-        )
-
-    def _count_ends(self, fingerprint: str) -> int:
-        suspect = self.known.get(fingerprint)
-        return 0 if suspect is None else len(suspect.ends)
-
     # Gossip
 
     def receive(self, report: peer_messages.SuspectReport) -> None:
@@ -343,7 +149,7 @@
 
         News is forwarded, with the last whole run that is known here.
         """
-        self._merge(report.fingerprint, report.ends, report.completed, True)
+        self.merge(report.fingerprint, report.ends, report.completed, True)
 
     def maintain(self) -> None:
         """Forget suspects, repeat news and drop rows; called regularly."""
@@ -351,18 +157,13 @@
         for fingerprint in self.known.expire(now):
             self._log_cleared(fingerprint, 'expired')
             self._unshare(fingerprint)
-        for fingerprint, permit in list(self._permits.items()):
-            if permit.expires_at <= now:
-                del self._permits[fingerprint]
-        for fingerprint in set(self._changes) - set(self.known):
-            self._notify_waiting(fingerprint)
         if now >= self._repeat_at:
             self._repeat_at = now + REPEAT_INTERVAL_SECONDS
             for fingerprint in self._shared & set(self.known):
                 if self._is_coordinator(fingerprint):
                     self._spread(fingerprint)
 
-    def _merge(
+    def merge(
         self,
         fingerprint: str,
         ends: typing.Iterable[peer_messages.ProcessEnd],
@@ -391,7 +192,7 @@
 
     def _handle_news(self, fingerprint: str) -> None:
         """Act on an end that this instance has learned of."""
-        self._notify_waiting(fingerprint)
+        self._on_news(fingerprint)
         suspect = self.known.get(fingerprint)
         if suspect is None:
             return
@@ -406,7 +207,7 @@
 
     def _handle_cleared(self, fingerprint: str) -> None:
         self._log_cleared(fingerprint, 'a run ended whole')
-        self._notify_waiting(fingerprint)
+        self._on_news(fingerprint)
         if fingerprint in self._shared:
             self._spread(fingerprint)
         self._unshare(fingerprint)
@@ -423,8 +224,8 @@
             return
         report = peer_messages.SuspectReport(
             fingerprint,
-            self._encode_ends(fingerprint),
-            self._encode_completion(fingerprint),
+            self.encode_ends(fingerprint),
+            self.encode_completion(fingerprint),
         )
         # Those that are leaving still take requests.
         others = [
@@ -435,7 +236,7 @@
         for peer in self._rng.sample(others, min(FANOUT, len(others))):
             self._peers.notify(peer.address, report)
 
-    def _list_coordinators(self, fingerprint: str) -> list[rendezvous.Peer]:
+    def list_coordinators(self, fingerprint: str) -> list[rendezvous.Peer]:
         """Return the coordinators of a suspect, the one that permits first.
 
         They are the highest of those that are eligible, and of all that are
@@ -452,7 +253,7 @@
         return list({peer.instance: peer for peer in found}.values())
 
     def _is_coordinator(self, fingerprint: str) -> bool:
-        coordinators = self._list_coordinators(fingerprint)
+        coordinators = self.list_coordinators(fingerprint)
         return not coordinators or any(
             peer.instance == self._instance for peer in coordinators
         )
@@ -484,27 +285,7 @@
 
     # Messages
 
-    def _make_query(
-        self, fingerprint: str, ticket: str, time_left: float
-    ) -> peer_messages.SuspectQuery:
-        return peer_messages.SuspectQuery(
-            fingerprint,
-            ticket,
-            self._encode_ends(fingerprint),
-            self._encode_completion(fingerprint),
-            max(0, int(time_left * 1000)),
-        )
-
-    def _make_status(
-        self, fingerprint: str, is_permitted: bool
-    ) -> peer_messages.SuspectStatus:
-        return peer_messages.SuspectStatus(
-            self._encode_ends(fingerprint),
-            self._encode_completion(fingerprint),
-            is_permitted,
-        )
-
-    def _encode_completion(
+    def encode_completion(
         self, fingerprint: str
     ) -> peer_messages.WholeRun | None:
         completion = self.known.find_completion(
@@ -517,7 +298,7 @@
             self._compute_age_ms(completion.completed_at),
         )
 
-    def _encode_ends(
+    def encode_ends(
         self, fingerprint: str
     ) -> tuple[peer_messages.ProcessEnd, ...]:
         suspect = self.known.get(fingerprint)
@@ -561,16 +342,6 @@
                 seconds=round(verdict.released_at - now, 1),
             )
 
-    def _log_permit(self, query: peer_messages.SuspectQuery) -> None:
-        suspect = self.known.get(query.fingerprint)
-        self._log.write(
-            log_events.REQUEST_ADMITTED,
-            fingerprint=query.fingerprint,
-            ticket=query.ticket,
-            ends=len(suspect.ends),
-            last_end_age=round(self._timers.now() - suspect.last_end_at, 3),
-        )
-
     def _log_cleared(self, fingerprint: str, reason: str) -> None:
         self._log.write(
             log_events.REQUEST_CLEARED, fingerprint=fingerprint, reason=reason
