Asked the other coordinators before a suspect's run is permitted.

What callers saw: a request under which three targets had ended elsewhere ended two or three more at an instance that was cut off or had stood still.

Cause: that nothing else had ended is an absence, which the instance believed on old knowledge. Now each permit is preceded by a query to the other coordinators, also to those that this instance takes for lost; it waits 70 ms at most for one that does not answer, and only for suspects. If none answers, one run at a time goes on as before, so that each part of a cut network stays within its bound.

--- a/libs/gateway/vanillayoke/gateway/permits.py
+++ b/libs/gateway/vanillayoke/gateway/permits.py
@@ -16,6 +16,9 @@
 from vanillayoke.gateway import rendezvous
 from vanillayoke.gateway import suspects as suspects_module
 
+# How long each copy of a query to another coordinator waits for the response.
+CONSULTATION_TIMEOUTS_SECONDS = (0.02, 0.05)
+
 
 class _TargetRun(typing.NamedTuple):
     """The run of a suspect at a target, until ``expires_at``."""
@@ -205,6 +208,7 @@
         self._suspects.merge(fingerprint, query.ends, query.completed)
         deadline = self._timers.now() + query.time_left_ms / 1000
         known = self._count_ends(fingerprint)
+        await self._consult(fingerprint)
         while True:
             now = self._timers.now()
             permit = self._permits.get(fingerprint)
@@ -222,6 +226,41 @@
             self._log_permit(query)
         return self._make_status(fingerprint, True)
 
+    async def _consult(self, fingerprint: str) -> None:
+        """Learn what the other coordinators know of a suspect.
+
+        This instance may have been out of step, so that it has missed ends, or
+        takes the other ones for lost.
+        """
+        known = {
+            peer.instance: peer
+            for peers in (
+                self._suspects.list_coordinators(fingerprint),
+                self._membership.list_lost(),
+            )
+            for peer in rendezvous.list_highest(
+                fingerprint, peers, suspects_module.COORDINATOR_COUNT
+            )
+        }
+        known.pop(self._instance, None)
+        query = self._make_query(fingerprint, '', 0.0)
+        responses = await asyncio.gather(
+            *(
+                self._peers.send_request(
+                    peer.address,
+                    query,
+                    self._timers.now(),
+                    CONSULTATION_TIMEOUTS_SECONDS,
+                )
+                for peer in known.values()
+            )
+        )
+        for status in responses:
+            if isinstance(status, peer_messages.SuspectStatus):
+                self._suspects.merge(
+                    fingerprint, status.ends, status.completed
+                )
+
     async def _wait(self, fingerprint: str, until: float) -> None:
         change = self._changes.setdefault(fingerprint, asyncio.Event())
         try:
