Found unnamed streams without a program by what they ask for.

Callers repeat what they ask for, so the request's fingerprint is its key now. Equal requests may run at the same time; where they began at two versions none of them is resumed without a name. Messages to instances of earlier releases are unchanged for streams with a program.

Both tests are new; the first one fails before. Tests of streams without any record forget the records now, as these streams have one.

--- a/libs/gateway/vanillayoke/gateway/peer_messages.py
+++ b/libs/gateway/vanillayoke/gateway/peer_messages.py
@@ -331,8 +331,9 @@
     """A caller gets the first event of a resumable stream.
 
     ``request`` is the one that began it, ``session`` its program and session,
-    empty without a program. ``service`` and ``software_version`` are its
-    target's. It may be resumed for at most ``lifetime_ms``.
+    empty without a program; ``content`` is its fingerprint then. ``service``
+    and ``software_version`` are its target's. It may be resumed for at most
+    ``lifetime_ms``.
     """
 
     request: str
@@ -340,14 +341,15 @@
     service: str
     software_version: str
     lifetime_ms: figures.Ordinal
+    content: str = ''
 
 
 class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag='q'):
     """Ask which software version began a stream that a caller resumes.
 
     ``request`` is the one that began it, empty if the caller does not say;
-    ``session`` is as in ``StreamBegun``. The other fields are for instances of
-    earlier releases.
+    ``session`` and ``content`` are as in ``StreamBegun``. The other fields are
+    for instances of earlier releases.
     """
 
     request: str
@@ -355,6 +357,7 @@
     route: str = ''
     service: str = ''
     window_ms: figures.Ordinal = 1
+    content: str = ''
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True, tag='o'):
@@ -482,6 +485,8 @@
 # those after it are left out while they have their defaults.
 _FIRST_NEW_FIELDS = {
     LoadResponse: 'waiting',
+    StreamBegun: 'content',
+    OriginQuery: 'content',
     RequestEnded: 'performance',
     UsageRecord: 'priority',
     UsageReport: 'priority',
--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -38,6 +38,8 @@
 CONFIRMATION_HEAD_START_SECONDS = 0.05
 # A store that is away or slow must not delay the refusal for longer.
 CONFIRMATION_TIMEOUT_SECONDS = 0.6
+# The origin of equal requests that ran at several versions at a time.
+AMBIGUOUS = messages.StreamOrigin('', '')
 # A caller's time for a request may be longer than the route's.
 LIFETIME_FACTOR = 2.0
 LIFETIME_MARGIN_SECONDS = 1.0
@@ -50,16 +52,18 @@
 
     ``request`` is the one that began it, empty if the caller that resumes it
     does not say; then it is the newest one of its session. ``session`` names
-    the program and the session, and is empty for requests without a program.
+    the program and the session. Requests without a program have ``content``
+    instead, the fingerprint of what they ask for, which the caller repeats.
     """
 
     request: str
     session: str
+    content: str = ''
 
     @property
     def key(self) -> str:
         """What determines the instances with replicas."""
-        return self.session or self.request
+        return self.session or self.content or self.request
 
 
 class Resumptions:
@@ -95,6 +99,9 @@
         self._by_session: origin_cache.OriginCache[messages.StreamOrigin] = (
             origin_cache.OriginCache()
         )
+        self._by_content: origin_cache.OriginCache[messages.StreamOrigin] = (
+            origin_cache.OriginCache()
+        )
         self._zones = rendezvous.ZoneRanking()
 
     def set_peers(self, peers: peers_module.Peers) -> None:
@@ -135,9 +142,11 @@
         lifetime: float,
     ) -> None:
         begun = peer_messages.StreamBegun(
-            *stream,
+            stream.request,
+            stream.session,
             *origin,
             round(1000 * min(lifetime, MAX_LIFETIME_SECONDS)),
+            stream.content,
         )
         self.receive(begun)
         for peer in self._list_others(key, REPLICA_COUNT):
@@ -152,6 +161,12 @@
             self._by_request.record(begun.request, origin, now, lifetime)
         if begun.session:
             self._by_session.record(begun.session, origin, now, lifetime)
+        if begun.content:
+            # Unlike those of a session, equal requests run at the same time.
+            known = self._by_content.find(begun.content, now)
+            if known not in (None, origin):
+                origin = AMBIGUOUS
+            self._by_content.record(begun.content, origin, now, lifetime)
 
     async def find_origin(
         self, request: str, stream: StreamName, route: messages.Route
@@ -208,7 +223,9 @@
         self, stream: StreamName, route: messages.Route
     ) -> tuple[messages.StreamOrigin | None, str]:
         """Return an origin and where it was found."""
-        query = peer_messages.OriginQuery(*stream)
+        query = peer_messages.OriginQuery(
+            stream.request, stream.session, content=stream.content
+        )
         own = self._find_recorded(query)
         if own is not None and stream.request:
             return own, 'own_record'
@@ -221,7 +238,7 @@
         source = 'peer_record' if recorded else 'own_record'
         if own is not None:
             recorded.add(own)
-        if len(recorded) > 1:
+        if len(recorded) > 1 or AMBIGUOUS in recorded:
             # Some know only an older stream of the session.
             return None, 'unknown'
         if recorded and (
@@ -317,6 +334,7 @@
         now = self._timers.now()
         self._by_request.prune(now)
         self._by_session.prune(now)
+        self._by_content.prune(now)
         self._versions.prune(now)
 
     def _find_recorded(
@@ -325,7 +343,9 @@
         now = self._timers.now()
         if query.request:
             return self._by_request.find(query.request, now)
-        return self._by_session.find(query.session, now)
+        if query.session:
+            return self._by_session.find(query.session, now)
+        return self._by_content.find(query.content, now)
 
     async def _query_replicas(
         self, key: str, query: peer_messages.OriginQuery
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -86,13 +86,12 @@
     progress: dispatch.Progress, request: str
 ) -> resumptions.StreamName:
     """Return the name of the stream that ``request`` began."""
+    name = progress.qualify(request) if request else ''
     program = progress.call.program
-    return resumptions.StreamName(
-        progress.qualify(request) if request else '',
-        progress.qualify(f'{program.name}/{program.session}')
-        if program
-        else '',
-    )
+    if program is None:
+        return resumptions.StreamName(name, '', progress.runs.fingerprint)
+    session = progress.qualify(f'{program.name}/{program.session}')
+    return resumptions.StreamName(name, session)
 
 
 class Turns:
--- a/tests/gateway/test_out_of_step.py
+++ b/tests/gateway/test_out_of_step.py
@@ -83,6 +83,18 @@
     )
 
 
+def _forget_streams(site):
+    """Lose all records of streams, as with the instances that held them."""
+    for instance in site.instances.values():
+        recorded = instance._resumptions
+        for cache in (
+            recorded._by_request,
+            recorded._by_session,
+            recorded._by_content,
+        ):
+            cache.prune(float('inf'))
+
+
 def _list_servers(site, request):
     """Return the names of the targets that ran a request."""
     return [
@@ -107,6 +119,7 @@
     _cut_from_store(site, network, 'i1')
     await _replace_version(site)
     await _begin(site, 'i2', 'a')
+    _forget_streams(site)
     response = await _resume(site, 'i1', 'b')
     _assert_refused(case, site, response, 'b')
 
@@ -140,6 +153,7 @@
     await _begin(site, 'i4', 'a')
     await _keep_to(site, 'm1', 'm2', 'm3')
     site_fixtures.kill(site, network, 'i4')
+    _forget_streams(site)
     await site.add_instance('i5')
     await asyncio.sleep(NEWS_SECONDS)
     response = await _resume(site, 'i5', 'b')
@@ -164,6 +178,7 @@
     await _begin(site, 'i2', 'a')
     network.release_packets(STORE_HOST, host)
     _cut_from_store(site, network, 'i1')
+    _forget_streams(site)
     await asyncio.sleep(1.0)
     response = await _resume(site, 'i1', 'b')
     _assert_refused(case, site, response, 'b')
@@ -179,6 +194,7 @@
     await _keep_to(site, 'm3')
     await _begin(site, 'i3', 'a')
     await _keep_to(site, 'm1', 'm2', 'm3')
+    _forget_streams(site)
     response = await _resume(site, 'i1', 'b')
     _assert_refused(case, site, response, 'b')
 
@@ -229,6 +245,35 @@
 # What can be served
 
 
+async def test_unnamed_stream_without_a_program_is_found(case, site):
+    """It had no key, and was refused whenever two versions served."""
+    await site.start(4)
+    await site.add_target('m3', software_version='v2')
+    await asyncio.sleep(FEED_SECONDS)
+    for number in range(8):
+        await _keep_to(site, 'm3')
+        await _begin(site, 'i2', f'a{number}')
+        await _keep_to(site, 'm1', 'm2', 'm3')
+        request = f'b{number}'
+        response = await _resume(site, f'i{1 + number % 4}', request)
+        case.assertEqual(200, response.status)
+        case.assertEqual(['m3'], _list_servers(site, request))
+
+
+async def test_equal_streams_of_two_versions_are_not_confused(case, site):
+    """Two callers ask for the same; one of them does not name its stream."""
+    await site.start(4)
+    await site.add_target('m3', software_version='v2')
+    await asyncio.sleep(FEED_SECONDS)
+    for name in ('m1', 'm3'):
+        await _keep_to(site, name)
+        await _begin(site, 'i2', f'a-{name}')
+    await _keep_to(site, 'm1', 'm3')
+    for number in range(1, 5):
+        response = await _resume(site, f'i{number}', f'b{number}')
+        _assert_refused(case, site, response, f'b{number}')
+
+
 async def test_cut_instance_resumes_where_one_version_serves(
     case, site, network
 ):
