Called a version gone only on confirmed news of the targets.

The instance now catches up with the store first, and where it can't, the refusal says to come back. Two tests fail before.

--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -186,13 +186,35 @@
                 f'stream of {stream.request or "an unnamed request"}'
                 f' at any of {sorted(services)}',
             )
-        if origin.service not in services:
+        is_routed = origin.service in services
+        # That nothing can continue it is not known without recent news.
+        if not (is_routed and self._is_present(origin)):
+            if not await self._confirm(CONFIRMATION_TIMEOUT_SECONDS):
+                raise refusals.RefusalError(
+                    refusals.Reason.ORIGIN_UNKNOWN,
+                    f'no target of {origin.service} with software'
+                    f' {origin.software_version} is known, which could not be'
+                    ' confirmed',
+                )
+        if not is_routed:
             raise refusals.RefusalError(
                 refusals.Reason.VERSION_GONE,
                 f'route {route.name} no longer leads to {origin.service}',
             )
         return origin
 
+    def _is_present(self, origin: messages.StreamOrigin) -> bool:
+        """Return whether a target is known that may continue a stream."""
+        service = origin.service
+        targets = (
+            *self._catalog.list_targets(service),
+            *self._catalog.list_draining(service, float('-inf')),
+        )
+        return any(
+            target.software_version == origin.software_version
+            for target in targets
+        )
+
     def _record_decision(
         self,
         request: str,
--- a/tests/gateway/test_out_of_step.py
+++ b/tests/gateway/test_out_of_step.py
@@ -260,6 +260,39 @@
         case.assertEqual(['m3'], _list_servers(site, request))
 
 
+async def test_instance_learns_of_the_targets_that_a_stream_needs(case, site):
+    """Its feed lags: it knows the origin, but no target of the version."""
+    await site.start(2)
+    site.store.held_feeds.add('servers')
+    await site.add_target('m3', software_version='v2')
+    await site.add_instance('i3')
+    await asyncio.sleep(0.5)
+    await _keep_to(site, 'm3')
+    await _begin(site, 'i3', 'a')
+    await _keep_to(site, 'm1', 'm2', 'm3')
+    response = await _resume(site, 'i1', 'b', 'a')
+    case.assertEqual(200, response.status)
+    case.assertEqual(['m3'], _list_servers(site, 'b'))
+
+
+async def test_version_is_not_called_gone_on_old_knowledge(
+    case, site, network
+):
+    """Coming back helps, as another instance may know its targets."""
+    await site.start(4)
+    _cut_from_store(site, network, 'i1')
+    await site.add_target('m3', software_version='v2')
+    await asyncio.sleep(FEED_SECONDS)
+    await _keep_to(site, 'm3')
+    await _begin(site, 'i2', 'a')
+    await _keep_to(site, 'm1', 'm2', 'm3')
+    response = await _resume(site, 'i1', 'b', 'a')
+    if response.status == 200:
+        case.assertEqual(['m3'], _list_servers(site, 'b'))
+    else:
+        _assert_refused(case, site, response, 'b')
+
+
 async def test_equal_streams_of_two_versions_are_not_confused(case, site):
     """Two callers ask for the same; one of them does not name its stream."""
     await site.start(4)
