Counted the confirmation of keys from when the store was asked.

What callers could see: a key that was taken away opened requests for up to 2.8 s longer than the revocation timeout, at an instance that stood still, read a response which the store had sent before, and then lost the store. The wait of a call for changes of the configuration is half as long a share of the timeout, as two of them pass between asking and the next answer.

The test fails before (200 with a revoked key).

--- a/libs/gateway/vanillayoke/gateway/access.py
+++ b/libs/gateway/vanillayoke/gateway/access.py
@@ -22,9 +22,9 @@
         self._timers = timer_service
         self._confirmed_at = float('-inf')
 
-    def record_confirmation(self) -> None:
-        """Record that the active configuration is the latest one."""
-        self._confirmed_at = self._timers.now()
+    def record_confirmation(self, asked_at: float) -> None:
+        """Record that the active configuration was the latest one then."""
+        self._confirmed_at = max(self._confirmed_at, asked_at)
 
     def identify(
         self,
--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -21,6 +21,9 @@
 # How long the store may hold a call for changes, as a ratio of the time within
 # which an instance must recover from an unresponsive connection.
 WAIT_RATIO = 0.8
+# The same for the configuration, as a ratio of the time for which keys count
+# as confirmed: from when one call was sent until the next one is answered.
+CONFIRMATION_WAIT_RATIO = WAIT_RATIO / 2
 PUBLISH_TIMEOUT_SECONDS = 1.0
 PUBLISH_RETRY_PAUSE_SECONDS = 0.1
 
@@ -38,7 +41,7 @@
         log: logs.Logger,
         bounds: messages.Bounds,
         on_restart: typing.Callable[[messages.Target], None],
-        on_confirmed: typing.Callable[[], None],
+        on_confirmed: typing.Callable[[float], None],
         on_configuration: typing.Callable[[], None],
         versions: software_versions.SoftwareVersions,
         on_rejected: typing.Callable[[str, decoding.Reason], None],
@@ -68,9 +71,9 @@
             self.apply_configuration,
             self._change_configuration,
             self._reject,
-            min(wait, bounds.revocation_timeout * WAIT_RATIO),
+            min(wait, bounds.revocation_timeout * CONFIRMATION_WAIT_RATIO),
             timer_service,
-            lambda asked_at: on_confirmed(),
+            on_confirmed,
         )
         self._targets = feeds.TableFeed(
             store,
--- a/tests/gateway/test_organisations.py
+++ b/tests/gateway/test_organisations.py
@@ -168,4 +168,27 @@
     case.assertEqual(200, (await site.call('i2', 'look', key='red-1')).status)
 
 
+async def test_late_response_does_not_confirm_keys(case, shop, network):
+    """An instance stood still and then read what the store had sent before.
+
+    It counted the revocation timeout from the reading.
+    """
+    site = await shop()
+    instance = site.instances['i1']
+    bounds = instance.settings.bounds._replace(is_revocation_strict=True)
+    instance.settings = instance.settings._replace(bounds=bounds)
+    timeout = bounds.revocation_timeout
+    network.block_path(site.instances['i2'].settings.ip, instance.settings.ip)
+    network.hold_packets('10.9.0.1', instance.settings.ip)
+    site.configure(3, [RED, BLUE])
+    await asyncio.sleep(0.05)
+    site.configure(4, [BLUE])
+    await asyncio.sleep(1.8)
+    network.block_path('10.9.0.1', instance.settings.ip)
+    network.release_packets('10.9.0.1', instance.settings.ip)
+    await asyncio.sleep(timeout - 1.8 + 0.3)
+    response = await site.call('i1', 'look', key='red-1')
+    case.assertEqual(503, response.status)
+
+
 load_tests = fixtures.adapt(__name__, [site_fixtures])
