Drew releases beside an instance out of step in the soak.

Two versions were in use all the time, so that no instance ever concluded that there was one, and callers came back anywhere. In half of the runs all model servers have one version now until a release, during which an instance is cut from the store or stands still; streams of the others break off again and again and are resumed at it.

--- a/libs/soak/vanillayoke/soak/callers.py
+++ b/libs/soak/vanillayoke/soak/callers.py
@@ -80,6 +80,8 @@
         # By organisation.
         self._completed_turns: dict[str, list[str]] = {}
         self.is_over = False
+        # The instance at which callers resume streams, if any.
+        self.resumption_address = ''
 
     async def run(self) -> None:
         """Run programs until ``is_over`` is set."""
@@ -418,6 +420,8 @@
             if self._rng.random() >= streams.UNNAMED_RATIO:
                 headers.append((b'Resumes', resumption.begun.encode()))
         address = await caller.choose_address()
+        if resumption is not None and self.resumption_address:
+            address = self.resumption_address
         self._add_record(
             records.Sent(
                 control.read_now(),
--- a/libs/soak/vanillayoke/soak/plans.py
+++ b/libs/soak/vanillayoke/soak/plans.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from vanillayoke.soak import load
+from vanillayoke.soak import releases
 from vanillayoke.soak import streams
 
 
@@ -38,6 +39,7 @@
     calm: float
     faults: tuple[Fault, ...]
     has_overload: bool = False
+    has_release: bool = False
 
 
 # Maximum duration in seconds, maximum strength and weight of each kind.
@@ -153,6 +155,9 @@
     faults += [
         Fault(*fault) for fault in streams.generate_faults(seed, faulty)
     ]
+    faults += [
+        Fault(*fault) for fault in releases.generate_faults(seed, faulty)
+    ]
     if load.has_overload(seed):
         faults += [
             Fault(*fault) for fault in load.generate_faults(seed, faulty)
@@ -166,6 +171,7 @@
         calm,
         tuple(faults),
         load.has_overload(seed),
+        releases.has_release(seed),
     )
 
 
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -17,7 +17,9 @@
 from vanillayoke.soak import poison
 from vanillayoke.soak import processes
 from vanillayoke.soak import records
+from vanillayoke.soak import releases
 from vanillayoke.soak import sites
+from vanillayoke.soak import streams
 
 # Instances discover each other and the servers within this time.
 STARTUP_SECONDS = 4.0
@@ -61,7 +63,11 @@
         self._plan = plan
         self._is_timed = is_timed
         self._site = sites.Site(
-            folder, network, plan.instances, plan.has_overload
+            folder,
+            network,
+            plan.instances,
+            plan.has_overload,
+            plan.has_release,
         )
         self._folder = folder
         self._history = histories.History(records.Bounds())
@@ -307,6 +313,8 @@
                     await self._restart(host, signal.SIGTERM, fault)
             case 'replace_instance':
                 await self._replace(hosts[0])
+            case releases.FREEZE_KIND:
+                await self._release(fault)
             case 'freeze_instance':
                 await self._freeze(site.instances.get(hosts[0]), fault)
             case 'hup_instance':
@@ -373,6 +381,8 @@
                 site.store.send_command(control.Store(delay=fault.strength))
                 await asyncio.sleep(fault.seconds)
                 site.store.send_command(control.Store())
+            case _ if fault.kind == releases.SILENT_KIND:
+                await self._release(fault)
             case 'cut' | 'silent':
                 host = site.choose_host(fault.subject)
                 if host:
@@ -396,6 +406,56 @@
                 await asyncio.sleep(fault.seconds)
                 site.store.send_command(control.Store())
 
+    async def _release(self, fault: plans.Fault) -> None:
+        """Release a version while an instance is out of step.
+
+        Streams of the other instances break off, and their callers go to it.
+        """
+        site = self._site
+        host = site.choose_host(fault.subject)
+        if not host:
+            return
+        if fault.kind == releases.FREEZE_KIND:
+            out_of_step = self._freeze(site.instances.get(host), fault)
+            pause = fault.seconds - releases.EARLY_SECONDS
+        else:
+            link = site.find_store_link(host)
+            out_of_step = self._change_link(link, 'cut', fault)
+            pause = releases.BEGIN_SECONDS
+        task = self._spawn(out_of_step)
+        site.release += 1
+        servers = [
+            server for server in site.servers if server.service == 'models'
+        ]
+        first = fault.subject % len(servers)
+        servers = [*servers[first:], *servers[:first]]
+        await self._start_new_version(servers[0])
+        for server in servers:
+            server.child.send_command(
+                control.Pace(streams.SLOW_EVENT_INTERVAL_SECONDS)
+            )
+        await asyncio.sleep(pause)
+        self._callers.resumption_address = site.find_address(host)
+        while not task.done():
+            for other in list(site.instances):
+                if other != host:
+                    link = site.find_caller_link(other)
+                    site.links.send_command(control.Link(link, 'reset'))
+            await asyncio.sleep(releases.RESET_INTERVAL_SECONDS)
+        self._callers.resumption_address = ''
+        for server in servers:
+            server.child.send_command(
+                control.Pace(sites.EVENT_INTERVAL_SECONDS)
+            )
+        for server in servers[1:]:
+            await self._replace_server(server)
+
+    async def _start_new_version(self, server: sites.Server) -> None:
+        """Let a server of the new version take the place of another one."""
+        server.child.signal(signal.SIGKILL)
+        self._site.unregister(server.name)
+        await self._site.start_server(server)
+
     async def _inject_server_fault(
         self, fault: plans.Fault, variant: str
     ) -> None:
--- a/libs/soak/vanillayoke/soak/sites.py
+++ b/libs/soak/vanillayoke/soak/sites.py
@@ -16,6 +16,7 @@
 from vanillayoke.soak import poison
 from vanillayoke.soak import processes
 from vanillayoke.soak import records
+from vanillayoke.soak import releases
 from vanillayoke.soak import streams
 from vanillayoke.standins import calls
 from vanillayoke.transport import client
@@ -51,17 +52,14 @@
         self.child: processes.Child | None = None
         # Start time of the process, in milliseconds since the epoch.
         self.started_ms = 0
+        # Of the current incarnation.
+        self.software_version = ''
 
     @property
     def name(self) -> str:
         """The name of the current incarnation."""
         return f's{self.number}-{self.incarnation}'
 
-    @property
-    def software_version(self) -> str:
-        """The software version of the current incarnation."""
-        return streams.choose_software_version(self.number, self.incarnation)
-
 
 class Site:
     """The processes of a run."""
@@ -72,7 +70,10 @@
         network: int,
         instances: int,
         has_overload: bool = False,
+        has_release: bool = False,
     ) -> None:
+        # The release that new servers have, if versions change by releases.
+        self.release = 1 if has_release else 0
         self.folder = folder
         self._network = network
         self._count = instances
@@ -184,6 +185,7 @@
         """Start and register a new incarnation, or restart the current one."""
         if not is_restart:
             server.incarnation += 1
+            server.software_version = self._choose_software_version(server)
         server.started_ms = int(time.time() * 1000)
         number = _SERVER_BASE + server.number
         address = f'{self._make_host(number)}:{_PORT}'
@@ -204,6 +206,13 @@
         self.links.send_command(control.Forward(link, address))
         self.register(server, 'ready')
 
+    def _choose_software_version(self, server: Server) -> str:
+        if self.release:
+            return releases.name_version(self.release)
+        return streams.choose_software_version(
+            server.number, server.incarnation
+        )
+
     def register(self, server: Server, state: str) -> None:
         """Write a server's row, with a record if the server is draining.
 
--- a/tests/soak/test_plans.py
+++ b/tests/soak/test_plans.py
@@ -2,6 +2,7 @@
 
 from vanillayoke.soak import load
 from vanillayoke.soak import plans
+from vanillayoke.soak import releases
 from vanillayoke.soak import streams
 from vanillayoke.testing import fixtures
 
@@ -28,12 +29,22 @@
         load.CROWD_KIND,
         *load.KINDS,
         *streams.SERVER_KINDS,
+        *releases.KINDS,
         streams.CALLER_KIND,
         streams.SLOW_KIND,
     }
     case.assertEqual(expected, generated)
 
 
+def test_version_changes_by_a_release_in_some_runs(case):
+    """Two versions in use all the time let no instance conclude on one."""
+    generated = [plans.generate_plan(seed, faulty=8.0) for seed in range(50)]
+    for plan in generated:
+        kinds = [one.kind for one in plan.faults if one.kind in releases.KINDS]
+        case.assertEqual(int(plan.has_release), len(kinds))
+    case.assertIn(sum(plan.has_release for plan in generated), range(15, 36))
+
+
 def test_faults_overlap(case):
     overlaps = 0
     for seed in range(20):
