Bounded the reads that confirm the versions of targets.

At 400 instances a crowd of resumptions without a record could ask the store for more than its 2,000 reads a second. Confirmations of all instances together take a quarter of the store's rate at most: two reads each, at an interval that follows from the number of instances. None is made where the record can't tell anyway, or knows several versions already; then the answer needs no read.

--- a/libs/gateway/vanillayoke/gateway/confirmation.py
+++ b/libs/gateway/vanillayoke/gateway/confirmation.py
@@ -3,17 +3,26 @@
 import asyncio
 import typing
 
+from vanillayoke.core import timers
+
 
 class Confirmation:
     """Reads what has changed; one read serves all that wait for it.
 
-    ``read`` returns whether it succeeded.
+    ``read`` returns whether it succeeded, ``get_interval`` the seconds from
+    the beginning of one read to that of the next one at the least.
     """
 
     def __init__(
-        self, read: typing.Callable[[], typing.Awaitable[bool]]
+        self,
+        read: typing.Callable[[], typing.Awaitable[bool]],
+        get_interval: typing.Callable[[], float],
+        timer_service: timers.TimerService,
     ) -> None:
         self._read = read
+        self._get_interval = get_interval
+        self._timers = timer_service
+        self._read_at = float('-inf')
         self._waiting: list[asyncio.Future[bool]] = []
         self._task: asyncio.Task | None = None
 
@@ -32,6 +41,11 @@
     async def _run(self) -> None:
         try:
             while self._waiting:
+                next_at = self._read_at + self._get_interval()
+                await self._timers.sleep(
+                    max(0.0, next_at - self._timers.now())
+                )
+                self._read_at = self._timers.now()
                 waiting, self._waiting = self._waiting, []
                 has_succeeded = False
                 try:
--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -315,11 +315,25 @@
     async def _confirm_versions(
         self, query: peer_messages.VersionQuery
     ) -> typing.Collection[str] | None:
-        """Return all versions that served, ``None`` if that is not certain."""
+        """Return all versions that served, ``None`` if that is not certain.
+
+        Several that are known already are returned without a read of the
+        store: there is no single one, whatever else served.
+        """
+        known = self._list_versions(query, self._versions.list_known)
+        if known is None or len(known) > 1:
+            return known
         if not await self._confirm(CONFIRMATION_TIMEOUT_SECONDS):
             return None
+        return self._list_versions(query, self._versions.list_versions)
+
+    def _list_versions(
+        self,
+        query: peer_messages.VersionQuery,
+        list_recorded: typing.Callable[..., frozenset[str] | None],
+    ) -> frozenset[str] | None:
         targets = self._catalog.list_targets(query.service)
-        return self._versions.list_versions(
+        return list_recorded(
             query.route,
             query.service,
             {target.software_version for target in targets},
--- a/libs/gateway/vanillayoke/gateway/store.py
+++ b/libs/gateway/vanillayoke/gateway/store.py
@@ -104,6 +104,11 @@
         """The maximum bytes of a row's value."""
         return self._settings.row_bytes
 
+    @property
+    def reads_per_second(self) -> float:
+        """The maximum rate of calls of all instances that read."""
+        return self._settings.reads_per_second
+
     @property
     def is_unreachable(self) -> bool:
         """Whether the store can be reached neither directly nor by a relay.
--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -24,6 +24,9 @@
 # The same for the configuration, as a ratio of the time for which keys count
 # as confirmed: from when one call was sent until the next one is answered.
 CONFIRMATION_WAIT_RATIO = WAIT_RATIO / 2
+# The share of the store's reads that confirmations may take.
+CONFIRMATION_READ_RATIO = 0.25
+READS_PER_CONFIRMATION = 2
 PUBLISH_TIMEOUT_SECONDS = 1.0
 PUBLISH_RETRY_PAUSE_SECONDS = 0.1
 
@@ -94,7 +97,9 @@
             wait,
             timer_service,
         )
-        self._confirmation = confirmation.Confirmation(self._read_changes)
+        self._confirmation = confirmation.Confirmation(
+            self._read_changes, self._compute_interval, timer_service
+        )
 
     def start(self, spawn: typing.Callable[[typing.Coroutine], None]) -> None:
         """Start the feeds."""
@@ -121,6 +126,12 @@
         """
         return await self._confirmation.confirm(timeout_seconds)
 
+    def _compute_interval(self) -> float:
+        """Return the seconds between confirmations, if all instances do so."""
+        rate = self._store.reads_per_second * CONFIRMATION_READ_RATIO
+        count = len(self._members.list_eligible())
+        return READS_PER_CONFIRMATION * count / rate
+
     async def _read_changes(self) -> bool:
         try:
             version = await self._configuration.read()
--- a/libs/scheduling/vanillayoke/scheduling/software_versions.py
+++ b/libs/scheduling/vanillayoke/scheduling/software_versions.py
@@ -88,37 +88,34 @@
         """Return all versions that a service had within ``window``.
 
         ``present`` has the versions of the present targets. Return ``None`` if
-        the record does not cover the time, or if the route did not lead to the
-        service all the time.
+        the news is too old, or if ``list_known`` can't tell.
         """
-        since = now - window
-        if (
-            now - self._news_at > MAX_NEWS_AGE_SECONDS
-            or self._followed_since > since
-            or self._rerouted_at.get(route, float('-inf')) > since
-        ):
+        if now - self._news_at > MAX_NEWS_AGE_SECONDS:
             return None
-        used_at = self._used_at.get(service, {})
-        recent = (version for version, at in used_at.items() if at > since)
-        return frozenset((*present, *recent))
+        return self.list_known(route, service, present, window, now)
 
-    def find_only_version(
+    def list_known(
         self,
         route: str,
         service: str,
         present: typing.Iterable[str],
         window: float,
         now: float,
-    ) -> str | None:
-        """Return the only version that a service had within ``window``.
+    ) -> frozenset[str] | None:
+        """Return the versions within ``window`` up to the last news.
 
-        Return ``None`` if there were several or none, or if ``list_versions``
-        can't tell.
+        Return ``None`` if the record does not cover the time, or if the route
+        did not lead to the service all the time.
         """
-        versions = self.list_versions(route, service, present, window, now)
-        if versions is None or len(versions) != 1:
+        since = now - window
+        if (
+            self._followed_since > since
+            or self._rerouted_at.get(route, float('-inf')) > since
+        ):
             return None
-        return next(iter(versions))
+        used_at = self._used_at.get(service, {})
+        recent = (version for version, at in used_at.items() if at > since)
+        return frozenset((*present, *recent))
 
     def prune(self, now: float) -> None:
         """Forget what no stream can depend on any more."""
--- a/tests/scheduling/test_software_versions.py
+++ b/tests/scheduling/test_software_versions.py
@@ -22,7 +22,10 @@
 
 
 def _find(versions, now, present=('v1',)):
-    return versions.find_only_version('plan', 'models', present, WINDOW, now)
+    found = versions.list_versions('plan', 'models', present, WINDOW, now)
+    if found is None or len(found) != 1:
+        return None
+    return next(iter(found))
 
 
 def test_version_is_known_once_the_window_was_followed(case, versions):
