--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -447,8 +447,6 @@
             server.child.send_command(
                 control.Pace(sites.EVENT_INTERVAL_SECONDS)
             )
-        for server in servers[1:]:
-            await self._replace_server(server)
 
     async def _start_new_version(self, server: sites.Server) -> None:
         """Let a server of the new version take the place of another one."""
