Checked where a route leads now before a stream continues.

Two faults of the same class, found by reading the change:

An instance that was cut off for longer than a stream lasts asked others which versions the former service of a moved route had. They vouched for it, as the route had moved before the window, and a stream of the new service went on at a target of the old one. They answer only for the service that the route leads to in their confirmed configuration now.

An instance with an old configuration refused a stream of the new service for good; it uses the route that it has just read.

A test for each fails before (200 and a joined stream; 503).

--- a/libs/gateway/vanillayoke/gateway/resumptions.py
+++ b/libs/gateway/vanillayoke/gateway/resumptions.py
@@ -179,29 +179,54 @@
         started_at = self._timers.now()
         origin, source = await self._search(stream, route)
         self._record_decision(request, stream, origin, source, started_at)
-        services = _list_services(route)
         if origin is None:
             raise refusals.RefusalError(
                 refusals.Reason.ORIGIN_UNKNOWN,
                 f'stream of {stream.request or "an unnamed request"}'
-                f' at any of {sorted(services)}',
+                f' at any of {sorted(_list_services(route))}',
+            )
+        if not self._can_continue(origin, route):
+            await self._catch_up(origin, route)
+        return origin
+
+    def _can_continue(
+        self, origin: messages.StreamOrigin, route: messages.Route
+    ) -> bool:
+        """Return whether a route and a target are known for a stream."""
+        return origin.service in _list_services(route) and self._is_present(
+            origin
+        )
+
+    async def _catch_up(
+        self, origin: messages.StreamOrigin, route: messages.Route
+    ) -> None:
+        """Learn of changes that let a stream continue.
+
+        Raise ``RefusalError`` if the route no longer leads to its service, or
+        if that could not be confirmed.
+        """
+        if not await self._confirm(CONFIRMATION_TIMEOUT_SECONDS):
+            raise refusals.RefusalError(
+                refusals.Reason.ORIGIN_UNKNOWN,
+                f'no route to a target of {origin.service} with software'
+                f' {origin.software_version} is known; unconfirmed',
             )
-        is_routed = origin.service in services
-        # That nothing can continue it is not known without recent news.
-        if not (is_routed and self._is_present(origin)):
-            if not await self._confirm(CONFIRMATION_TIMEOUT_SECONDS):
-                raise refusals.RefusalError(
-                    refusals.Reason.ORIGIN_UNKNOWN,
-                    f'no target of {origin.service} with software'
-                    f' {origin.software_version} is known, which could not be'
-                    ' confirmed',
-                )
-        if not is_routed:
+        if origin.service not in self._list_current_services(route.name):
             raise refusals.RefusalError(
                 refusals.Reason.VERSION_GONE,
                 f'route {route.name} no longer leads to {origin.service}',
             )
-        return origin
+
+    def _list_current_services(self, route_name: str) -> set[str]:
+        """Return the services that a route leads to now, if it exists."""
+        configuration = self._catalog.configuration
+        routes = () if configuration is None else configuration.routes
+        return {
+            service
+            for route in routes
+            if route.name == route_name
+            for service in _list_services(route)
+        }
 
     def _is_present(self, origin: messages.StreamOrigin) -> bool:
         """Return whether a target is known that may continue a stream."""
@@ -325,6 +350,9 @@
             return known
         if not await self._confirm(CONFIRMATION_TIMEOUT_SECONDS):
             return None
+        # The instance that asks may have an old configuration.
+        if self._list_current_services(query.route) != {query.service}:
+            return None
         return self._list_versions(query, self._versions.list_versions)
 
     def _list_versions(
--- a/tests/gateway/test_out_of_step.py
+++ b/tests/gateway/test_out_of_step.py
@@ -215,6 +215,30 @@
     _assert_refused(case, site, response, 'b')
 
 
+async def test_others_do_not_vouch_for_a_service_that_a_route_has_left(
+    case, site, network
+):
+    """An instance that has long been cut off asked them about the old one.
+
+    It had only one version, and the route had moved before the window.
+    """
+    await site.start(4)
+    _cut_from_store(site, network, 'i1')
+    _cut_from_peers(site, network, 'i1')
+    site.targets['t1'].event_count = site.targets['t2'].event_count = 4
+    route = calls.make_route('plan', 'tools', 'stream', resumable=True)
+    site.configure(2, routes=[route])
+    await asyncio.sleep(12.0)
+    await _begin(site, 'i2', 'a')
+    _forget_streams(site)
+    host = _get_host(site, 'i1')
+    for name in ('i2', 'i3', 'i4'):
+        path = frozenset((host, _get_host(site, name)))
+        network.blocked_paths.discard(path)
+    response = await _resume(site, 'i1', 'b')
+    _assert_refused(case, site, response, 'b')
+
+
 async def test_older_stream_of_a_session_needs_all_replicas(
     case, site, network
 ):
@@ -275,6 +299,28 @@
     case.assertEqual(['m3'], _list_servers(site, 'b'))
 
 
+async def test_instance_learns_where_the_route_leads_that_a_stream_needs(
+    case, site, network
+):
+    """It knows the origin, but an old configuration of the route."""
+    await site.start(3)
+    site.targets['t1'].event_count = site.targets['t2'].event_count = 4
+    site.store.held_feeds.add('op')
+    # No gossip of the new configuration arrives.
+    _cut_from_peers(site, network, 'i1')
+    route = calls.make_route('plan', 'tools', 'stream', resumable=True)
+    site.configure(2, routes=[route])
+    await site.add_instance('i4')
+    network.block_path(_get_host(site, 'i1'), _get_host(site, 'i4'))
+    await asyncio.sleep(0.6)
+    await _begin(site, 'i4', 'a')
+    network.restore_paths()
+    case.assertEqual(1, site.instances['i1']._catalog.version)
+    response = await _resume(site, 'i1', 'b', 'a')
+    case.assertEqual(200, response.status)
+    case.assertIn(_list_servers(site, 'b'), (['t1'], ['t2']))
+
+
 async def test_version_is_not_called_gone_on_old_knowledge(
     case, site, network
 ):
