--- a/libs/gateway/vanillayoke/gateway/table_sync.py
+++ b/libs/gateway/vanillayoke/gateway/table_sync.py
@@ -128,7 +128,7 @@
 
     def _compute_interval(self) -> float:
         """Return the seconds between confirmations, if all instances do so."""
-        rate = self._store.reads_per_second * CONFIRMATION_READ_RATIO
+        rate = max(1.0, self._store.reads_per_second * CONFIRMATION_READ_RATIO)
         count = len(self._members.list_eligible())
         return READS_PER_CONFIRMATION * count / rate
 
--- a/libs/soak/vanillayoke/soak/releases.py
+++ b/libs/soak/vanillayoke/soak/releases.py
@@ -10,10 +10,10 @@
 import typing
 
 # The instance loses the store, or stands still.
-SILENT_KIND, FREEZE_KIND = 'store_release', 'freeze_release'
-KINDS = SILENT_KIND, FREEZE_KIND
+CUT_KIND, FREEZE_KIND = 'store_release', 'freeze_release'
+KINDS = CUT_KIND, FREEZE_KIND
 SECONDS = (1.6, 2.7)
-# The first instances have followed the servers for a while before.
+# Instances have followed the servers for a while before.
 EARLIEST_SECONDS = 2.0
 # Streams begin at the new version before they break off.
 BEGIN_SECONDS = 0.7
@@ -36,15 +36,14 @@
 
 def has_release(seed: int) -> bool:
     """Return whether servers change their version by a release only."""
-    return _make_rng(seed).randrange(_RUN_INTERVAL) == 0
+    return random.Random(f'release {seed}').randrange(_RUN_INTERVAL) == 0
 
 
 def generate_faults(seed: int, faulty: float) -> list[Release]:
     """Generate the release of a run, if it has one."""
     if not has_release(seed):
         return []
-    rng = _make_rng(seed)
-    rng.random()
+    rng = random.Random(f'release times {seed}')
     seconds = round(rng.uniform(*SECONDS), 2)
     latest = max(EARLIEST_SECONDS, faulty - seconds)
     at = round(rng.uniform(EARLIEST_SECONDS, latest), 2)
@@ -55,7 +54,3 @@
 def name_version(release: int) -> str:
     """Return the software version of the servers that start then."""
     return f'v{release}'
-
-
-def _make_rng(seed: int) -> random.Random:
-    return random.Random(f'release {seed}')
--- a/libs/soak/vanillayoke/soak/runs.py
+++ b/libs/soak/vanillayoke/soak/runs.py
@@ -381,7 +381,7 @@
                 site.store.send_command(control.Store(delay=fault.strength))
                 await asyncio.sleep(fault.seconds)
                 site.store.send_command(control.Store())
-            case _ if fault.kind == releases.SILENT_KIND:
+            case _ if fault.kind == releases.CUT_KIND:
                 await self._release(fault)
             case 'cut' | 'silent':
                 host = site.choose_host(fault.subject)
@@ -427,9 +427,7 @@
         servers = [
             server for server in site.servers if server.service == 'models'
         ]
-        first = fault.subject % len(servers)
-        servers = [*servers[first:], *servers[:first]]
-        await self._start_new_version(servers[0])
+        await self._start_new_version(servers[fault.subject % len(servers)])
         for server in servers:
             server.child.send_command(
                 control.Pace(streams.SLOW_EVENT_INTERVAL_SECONDS)
