--- a/tests/gateway/test_out_of_step.py
+++ b/tests/gateway/test_out_of_step.py
@@ -10,6 +10,8 @@
 STORE_HOST = '10.9.0.1'
 # Shorter than an instance trusts the news that it has of the targets.
 NEWS_SECONDS = 1.0
+# After this time an instance that is cut off counts as lost.
+LOSS_SECONDS = 2.5
 # Time for the changes of a table to reach an instance.
 FEED_SECONDS = 0.1
 
@@ -239,30 +241,46 @@
     _assert_refused(case, site, response, 'b')
 
 
-async def test_older_stream_of_a_session_needs_all_replicas(
-    case, site, network
-):
-    """One of the instances that may know a newer stream did not answer.
-
-    The newest stream known to the others was taken for the one that broke.
-    """
+async def _resume_beside_a_newer_stream(site, network, delay):
+    """Resume a session whose newest stream only a lost replica knows."""
     await site.start(6)
     await site.add_target('m3', software_version='v2')
     await asyncio.sleep(FEED_SECONDS)
     await _keep_to(site, 'm1')
-    first, second, third, *others = site_fixtures.rank_coordinators(
+    first, second, *others, beginner = site_fixtures.rank_coordinators(
         'p/s', list(site.instances)
     )
-    await _begin(site, others[0], 'old', 'p')
+    await _begin(site, beginner, 'old', 'p')
     # The second replica is cut off from all but the instance that began the
     # newest stream.
-    for name in (first, third, *others[1:]):
+    for name in (first, *others):
         network.block_path(_get_host(site, second), _get_host(site, name))
-    network.block_path(_get_host(site, others[0]), _get_host(site, first))
+    network.block_path(_get_host(site, beginner), _get_host(site, first))
     await _keep_to(site, 'm3')
-    await _begin(site, others[0], 'new', 'p')
+    await _begin(site, beginner, 'new', 'p')
     await _keep_to(site, 'm1', 'm3')
-    response = await _resume(site, others[1], 'b', program='p')
+    # Nor does it refute by way of that instance that it is lost.
+    network.block_path(_get_host(site, second), _get_host(site, beginner))
+    await asyncio.sleep(delay)
+    return await _resume(site, others[1], 'b', program='p')
+
+
+async def test_older_stream_of_a_session_needs_all_replicas(
+    case, site, network
+):
+    """One of the instances that may know a newer stream did not answer.
+
+    The newest stream known to the others was taken for the one that broke.
+    """
+    response = await _resume_beside_a_newer_stream(site, network, 0.0)
+    _assert_refused(case, site, response, 'b')
+
+
+async def test_older_stream_of_a_session_needs_lost_replicas(
+    case, site, network
+):
+    """The replica that knew a newer stream had been given up as lost."""
+    response = await _resume_beside_a_newer_stream(site, network, LOSS_SECONDS)
     _assert_refused(case, site, response, 'b')
 
 
