--- /dev/null
+++ b/tests/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes under crowds of clients that don't behave."""
