Held the heads of requests as bytes, and counted them at all listeners.

Callers saw: the process ended without memory when clients sent requests of legal size made of very many short or odd lines.

Cause: a line of six bytes became a tuple and two bytes objects, some 150 bytes, so that a head took 300 KB and more, and nothing counted it. Up to 16 complete requests were parsed and queued behind the one that was handled. The directory, the readiness check, the metrics and the relay had no account at all, and began the next pipelined request while the client took none of the responses before. While an attempt waited for its target, it kept the encoded fields as objects.

Change: more than 64 fields are held as bytes and split when they are read. Input is parsed in parts of 2 KB up to one complete request behind the one that is handled; the rest stays as it came, and reading pauses. Heads, unparsed input and a request's handler are charged before the request waits, in one place for all listeners (connection_memory), whose servers now share the instance's account. The next response begins when the write buffer has room.

Weighed: a bound on lines (refuses requests of legal size), a charge by line with objects kept (refuses far more of the same crowd).

Also: a line without optional spaces was counted one byte too long, and a partial head behind complete ones was refused as endless (431); a test for each.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -1042,6 +1042,7 @@
     'targets',
     'responses',
     'histories',
+    'heads',
 )
 MEMORY_PRESSURE_LEFT = _define(
     1051,
--- a/libs/core/vanillayoke/core/memory.py
+++ b/libs/core/vanillayoke/core/memory.py
@@ -27,6 +27,10 @@
 # A body of at most this size never waits. Prompts and responses of programs
 # have a few KB.
 LARGE_BYTES = 64 * 1024
+# A buffer of a connection may take this part of the capacity, within bounds.
+BUFFER_RATIO = 1 / 1024
+MIN_BUFFER_BYTES = 16 * 1024
+MAX_BUFFER_BYTES = 256 * 1024
 # A body that alone takes more than this part of what large ones may fill could
 # never be held; it has to wait until this much is free.
 MAX_BODY_RATIO = 0.7
@@ -41,6 +45,7 @@
     TARGETS = 3
     RESPONSES = 4
     HISTORIES = 5
+    HEADS = 6
 
     @property
     def label(self) -> str:
@@ -75,6 +80,14 @@
         on_pressure: typing.Callable[[bool], None] = lambda is_pressed: None,
     ) -> None:
         self.capacity = capacity
+        # Of each buffer of a connection: bytes that are received and not read,
+        # and bytes that are written and not sent.
+        self.buffer_bytes = int(
+            min(
+                MAX_BUFFER_BYTES,
+                max(MIN_BUFFER_BYTES, BUFFER_RATIO * capacity),
+            )
+        )
         self._pressure_bytes = PRESSURE_RATIO * capacity
         self.total = 0
         self.held = dict.fromkeys(Kind, 0)
--- a/libs/gateway/vanillayoke/gateway/forwarding.py
+++ b/libs/gateway/vanillayoke/gateway/forwarding.py
@@ -149,7 +149,6 @@
         byte was sent. ``must_run_once`` restricts the choice of pooled
         connections to recently used ones.
         """
-        headers = self._dialect.encode_call(call, options)
         connection = await self._pool.acquire(
             self.target.address,
             MAX_IDLE_BEFORE_UNSAFE_SECONDS if must_run_once else None,
@@ -160,7 +159,8 @@
         connection.send(
             call.method,
             call.target,
-            headers,
+            # Not kept while the response is waited for.
+            self._dialect.encode_call(call, options),
             call.body,
             lambda head: self._accepts(call, head),
             call.request,
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -1,7 +1,6 @@
 """A gateway instance: construction, startup and graceful shutdown."""
 
 import asyncio
-import functools
 import random
 import typing
 
@@ -567,20 +566,10 @@
             lambda: self.is_isolated,
             self._supervisor.list_failing,
         )
-        make = functools.partial(
-            server.HttpServer,
-            on_failure=self._instrumentation.record_failure,
-            on_refused=self._instrumentation.record_refused_connection,
-        )
-        self._caller_server = make(
-            handler.handle,
-            memory=self._memory_limit.account,
-            on_body_refused=self._memory_limit.record_refused_body,
-            on_stalled=self._memory_limit.record_stalled_caller,
-        )
-        relay_server = make(self._endpoints.handle_relay)
-        readiness_server = make(self._endpoints.handle_readiness)
-        directory_server = make(self._endpoints.handle_lookup)
+        self._caller_server = self.make_server(handler.handle)
+        relay_server = self.make_server(self._endpoints.handle_relay)
+        readiness_server = self.make_server(self._endpoints.handle_readiness)
+        directory_server = self.make_server(self._endpoints.handle_lookup)
         # Their handlers may wait for targets, other instances or the store.
         self._request_servers = [self._caller_server, relay_server]
         self._listeners = [
@@ -590,6 +579,17 @@
             (relay_server, self._relay_address),
         ]
 
+    def make_server(self, handler: server.Handler) -> server.HttpServer:
+        """Return a server that shares the instance's limits."""
+        return server.HttpServer(
+            handler,
+            self._instrumentation.record_failure,
+            self._instrumentation.record_refused_connection,
+            self._memory_limit.account,
+            self._memory_limit.record_refused_body,
+            self._memory_limit.record_stalled_caller,
+        )
+
     # Other instances
 
     def _handle_peer_request(
--- a/libs/gateway/vanillayoke/gateway/messages.py
+++ b/libs/gateway/vanillayoke/gateway/messages.py
@@ -189,7 +189,7 @@
     path: str
     method: bytes
     target: bytes
-    headers: headers_module.Headers
+    headers: headers_module.Fields
     body: bytes
     time_left: float | None
     program: Program | None
--- a/libs/gateway/vanillayoke/gateway/process.py
+++ b/libs/gateway/vanillayoke/gateway/process.py
@@ -98,9 +98,7 @@
         self._output.flush()
 
     async def _serve_metrics(self) -> None:
-        http_server = server.HttpServer(
-            self._handle_metrics, lambda error: None, lambda status: None
-        )
+        http_server = self._instance.make_server(self._handle_metrics)
         await http_server.listen(self._settings.ip, METRICS_PORT)
 
     async def _handle_metrics(
--- a/libs/transport/vanillayoke/transport/body_memory.py
+++ b/libs/transport/vanillayoke/transport/body_memory.py
@@ -1,10 +1,10 @@
 """The memory for the bodies of the requests of a server's connection."""
 
 import asyncio
-import collections
 import typing
 
 from vanillayoke.core import memory as memory_module
+from vanillayoke.transport import request_sizes
 
 # The body as read and the copy that is written to the target.
 BODY_COPIES = 2
@@ -31,9 +31,9 @@
         self._on_change = on_change
         self._on_refused = on_refused
         self._loop = asyncio.get_running_loop()
-        self._read_size = 0
-        self._queued_sizes: collections.deque[int] = collections.deque()
-        self._running_size = 0
+        self._sizes = request_sizes.RequestSizes(
+            account, memory_module.Kind.REQUESTS
+        )
         self._waiter: memory_module.Waiter | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -48,16 +48,16 @@
         if size <= memory_module.LARGE_BYTES or self._account.has_room(
             memory_module.Kind.REQUESTS, size
         ):
-            self._hold(size)
+            self._sizes.add(size)
         else:
             self._wait(size)
 
     def add(self, length: int) -> None:
         """Hold memory for a part of a body of unknown length."""
-        self._hold(BODY_COPIES * length)
+        self._sizes.add(BODY_COPIES * length)
         next_size = memory_module.LARGE_BYTES + 1
         if (
-            self._read_size > memory_module.LARGE_BYTES
+            self._sizes.read > memory_module.LARGE_BYTES
             and self._waiter is None
             and not self._account.has_room(
                 memory_module.Kind.REQUESTS, next_size
@@ -70,41 +70,31 @@
         if self._waiter is not None:
             # All of it was already received when reading was paused.
             self._stop_waiting()
-            self._hold(BODY_COPIES * length - self._read_size)
-        self._queued_sizes.append(self._read_size)
-        self._read_size = 0
+            self._sizes.add(BODY_COPIES * length - self._sizes.read)
+        self._sizes.enqueue()
 
     def begin_next(self) -> None:
         """Make the first body of the queue that of the running request."""
-        self._running_size = self._queued_sizes.popleft()
+        self._sizes.begin_next()
 
     def end_running(self) -> None:
         """Release the body of the running request."""
-        size, self._running_size = self._running_size, 0
-        if size:
-            self._account.add(memory_module.Kind.REQUESTS, -size)
+        self._sizes.end_running()
 
     def release_queued(self) -> None:
         """Release the bodies in the queue."""
-        size = sum(self._queued_sizes)
-        self._queued_sizes.clear()
-        self._account.add(memory_module.Kind.REQUESTS, -size)
+        self._sizes.release_queued()
 
     def release(self) -> None:
         """Release all but the body of the running request."""
         self._stop_waiting()
-        self.release_queued()
-        self._hold(-self._read_size)
-
-    def _hold(self, size: int) -> None:
-        self._read_size += size
-        self._account.add(memory_module.Kind.REQUESTS, size)
+        self._sizes.release()
 
     def _wait(self, size: int) -> None:
         def read_on() -> None:
             self._waiter = None
             self._timer.cancel()
-            self._hold(size)
+            self._sizes.add(size)
             self._on_change()
 
         def refuse() -> None:
@@ -117,7 +107,7 @@
             read_on,
         )
         if self._waiter is None:
-            self._hold(size)
+            self._sizes.add(size)
             return
         self._timer = self._loop.call_later(MAX_BODY_WAIT_SECONDS, refuse)
         self._on_change()
--- a/libs/transport/vanillayoke/transport/server.py
+++ b/libs/transport/vanillayoke/transport/server.py
@@ -27,6 +27,8 @@
 # for this time is disconnected.
 FULL_STALL_SECONDS = 1.0
 CHECK_INTERVAL_SECONDS = 0.1
+# Of what is written and not sent, where memory is not limited.
+WRITE_BUFFER_BYTES = 256 * 1024
 
 
 class StalledCaller(typing.NamedTuple):
@@ -82,6 +84,13 @@
         self._check_timer: asyncio.TimerHandle | None = None
         self._servers: list[asyncio.Server] = []
 
+    @property
+    def buffer_bytes(self) -> int:
+        """From how many unsent bytes on a handler has to wait."""
+        if self.memory is None:
+            return WRITE_BUFFER_BYTES
+        return self.memory.buffer_bytes
+
     async def listen(self, host: str, port: int) -> None:
         """Accept connections on an address."""
         loop = asyncio.get_running_loop()
@@ -155,7 +164,7 @@
         self._check_timer = None
         now = asyncio.get_running_loop().time()
         for connection in list(self._checked):
-            if not connection.check(self.memory, now):
+            if not connection.check(now):
                 self.forget(connection)
         if self.memory.is_under_pressure:
             self._disconnect_stalled(now)
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -4,8 +4,6 @@
 import collections
 import fcntl
 import http
-import socket
-import struct
 import sys
 import termios
 import typing
@@ -13,20 +11,22 @@
 import httptools
 
 from vanillayoke.core import memory as memory_module
-from vanillayoke.transport import body_memory
+from vanillayoke.transport import connection_memory
 from vanillayoke.transport import headers as headers_module
 from vanillayoke.transport import responses
+from vanillayoke.transport import sockets
 
 if typing.TYPE_CHECKING:
     from vanillayoke.transport import server as server_module
 
-WRITE_BUFFER_BYTES = 256 * 1024
+# Of the requests that are read at once, since the last one that was begun.
 MAX_PIPELINED_REQUESTS = 16
+# Input is parsed in parts of this size, so that what follows a complete
+# request is not held as requests before their turn.
+PARSED_BYTES = 2048
 # Closing a socket with unread data resets it, and the client could lose the
 # response. So the connection stays open for this time after the last one.
 LINGER_SECONDS = 0.5
-# Protocol, parser, transport and buffers of a connection that is in use.
-CONNECTION_BYTES = 16 * 1024
 
 
 class Request(typing.NamedTuple):
@@ -38,7 +38,7 @@
 
     method: bytes
     target: bytes
-    headers: headers_module.Headers
+    headers: headers_module.Fields
     body: bytes
     closes_connection: bool
     version: str = '1.1'
@@ -64,8 +64,12 @@
 class Connection(asyncio.Protocol):
     """Reads requests, and passes them to the server's handler one by one.
 
-    Where memory is limited, it holds memory for the bodies of its requests and
-    for its unsent bytes, and reads on only when there is memory.
+    At most one complete request waits behind the one that is handled; what
+    follows is neither parsed nor, where there is much of it, read. A response
+    begins when the caller has taken most of those before.
+
+    Where memory is limited, it holds memory for itself, its requests and its
+    unsent bytes, and reads on only when there is memory.
     """
 
     def __init__(self, server: 'server_module.HttpServer') -> None:
@@ -85,13 +89,14 @@
         self._is_ending_without_length = False
         # Sent after the responses to all requests before the refused one.
         self._error: http.HTTPStatus | None = None
+        # Received and not parsed yet.
+        self._input = bytearray()
+        self._is_parsing = False
         self._memory = server.memory
-        self._bodies: body_memory.BodyMemory | None = None
-        if server.memory is not None:
-            self._bodies = body_memory.BodyMemory(
-                server.memory, self._update_reading, self._refuse_body
-            )
-        self._holds_back = False
+        self._held = connection_memory.ConnectionMemory(
+            server.memory, self._update_reading, self._refuse_body
+        )
+        self._is_paused = False
         # The latest request with a response.
         self.request_name = ''
         self.unsent_bytes = 0
@@ -104,24 +109,24 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        transport.set_write_buffer_limits(high=self._server.buffer_bytes)
         self._server.connections.add(self)
         if self._server.is_closed:
             # It was accepted just before.
             self._is_closing = True
             transport.close()
             return
-        if self._memory is not None:
-            self._memory.add(memory_module.Kind.CONNECTIONS, CONNECTION_BYTES)
+        self._held.open()
         self._set_timer(self._server.limits.idle_timeout)
 
     def connection_lost(self, error: Exception | None) -> None:
         self._server.connections.discard(self)
         self._cancel_timer()
         self._can_write.set()
-        self._queue.clear()
-        if self._memory is not None:
-            self._release_memory(self._memory)
+        self._clear_queue()
+        self._server.forget(self)
+        self._held.release()
+        self._memory = None
         if self._task is not None:
             self._task.cancel()
 
@@ -134,11 +139,30 @@
     def resume_writing(self) -> None:
         self._can_write.set()
         if self._is_ending_without_length:
-            _set_reset_on_close(self._transport, False)
+            sockets.set_reset_on_close(self._transport, False)
+        if self.is_open:
+            self._go_on()
 
     def data_received(self, data: bytes) -> None:
         if self._is_closing:
             return
+        self._input += data
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parse what has been received, up to a request that has to wait."""
+        if self._is_parsing:
+            return
+        self._is_parsing = True
+        while self._input and not self._must_wait:
+            size = max(PARSED_BYTES, self._missing_body_bytes)
+            part = bytes(memoryview(self._input)[:size])
+            del self._input[:size]
+            self._feed(part)
+        self._is_parsing = False
+        self._update_reading()
+
+    def _feed(self, data: bytes) -> None:
         was_reading_head = self._is_reading and not self._has_head
         body_size = len(self._body)
         try:
@@ -148,14 +172,18 @@
         except httptools.HttpParserError:
             self._refuse(http.HTTPStatus.BAD_REQUEST)
         self._limit_overhead(data, was_reading_head, body_size)
-        if (
-            self._memory is not None
-            and self._queue
-            and self._memory.is_under_pressure
-        ):
-            self._holds_back = True
-            self._update_reading()
-            self._server.check_later(self)
+        if self._is_reading and not self._has_head:
+            self._held.set_head(max(self._header_size, self._overhead_bytes))
+
+    @property
+    def _must_wait(self) -> bool:
+        """Whether what has been received must not be parsed yet."""
+        return bool(self._queue) or self._held.is_waiting
+
+    @property
+    def _missing_body_bytes(self) -> int:
+        """How much of a body of known length has not been parsed."""
+        return max(0, self._body_length - len(self._body))
 
     # Called by the parser
 
@@ -167,12 +195,14 @@
 
     def on_url(self, url: bytes) -> None:
         self._target += url
-        self._add_header_size(len(url))
+        self._limit_header()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._has_head:
-            self._headers.append((name, value))
-        self._add_header_size(len(name) + len(value) + 4)
+        if self._has_head:
+            self._trailer_size += len(name) + len(value)
+        else:
+            self._headers.append(name, value)
+        self._limit_header()
 
     def on_headers_complete(self) -> None:
         # Later fields are trailers. They must not be merged into the header
@@ -194,14 +224,15 @@
             self._send_continue()
         if self._task is None:
             self._set_timer(self._server.limits.idle_timeout)
-        if self._bodies is not None and length and not self._is_closing:
-            self._has_length = True
-            self._bodies.expect(int(length))
+        self._held.set_head(self._header_size)
+        if length and not self._is_closing:
+            self._body_length = int(length)
+            self._held.expect_body(self._body_length)
 
     def on_body(self, body: bytes) -> None:
         self._body += body
-        if self._bodies is not None and not self._has_length:
-            self._bodies.add(len(body))
+        if not self._body_length:
+            self._held.add_body(len(body))
         if len(self._body) > self._server.limits.body_bytes:
             self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
@@ -225,12 +256,12 @@
             version,
         )
         self._body = bytearray()
+        self._body_length = 0
         if len(self._queue) >= MAX_PIPELINED_REQUESTS:
             self._refuse(http.HTTPStatus.BAD_REQUEST)
             return
         self._queue.append(request)
-        if self._bodies is not None:
-            self._bodies.enqueue(len(request.body))
+        self._held.enqueue(len(request.body))
         if self._task is None:
             self._begin_next()
 
@@ -242,11 +273,16 @@
 
         Pipelined requests that have been read are answered before.
         """
-        return self._server.is_draining and not self._queue
+        return self._server.is_draining and not (self._queue or self._input)
 
     @property
     def is_idle(self) -> bool:
-        return self._task is None and not self._is_reading and not self._queue
+        return (
+            self._task is None
+            and not self._is_reading
+            and not self._queue
+            and not self._input
+        )
 
     @property
     def is_active(self) -> bool:
@@ -270,16 +306,14 @@
             self._transport.write(data)
             if self._memory is not None:
                 self._written_bytes += len(data)
-                self._update_unsent(self._memory)
+                self._update_unsent()
 
     async def drain(self) -> None:
         await self._can_write.wait()
 
     def end_response(self, closes_connection: bool) -> None:
         if closes_connection:
-            self._queue.clear()
-            if self._bodies is not None:
-                self._bodies.release_queued()
+            self._clear_queue()
             self._is_closing = True
             self._error = None
             self._linger()
@@ -290,14 +324,14 @@
         The end of this process does that, too.
         """
         if self.is_open:
-            _set_reset_on_close(self._transport, True)
+            sockets.set_reset_on_close(self._transport, True)
 
     def end_without_length(self) -> None:
         """End a response whose end is that of the connection."""
         if self.is_open:
             self._is_ending_without_length = True
             if not self.has_unsent_bytes:
-                _set_reset_on_close(self._transport, False)
+                sockets.set_reset_on_close(self._transport, False)
             # Otherwise ``resume_writing`` is called once all is sent.
             self._transport.set_write_buffer_limits(high=0)
         self.end_response(True)
@@ -321,9 +355,7 @@
             self._task.cancel()
             return True
         if not self.is_idle:
-            self._queue.clear()
-            if self._bodies is not None:
-                self._bodies.release_queued()
+            self._clear_queue()
             self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
         return False
 
@@ -335,9 +367,9 @@
         name = self._transport.get_extra_info('peername')
         return f'{name[0]}:{name[1]}' if name else ''
 
-    def check(self, memory: memory_module.Account, now: float) -> bool:
+    def check(self, now: float) -> bool:
         """Update what is unsent; return whether to check again later."""
-        self._update_unsent(memory)
+        self._update_unsent()
         if self.unsent_bytes:
             # The kernel takes more only when a third of its buffer is free,
             # which may need many seconds while the caller reads slowly.
@@ -346,53 +378,49 @@
             if taken > self._taken_bytes:
                 self._taken_bytes = taken
                 self.last_progress_at = now
-        if self._task is None and self._queue:
-            self._begin_next()
-        if self._holds_back and not (self._queue and memory.is_under_pressure):
-            self._holds_back = False
-            self._update_reading()
-        return bool(
-            self.unsent_bytes
-            or self._holds_back
-            or (self._task is None and self._queue)
-        )
+        self._go_on()
+        return bool(self.unsent_bytes or (self._task is None and self._queue))
 
     # Internals
 
+    def _clear_queue(self) -> None:
+        """Forget the requests that have not begun."""
+        self._queue.clear()
+        self._input.clear()
+        self._held.release_queued()
+        self._update_reading()
+
     def _update_reading(self) -> None:
+        """Receive no more while what has been received has to wait."""
         if self._transport is None or self._transport.is_closing():
             return
-        if self._holds_back or self._bodies.is_waiting:
+        must_pause = bool(self._input) or self._held.is_waiting
+        if must_pause and not self._is_paused:
             self._transport.pause_reading()
-        else:
+        elif self._is_paused and not must_pause:
             self._transport.resume_reading()
+        self._is_paused = must_pause
+        self._held.set_received(len(self._input), must_pause)
+        if not must_pause:
+            return
+        if not self._is_parsing and not self._must_wait:
+            self._loop.call_soon(self._parse)
 
-    def _update_unsent(self, memory: memory_module.Account) -> None:
+    def _update_unsent(self) -> None:
         unsent = self._transport.get_write_buffer_size()
         if unsent and not self.unsent_bytes:
             self.last_progress_at = self._loop.time()
             self._server.check_later(self)
-        if unsent != self.unsent_bytes:
-            memory.add(
-                memory_module.Kind.RESPONSES, unsent - self.unsent_bytes
-            )
-            self.unsent_bytes = unsent
-
-    def _release_memory(self, memory: memory_module.Account) -> None:
-        """Release all but the memory of the running request."""
-        self._server.forget(self)
-        self._bodies.release()
-        memory.add(memory_module.Kind.RESPONSES, -self.unsent_bytes)
-        memory.add(memory_module.Kind.CONNECTIONS, -CONNECTION_BYTES)
-        self.unsent_bytes = 0
-        self._memory = None
+        self._held.set_unsent(unsent)
+        self.unsent_bytes = unsent
 
     def _reset_message(self) -> None:
         self._target = bytearray()
-        self._headers: headers_module.Headers = []
+        self._headers = headers_module.FieldList()
         self._has_head = False
-        self._has_length = False
-        self._header_size = 0
+        # If it is known.
+        self._body_length = 0
+        self._trailer_size = 0
         self._overhead_bytes = 0
         self._body = bytearray()
         self._is_reading = False
@@ -408,8 +436,12 @@
             if self._is_reading:
                 self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
-    def _add_header_size(self, size: int) -> None:
-        self._header_size += size
+    @property
+    def _header_size(self) -> int:
+        """The size of the head, and of trailers, in bytes."""
+        return len(self._target) + self._headers.size + self._trailer_size
+
+    def _limit_header(self) -> None:
         if self._header_size > self._server.limits.header_bytes:
             self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
@@ -436,6 +468,8 @@
         if self._is_closing:
             return
         self._is_closing = True
+        self._input.clear()
+        self._update_reading()
         self._server.on_refused(status)
         self._error = status
         # Responses must be sent in the order of the requests. Requests in the
@@ -452,7 +486,7 @@
         retry_after = b''
         if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
             retry_after = (
-                b'Retry-After: %.2f\r\n' % body_memory.MAX_BODY_WAIT_SECONDS
+                b'Retry-After: %.2f\r\n' % connection_memory.MAX_WAIT_SECONDS
             )
         self.write(
             b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%bConnection: close\r\n'
@@ -469,17 +503,32 @@
         self._cancel_timer()
         self._timer = self._loop.call_later(LINGER_SECONDS, transport.close)
 
+    def _go_on(self) -> None:
+        """Begin the next request if one waits, or read on."""
+        if self._task is None and self._queue:
+            self._begin_next()
+        elif self._input:
+            self._parse()
+
+    @property
+    def _has_backlog(self) -> bool:
+        """Whether the client has to take more of the responses before."""
+        if not self._can_write.is_set():
+            return True
+        return (
+            self._memory is not None
+            and self._memory.is_under_pressure
+            and self.unsent_bytes > memory_module.LARGE_BYTES
+        )
+
     def _begin_next(self) -> None:
         self._cancel_timer()
-        if self._memory is not None:
-            # Responses to pipelined requests must not add up.
-            if (
-                self._memory.is_under_pressure
-                and self.unsent_bytes > memory_module.LARGE_BYTES
-            ):
+        # Responses to pipelined requests must not add up.
+        if self._has_backlog:
+            if self._memory is not None:
                 self._server.check_later(self)
-                return
-            self._bodies.begin_next()
+            return
+        self._held.begin_next()
         request = self._queue.popleft()
         responder = responses.Responder(
             self,
@@ -495,8 +544,7 @@
 
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._task = None
-        if self._bodies is not None:
-            self._bodies.end_running()
+        self._held.end_running()
         if task.cancelled():
             self._end_unfinished_response()
         elif task.exception() is not None:
@@ -511,6 +559,7 @@
         elif not self._is_closing:
             self._set_timer(self._server.limits.idle_timeout)
             self._send_continue()
+            self._go_on()
 
     def _end_unfinished_response(self) -> None:
         """End the response of a handler that failed or was cancelled."""
@@ -540,16 +589,6 @@
             self.close()
 
 
-def _set_reset_on_close(
-    transport: asyncio.Transport, does_reset: bool
-) -> None:
-    """Set whether the kernel resets the connection instead of ending it."""
-    sock = transport.get_extra_info('socket')
-    if sock is not None and sock.fileno() >= 0:
-        linger = struct.pack('ii', does_reset, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
 def _count_unacknowledged(transport: asyncio.Transport) -> int:
     """Return the bytes in the kernel that the peer has not acknowledged."""
     sock = transport.get_extra_info('socket')
--- /dev/null
+++ b/libs/transport/vanillayoke/transport/sockets.py
@@ -0,0 +1,15 @@
+"""Options of TCP sockets."""
+
+import asyncio
+import socket
+import struct
+
+
+def set_reset_on_close(
+    transport: asyncio.BaseTransport, does_reset: bool
+) -> None:
+    """Set whether the kernel resets the connection instead of ending it."""
+    sock = transport.get_extra_info('socket')
+    if sock is not None and sock.fileno() >= 0:
+        linger = struct.pack('ii', does_reset, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/crowds/test_descriptors.py
+++ b/tests/crowds/test_descriptors.py
@@ -59,7 +59,7 @@
     crowd = [clients.stay_idle(site.front) for _ in range(CLIENTS)]
     await processes.run_crowd(site, case, crowd, SECONDS)
     # The whole log would be printed by assertIn.
-    case.assertTrue('descriptor_limit_low' in site.log)
+    case.assertGreater(site.log.count('descriptor_limit_low'), 0)
 
 
 load_tests = fixtures.adapt(__name__, [processes])
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -305,4 +305,45 @@
     case.assertEqual(0, http_server.active_connections)
 
 
+async def test_head_at_the_limit_is_served(case, network, handler):
+    """Short lines were counted longer than they are, and refused."""
+    limit = server.Limits().header_bytes
+    lines = b'ab:c\r\n' * ((limit - 100) // 6)
+    caller = await _connect(handler)
+    received = await _send(caller, b'GET /a HTTP/1.1\r\n%b\r\n' % lines)
+    case.assertTrue(received.startswith(b'HTTP/1.1 200'))
+    received = await _send(
+        caller, b'GET /a HTTP/1.1\r\n%bx: %b\r\n\r\n' % (lines, b'y' * 100)
+    )
+    case.assertIn(b'HTTP/1.1 431', received)
+
+
+async def test_long_heads_that_arrive_at_once_are_answered(
+    case, network, handler
+):
+    """A part of a head behind complete ones was taken for an endless one."""
+    request = b'GET /a HTTP/1.1\r\n%b\r\n' % (b'ab:c\r\n' * 2000)
+    caller = await _connect(handler)
+    received = await _send(caller, request * 5 + request[:-2])
+    case.assertEqual(5, received.count(b'HTTP/1.1 200'))
+    received = await _send(caller, b'\r\n')
+    case.assertEqual(6, received.count(b'HTTP/1.1 200'))
+    case.assertEqual([], handler.refused)
+
+
+async def test_requests_behind_a_waiting_one_are_not_parsed(
+    case, network, handler
+):
+    """Sixteen requests were parsed and held while one was handled."""
+    handler.delay = 2.0
+    caller = await _connect(handler)
+    await _send(
+        caller, b'GET /a HTTP/1.1\r\nx: %b\r\n\r\n' % (b'y' * 4000) * 8
+    )
+    connection = caller.transport.peer.protocol
+    case.assertLessEqual(len(connection._queue), 1)
+    await asyncio.sleep(20.0)
+    case.assertEqual(8, caller.received.count(b'HTTP/1.1 200'))
+
+
 load_tests = fixtures.adapt(__name__)
