Bounded what the kernel receives for connections that are not read.

Callers saw: the process ended without memory beside many slow readers. Bytes that have been received and not read count towards its limit.

Cause: the kernel lets the receive buffer of a connection grow to megabytes, and a single read takes up to 256 KB. A target's connection whose reader is slow, and a caller's whose body waits for memory, hold that much outside the account; a stream held 256 KB more in each of two buffers of the process.

Weighed: charging each connection for the largest buffer (a few hundred callers would fill the account in calm).

--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -14,6 +14,7 @@
 
 from vanillayoke.core import memory as memory_module
 from vanillayoke.transport import headers as headers_module
+from vanillayoke.transport import sockets
 
 # Subtracted from the server's Keep-Alive timeout, which starts earlier than
 # the client's: when the server sends its last byte.
@@ -127,6 +128,9 @@
         # Called when a response without a length has ended.
         self.on_unmarked_end: typing.Callable[[], None] | None = None
         self._max_body_bytes = max_body_bytes
+        self._max_buffered_bytes = MAX_BUFFERED_BYTES
+        if memory is not None:
+            self._max_buffered_bytes = memory.buffer_bytes
         self.expected: memory_module.Reservation | None = None
         self._held_bytes = 0
         # Whether the memory for the whole response is held.
@@ -157,6 +161,8 @@
         sock = transport.get_extra_info('socket')
         if sock is not None:
             _set_socket_options(sock)
+        if self._memory is not None:
+            sockets.set_receive_buffer(transport, self._memory.buffer_bytes)
 
     def connection_lost(self, error: Exception | None) -> None:
         self._is_reset = error is not None
@@ -461,7 +467,7 @@
             return
         must_pause = (
             self._waiter is not None
-            or self._buffered_bytes > MAX_BUFFERED_BYTES
+            or self._buffered_bytes > self._max_buffered_bytes
         )
         if must_pause and not self._is_paused:
             self._transport.pause_reading()
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -117,6 +117,8 @@
             transport.close()
             return
         self._held.open()
+        if self._memory is not None:
+            sockets.set_receive_buffer(transport, self._memory.buffer_bytes)
         self._set_timer(self._server.limits.idle_timeout)
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/libs/transport/vanillayoke/transport/sockets.py
+++ b/libs/transport/vanillayoke/transport/sockets.py
@@ -5,6 +5,17 @@
 import struct
 
 
+def set_receive_buffer(transport: asyncio.BaseTransport, size: int) -> None:
+    """Bound how many bytes the kernel receives before they are read.
+
+    Without a bound, it grows to megabytes for each connection.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is not None:
+        # Linux doubles the size for its own data.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size // 2)
+
+
 def set_reset_on_close(
     transport: asyncio.BaseTransport, does_reset: bool
 ) -> None:
