Waited for memory before the text of a turn grows.

Callers saw: the process ended without memory beside clients that read long answers of kept turns slowly.

Cause: the text of a turn and its history were added to the account without asking it, so that what was held passed the capacity without anybody waiting or being refused. An event of the text was an object of its own, and the copies made while a turn is saved (joined text, rows, encoded call, cache) were not counted.

A history is asked for before it is joined with the prompt (503, not run). The text is held in one piece.

Weighed: a stream paced by the account's pressure alone (a kept turn's text does not shrink when its reader goes on), spilling to the store (the turn is one transaction there, and must not be seen before its end).

test_text_of_a_kept_turn_is_bounded awaits add_data now; its checks are the same.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -1043,6 +1043,7 @@
     'responses',
     'histories',
     'heads',
+    'saves',
 )
 MEMORY_PRESSURE_LEFT = _define(
     1051,
--- a/libs/core/vanillayoke/core/memory.py
+++ b/libs/core/vanillayoke/core/memory.py
@@ -46,6 +46,7 @@
     RESPONSES = 4
     HISTORIES = 5
     HEADS = 6
+    SAVES = 7
 
     @property
     def label(self) -> str:
@@ -53,10 +54,16 @@
         return self.name.lower()
 
 
-# Large bodies may fill the account only up to these parts. New requests stop
+# What is large may fill the account only up to these parts. New requests stop
 # first: with the same part for all, requests would wait with their bodies for
 # the memory of their responses, which only their ends would release.
-LARGE_RATIOS = {Kind.REQUESTS: 0.5, Kind.EXPECTED: 0.6, Kind.TARGETS: 0.75}
+LARGE_RATIOS = {
+    Kind.HISTORIES: 0.5,
+    Kind.REQUESTS: 0.5,
+    Kind.EXPECTED: 0.6,
+    Kind.TARGETS: 0.75,
+    Kind.SAVES: 0.85,
+}
 
 
 class Waiter(typing.NamedTuple):
--- a/libs/gateway/vanillayoke/gateway/turns.py
+++ b/libs/gateway/vanillayoke/gateway/turns.py
@@ -3,7 +3,6 @@
 import msgspec
 
 from vanillayoke.core import events as log_events
-from vanillayoke.core import memory
 from vanillayoke.gateway import context as context_module
 from vanillayoke.gateway import dispatch
 from vanillayoke.gateway import event_order
@@ -16,6 +15,7 @@
 from vanillayoke.gateway import sse
 from vanillayoke.gateway import store as store_module
 from vanillayoke.gateway import store_waiting
+from vanillayoke.gateway import text_memory
 from vanillayoke.gateway import unary
 from vanillayoke.programs import transcripts
 from vanillayoke.scheduling import program_slack
@@ -38,19 +38,25 @@
 class _Turn:
     """The state of a turn while it runs."""
 
-    def __init__(self, progress: dispatch.Progress, event_tokens: int) -> None:
+    def __init__(
+        self,
+        progress: dispatch.Progress,
+        event_tokens: int,
+        held: text_memory.TextMemory,
+    ) -> None:
         self.progress = progress
         self.event_tokens = event_tokens
         self.history = transcripts.History()
         self.reservation_name = progress.call.request
         self.call = progress.call
-        self.data: list[bytes] = []
+        # Of the events so far.
+        self._text = bytearray()
         self._data_bytes = 0
         self.event_count = 0
         self.is_complete = False
         self.order = event_order.EventOrder(progress.call.last_event)
         # Memory for the history, the prompt with it, and the new text.
-        self.held: memory.Reservation | None = None
+        self.held = held
 
     @property
     def used_tokens(self) -> int:
@@ -62,21 +68,22 @@
         """Where the stream resumes if it is interrupted."""
         return self.order.last_id
 
-    def add_data(self, data: bytes) -> None:
+    async def add_data(self, data: bytes) -> None:
         """Add the data of an event to the text that the turn adds.
 
-        Raise ``BadAnswer`` if the text becomes too long.
+        Raise ``BadAnswer`` if the text becomes too long, ``RefusalError`` if
+        there is no memory for it.
         """
-        self.data.append(data)
+        await self.held.add(len(data) + 1)
+        self._text += data
+        self._text += b'\n'
         self._data_bytes += len(data)
         if self._data_bytes > MAX_TEXT_BYTES:
             raise client.BadAnswer('the text of the stream is too long')
 
     def make_new_text(self) -> bytes:
         """Return the text that the turn adds to the history."""
-        return self.progress.call.body + b''.join(
-            data + b'\n' for data in self.data
-        )
+        return b''.join((self.progress.call.body, self._text))
 
 
 def _feed(parser: sse.EventParser, chunk: bytes) -> list[sse.StreamEvent]:
@@ -123,16 +130,12 @@
     ) -> None:
         """Serve a turn."""
         await self._find_origin(progress)
-        turn = _Turn(progress, self._get_event_tokens(progress.service))
-        account = self._context.memory_limit.account
-        if account is None:
-            await self._serve_turn(turn, responder)
-            return
-        turn.held = account.reserve(memory.Kind.HISTORIES, 0)
+        held = text_memory.TextMemory(self._context.memory_limit.account)
+        turn = _Turn(progress, self._get_event_tokens(progress.service), held)
         try:
             await self._serve_turn(turn, responder)
         finally:
-            turn.held.release()
+            held.release()
 
     async def _find_origin(self, progress: dispatch.Progress) -> None:
         """Bind a request that resumes a stream to the stream's origin."""
@@ -341,11 +344,11 @@
             except store_module.StoreError as error:
                 await self._store_waiting.wait(progress, error)
                 continue
+            history_size = len(turn.history.text)
+            await turn.held.add(2 * history_size + len(progress.call.body))
             turn.call = progress.call._replace(
                 body=turn.history.text + progress.call.body
             )
-            if turn.held is not None:
-                turn.held.add(len(turn.history.text) + len(turn.call.body))
             return
 
     async def _try(
@@ -426,9 +429,7 @@
                 if event.data is not None:
                     turn.event_count += 1
                     if turn.progress.route.keeps_history:
-                        turn.add_data(event.data)
-                        if turn.held is not None:
-                            turn.held.add(len(event.data))
+                        await turn.add_data(event.data)
             await responder.drain()
         if parser.pending:
             raise client.BadAnswer('the stream ended within an event')
@@ -504,12 +505,14 @@
         progress = turn.progress
         call = progress.call
         previous = call.previous_turn
+        new_text = turn.make_new_text()
+        await turn.held.prepare_saving(len(new_text))
         try:
             await self._context.histories.save(
                 progress.qualify(call.request),
                 progress.qualify(previous) if previous else '',
                 turn.history,
-                turn.make_new_text(),
+                new_text,
                 self._store_waiting.find_save_deadline(progress),
             )
         except store_module.StoreError as error:
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -5,6 +5,7 @@
 
 from tests.gateway import site_fixtures
 from vanillayoke.gateway import sse
+from vanillayoke.gateway import text_memory
 from vanillayoke.gateway import turns
 from vanillayoke.soak import hostile_targets
 from vanillayoke.testing import fixtures
@@ -77,15 +78,16 @@
     case.assertEqual(1, len(site.list_runs('a')))
 
 
-def test_text_of_a_kept_turn_is_bounded(case):
+async def test_text_of_a_kept_turn_is_bounded(case):
     """A stream of sound events without end filled the memory."""
     call = types.SimpleNamespace(request='a', last_event=None)
-    turn = turns._Turn(types.SimpleNamespace(call=call), 1)
+    held = text_memory.TextMemory(None)
+    turn = turns._Turn(types.SimpleNamespace(call=call), 1, held)
     piece = b'x' * (turns.MAX_TEXT_BYTES // 4)
     for _ in range(4):
-        turn.add_data(piece)
+        await turn.add_data(piece)
     with case.assertRaises(client.BadAnswer):
-        turn.add_data(b'x')
+        await turn.add_data(b'x')
 
 
 load_tests = fixtures.adapt(__name__, [site_fixtures])
