Shared the descriptors of a process among its listeners.

Callers saw: beside 300 connections that send nothing, one request of four was answered; the process wrote 45 to 111 MB of log in 8 s.

Cause: nothing read max_fds. Connections of callers used up what the process needs for targets, the store, other instances and its other listeners, and the event loop logged a trace for each connection that it could not accept.

Change: max_fds, or the limit of the process if it is lower, less 200 for files and 30 of its own, is shared: a third for callers, 1/32 for each other listener, the rest for connections to others. Where there is one too many, or the account is over its capacity, the connection that has been idle for longest is closed, then one that closes anyway, then the one that has sent a part of a request for longest (503), those whose clients have not taken a response last; where all are busy, the new one. The event loop accepts one connection at a time, so that few are open beyond a share. A lower limit of the process has a line at the start.

connections_evicted_total and connections_refused_total say who had to go and why; connection_refused, body_refused and connections_evicted have one line for 5 s, with a count.

--- a/libs/core/vanillayoke/core/events.py
+++ b/libs/core/vanillayoke/core/events.py
@@ -675,8 +675,10 @@
     1004,
     'connection_refused',
     _WARNING,
-    'The input on a connection was rejected with {status}.',
+    'The input on a connection was rejected with {status}, {count} times '
+    'since the last such line.',
     'status',
+    'count',
 )
 HANDLER_FAILED = _define(
     1005,
@@ -1072,9 +1074,31 @@
     'body_refused',
     _WARNING,
     'A request was refused: there was no memory for its body, which needs '
-    '{bytes} bytes.',
+    '{bytes} bytes. It is one of {count} since the last such line.',
     'bytes',
     'held',
+    'count',
+)
+CONNECTIONS_EVICTED = _define(
+    1054,
+    'connections_evicted',
+    _WARNING,
+    'At the listener {listener}, with {limit} connections at most, {count} '
+    'were closed to make room since the last such line; the last was {state}.',
+    'listener',
+    'limit',
+    'count',
+    'state',
+)
+DESCRIPTOR_LIMIT_LOW = _define(
+    1063,
+    'descriptor_limit_low',
+    _WARNING,
+    'The process may open {limit} descriptors, fewer than the {settings} of '
+    'its settings; callers get {callers} connections.',
+    'limit',
+    'settings',
+    'callers',
 )
 CALL_HEDGED = _define(
     1055,
--- a/libs/core/vanillayoke/core/memory.py
+++ b/libs/core/vanillayoke/core/memory.py
@@ -104,6 +104,7 @@
             kind: [] for kind in LARGE_RATIOS
         }
         self._numbers = itertools.count()
+        self._has_refused = False
 
     def add(self, kind: Kind, size: int) -> None:
         """Add bytes that are held; negative if they are no longer held."""
@@ -114,6 +115,15 @@
         elif self.total > self._pressure_bytes:
             self._set_pressure(True)
 
+    def record_refusal(self) -> None:
+        """Record that a request was refused, as there was no memory for it."""
+        self._has_refused = True
+
+    def take_refusal(self) -> bool:
+        """Return whether a request was refused since the last call."""
+        has_refused, self._has_refused = self._has_refused, False
+        return has_refused
+
     @property
     def excess(self) -> float:
         """How many bytes have to be released to end the pressure."""
--- a/libs/gateway/vanillayoke/gateway/instance.py
+++ b/libs/gateway/vanillayoke/gateway/instance.py
@@ -1,6 +1,7 @@
 """A gateway instance: construction, startup and graceful shutdown."""
 
 import asyncio
+import functools
 import random
 import typing
 
@@ -13,6 +14,7 @@
 from vanillayoke.gateway import access as access_module
 from vanillayoke.gateway import calls
 from vanillayoke.gateway import catalog as catalog_module
+from vanillayoke.gateway import connection_limits
 from vanillayoke.gateway import context as context_module
 from vanillayoke.gateway import dialect as dialect_module
 from vanillayoke.gateway import endpoints
@@ -158,6 +160,7 @@
         )
         self._peers.set_sender(sender)
         self._sender = sender
+        self._connection_limits.check()
         for http_server, address in self._listeners:
             host, _, port = address.rpartition(':')
             await http_server.listen(host, int(port))
@@ -566,10 +569,26 @@
             lambda: self.is_isolated,
             self._supervisor.list_failing,
         )
-        self._caller_server = self.make_server(handler.handle)
-        relay_server = self.make_server(self._endpoints.handle_relay)
-        readiness_server = self.make_server(self._endpoints.handle_readiness)
-        directory_server = self.make_server(self._endpoints.handle_lookup)
+        self._connection_limits = connection_limits.ConnectionLimits(
+            self.settings.descriptor_limit,
+            self._timers,
+            self._log,
+            self.metrics,
+        )
+        self._caller_server = self.make_server(
+            handler.handle, connection_limits.Listener.CALLERS
+        )
+        relay_server = self.make_server(
+            self._endpoints.handle_relay, connection_limits.Listener.RELAY
+        )
+        readiness_server = self.make_server(
+            self._endpoints.handle_readiness,
+            connection_limits.Listener.READINESS,
+        )
+        directory_server = self.make_server(
+            self._endpoints.handle_lookup,
+            connection_limits.Listener.DIRECTORY,
+        )
         # Their handlers may wait for targets, other instances or the store.
         self._request_servers = [self._caller_server, relay_server]
         self._listeners = [
@@ -579,7 +598,11 @@
             (relay_server, self._relay_address),
         ]
 
-    def make_server(self, handler: server.Handler) -> server.HttpServer:
+    def make_server(
+        self,
+        handler: server.Handler,
+        listener: connection_limits.Listener,
+    ) -> server.HttpServer:
         """Return a server that shares the instance's limits."""
         return server.HttpServer(
             handler,
@@ -588,6 +611,8 @@
             self._memory_limit.account,
             self._memory_limit.record_refused_body,
             self._memory_limit.record_stalled_caller,
+            self._connection_limits.get_share(listener),
+            functools.partial(self._connection_limits.record, listener),
         )
 
     # Other instances
--- a/libs/gateway/vanillayoke/gateway/instrumentation.py
+++ b/libs/gateway/vanillayoke/gateway/instrumentation.py
@@ -3,6 +3,7 @@
 from vanillayoke.cluster import messages as cluster_messages
 from vanillayoke.core import decoding
 from vanillayoke.core import events as log_events
+from vanillayoke.core import line_limits
 from vanillayoke.core import logs
 from vanillayoke.core import timers
 from vanillayoke.gateway import budget_accounts
@@ -30,6 +31,7 @@
         self._log = log
         self._metrics = metrics
         self._timers = timer_service
+        self._refused_connections = line_limits.LineLimit(timer_service)
         # When the last malformed report of a target was logged.
         self._malformed_at: dict[str, float] = {}
         # When the last rejected message was logged, by source and reason.
@@ -211,7 +213,12 @@
 
     def record_refused_connection(self, status: int) -> None:
         """Record that a connection was refused for invalid input."""
-        self._log.write(log_events.CONNECTION_REFUSED, status=int(status))
+        self._metrics.connections_refused.add(1, status=str(int(status)))
+        count = self._refused_connections.count(status)
+        if count is not None:
+            self._log.write(
+                log_events.CONNECTION_REFUSED, status=int(status), count=count
+            )
 
 
 def _describe(error: BaseException) -> str:
--- a/libs/gateway/vanillayoke/gateway/memory_limit.py
+++ b/libs/gateway/vanillayoke/gateway/memory_limit.py
@@ -3,6 +3,7 @@
 import typing
 
 from vanillayoke.core import events as log_events
+from vanillayoke.core import line_limits
 from vanillayoke.core import logs
 from vanillayoke.core import memory
 from vanillayoke.core import timers
@@ -35,6 +36,7 @@
         self._probed_keys: set[tuple[str, str | None]] = set()
         self._pressure_started_at = 0.0
         self._refused_count = 0
+        self._refused_bodies = line_limits.LineLimit(timer_service)
         self._clear_caches: typing.Callable[[], None] = lambda: None
         self.account: memory.Account | None = None
         if settings.has_feature(messages.Feature.MEMORY_LIMIT):
@@ -92,6 +94,7 @@
 
     def _refuse(self) -> typing.NoReturn:
         self._record_refusal('request')
+        self.account.record_refusal()
         raise refusals.RefusalError(
             refusals.Reason.MEMORY,
             f'{self.account.total} of {self.account.capacity} bytes held',
@@ -100,9 +103,14 @@
     def record_refused_body(self, size: int) -> None:
         """Record a request whose body found no memory in time."""
         self._record_refusal('body')
-        self._log.write(
-            log_events.BODY_REFUSED, bytes=size, held=self.account.total
-        )
+        count = self._refused_bodies.count()
+        if count is not None:
+            self._log.write(
+                log_events.BODY_REFUSED,
+                bytes=size,
+                held=self.account.total,
+                count=count,
+            )
 
     def record_stalled_caller(self, caller: server.StalledCaller) -> None:
         """Record a caller that was disconnected because it does not read."""
--- a/libs/gateway/vanillayoke/gateway/messages.py
+++ b/libs/gateway/vanillayoke/gateway/messages.py
@@ -361,9 +361,9 @@
 
     ``is_first_start`` says that the whole system starts for the first time.
     ``has_overload_control`` says that callers compete for capacity.
-    ``memory_limit`` is that of the process; ``None`` means that there is no
-    limit. ``enabled_features`` are used and ``disabled_features`` are not,
-    whatever the deployment calls for.
+    ``memory_limit``, in bytes, and ``descriptor_limit`` are those of the
+    process; ``None`` means that there is no limit. ``enabled_features`` are
+    used and ``disabled_features`` are not, whatever the deployment calls for.
     """
 
     instance: str
@@ -381,6 +381,7 @@
     memory_limit: int | None = None
     disabled_features: frozenset[Feature] = frozenset()
     enabled_features: frozenset[Feature] = frozenset()
+    descriptor_limit: int | None = None
 
     def has_feature(
         self, feature: Feature, reports_contention: bool = False
--- a/libs/gateway/vanillayoke/gateway/metrics.py
+++ b/libs/gateway/vanillayoke/gateway/metrics.py
@@ -52,6 +52,13 @@
     'source',
     ('own_record', 'peer_record', 'only_version', 'peer_version', 'unknown'),
 )
+_REFUSED_STATUS = metrics.Label('status')
+_LISTENER = metrics.Label(
+    'listener', ('callers', 'directory', 'readiness', 'metrics', 'relay')
+)
+_CONNECTION_STATE = metrics.Label(
+    'state', ('idle', 'closing', 'reading', 'new')
+)
 _MEMORY_KIND = metrics.Label('kind', tuple(kind.label for kind in memory.Kind))
 _MEMORY_REFUSAL = metrics.Label('kind', ('request', 'body', 'caller'))
 _ENDING = metrics.Label(
@@ -239,6 +246,19 @@
             'Bytes held for others, by kind; only with a memory limit.',
             _MEMORY_KIND,
         )
+        self.connections_refused = metrics.Counter(
+            registry,
+            'connections_refused_total',
+            'Connections whose input was rejected, by status.',
+            _REFUSED_STATUS,
+        )
+        self.connections_evicted = metrics.Counter(
+            registry,
+            'connections_evicted_total',
+            'Connections closed to make room, by listener and their state.',
+            _LISTENER,
+            _CONNECTION_STATE,
+        )
         self.memory_refusals = metrics.Counter(
             registry,
             'memory_refusals_total',
--- a/libs/gateway/vanillayoke/gateway/process.py
+++ b/libs/gateway/vanillayoke/gateway/process.py
@@ -9,6 +9,7 @@
 from vanillayoke.core import lines
 from vanillayoke.core import logs
 from vanillayoke.core import timers
+from vanillayoke.gateway import connection_limits
 from vanillayoke.gateway import dialect as dialect_module
 from vanillayoke.gateway import instance as instance_module
 from vanillayoke.gateway import messages
@@ -98,7 +99,9 @@
         self._output.flush()
 
     async def _serve_metrics(self) -> None:
-        http_server = self._instance.make_server(self._handle_metrics)
+        http_server = self._instance.make_server(
+            self._handle_metrics, connection_limits.Listener.METRICS
+        )
         await http_server.listen(self._settings.ip, METRICS_PORT)
 
     async def _handle_metrics(
--- a/libs/transport/vanillayoke/transport/server.py
+++ b/libs/transport/vanillayoke/transport/server.py
@@ -10,8 +10,10 @@
 import typing
 
 from vanillayoke.core import memory as memory_module
+from vanillayoke.transport import evictions
 from vanillayoke.transport import responses
 from vanillayoke.transport import server_connection
+from vanillayoke.transport import sockets
 
 # Names that handlers need.
 Request = server_connection.Request
@@ -27,6 +29,10 @@
 # for this time is disconnected.
 FULL_STALL_SECONDS = 1.0
 CHECK_INTERVAL_SECONDS = 0.1
+# The event loop accepts as many connections at a time as its backlog has. Each
+# needs a descriptor before it can be closed for being one too many.
+ACCEPTED_AT_ONCE = 1
+BACKLOG = 1024
 # Of what is written and not sent, where memory is not limited.
 WRITE_BUFFER_BYTES = 256 * 1024
 
@@ -44,6 +50,9 @@
     seconds: float
 
 
+# Called with the state of a connection that was closed for a new one, ``None``
+# if it was the new one.
+OnEvicted = typing.Callable[[evictions.State | None], None]
 Handler = typing.Callable[
     [Request, Responder], typing.Coroutine[typing.Any, typing.Any, None]
 ]
@@ -56,6 +65,9 @@
     ``on_refused`` with the status of each invalid or timed-out request. Where
     ``memory`` is limited, ``on_body_refused`` is called with the size of each
     body without room, and ``on_stalled`` with each disconnected caller.
+
+    With ``max_connections``, others are closed to make room for new ones, and
+    ``on_evicted`` is called each time.
     """
 
     def __init__(
@@ -68,6 +80,8 @@
         on_stalled: typing.Callable[[StalledCaller], None] = (
             lambda caller: None
         ),
+        max_connections: int | None = None,
+        on_evicted: OnEvicted = lambda state: None,
     ) -> None:
         self.limits = Limits()
         self.connections: set[server_connection.Connection] = set()
@@ -79,6 +93,9 @@
         self.memory = memory
         self.on_body_refused = on_body_refused
         self._on_stalled = on_stalled
+        self.max_connections = max_connections
+        self._on_evicted = on_evicted
+        self.evictions = evictions.Evictions()
         # Connections with unsent bytes or with requests that wait.
         self._checked: set[server_connection.Connection] = set()
         self._check_timer: asyncio.TimerHandle | None = None
@@ -98,10 +115,35 @@
             lambda: server_connection.Connection(self),
             host,
             port,
-            backlog=1024,
+            backlog=ACCEPTED_AT_ONCE,
         )
+        sockets.set_backlog(server, BACKLOG)
         self._servers.append(server)
 
+    def make_room(self) -> bool:
+        """Close a connection if the newest one is one too many.
+
+        Return ``False`` if that is to be closed, since all others are busy.
+        """
+        has_many = (
+            self.max_connections is not None
+            and len(self.connections) > self.max_connections
+        )
+        is_full = (
+            self.memory is not None
+            and self.memory.total > self.memory.capacity
+        )
+        if not has_many and not is_full:
+            return True
+        found = self.evictions.pop()
+        if found is None:
+            self._on_evicted(None)
+            return False
+        connection, state = found
+        self._on_evicted(state)
+        connection.evict()
+        return True
+
     @property
     def active_connections(self) -> int:
         """The number of connections with a request or a response.
@@ -166,7 +208,7 @@
         for connection in list(self._checked):
             if not connection.check(now):
                 self.forget(connection)
-        if self.memory.is_under_pressure:
+        if self.memory is not None and self.memory.is_under_pressure:
             self._disconnect_stalled(now)
         for connection in list(self._checked):
             self.check_later(connection)
@@ -184,16 +226,20 @@
         for connection in by_size:
             if excess <= 0:
                 return
-            unsent = connection.unsent_bytes
             seconds = now - connection.last_progress_at
-            if unsent and seconds >= bound:
-                excess -= unsent
-                self._on_stalled(
-                    StalledCaller(
-                        connection.address,
-                        connection.request_name,
-                        unsent,
-                        seconds,
-                    )
-                )
-                connection.abort()
+            if connection.unsent_bytes and seconds >= bound:
+                excess -= connection.unsent_bytes
+                self._disconnect(connection, seconds)
+
+    def _disconnect(
+        self, connection: server_connection.Connection, seconds: float
+    ) -> None:
+        self._on_stalled(
+            StalledCaller(
+                connection.address,
+                connection.request_name,
+                connection.unsent_bytes,
+                seconds,
+            )
+        )
+        connection.abort()
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -12,6 +12,7 @@
 
 from vanillayoke.core import memory as memory_module
 from vanillayoke.transport import connection_memory
+from vanillayoke.transport import evictions
 from vanillayoke.transport import headers as headers_module
 from vanillayoke.transport import responses
 from vanillayoke.transport import sockets
@@ -103,6 +104,8 @@
         self._written_bytes = 0
         self._taken_bytes = 0
         self.last_progress_at = 0.0
+        # Since when there have been unsent bytes.
+        self.behind_since = 0.0
         self._reset_message()
 
     # Called by the event loop
@@ -117,6 +120,11 @@
             transport.close()
             return
         self._held.open()
+        if not self._server.make_room():
+            self._is_closing = True
+            self.abort()
+            return
+        self._set_state(evictions.State.IDLE)
         if self._memory is not None:
             sockets.set_receive_buffer(transport, self._memory.buffer_bytes)
         self._set_timer(self._server.limits.idle_timeout)
@@ -127,6 +135,7 @@
         self._can_write.set()
         self._clear_queue()
         self._server.forget(self)
+        self._server.evictions.remove(self)
         self._held.release()
         self._memory = None
         if self._task is not None:
@@ -193,6 +202,7 @@
         self._reset_message()
         self._is_reading = True
         if self._task is None:
+            self._set_state(evictions.State.READING)
             self._set_timer(self._server.limits.header_timeout)
 
     def on_url(self, url: bytes) -> None:
@@ -348,6 +358,19 @@
 
     # Called by the server
 
+    def evict(self) -> None:
+        """Close the connection to make room for another.
+
+        A request that is being read is refused.
+        """
+        if self._is_reading and not self._is_closing:
+            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        self._is_closing = True
+        if self.has_unsent_bytes:
+            self.abort()
+        else:
+            self.close()
+
     def interrupt(self) -> bool:
         """Cancel the handler; return whether there is one.
 
@@ -411,7 +434,7 @@
     def _update_unsent(self) -> None:
         unsent = self._transport.get_write_buffer_size()
         if unsent and not self.unsent_bytes:
-            self.last_progress_at = self._loop.time()
+            self.last_progress_at = self.behind_since = self._loop.time()
             self._server.check_later(self)
         self._held.set_unsent(unsent)
         self.unsent_bytes = unsent
@@ -503,8 +526,12 @@
         if transport.can_write_eof():
             transport.write_eof()
         self._cancel_timer()
+        self._set_state(evictions.State.CLOSING)
         self._timer = self._loop.call_later(LINGER_SECONDS, transport.close)
 
+    def _set_state(self, state: evictions.State) -> None:
+        self._server.evictions.set_state(self, state)
+
     def _go_on(self) -> None:
         """Begin the next request if one waits, or read on."""
         if self._task is None and self._queue:
@@ -531,6 +558,7 @@
                 self._server.check_later(self)
             return
         self._held.begin_next()
+        self._set_state(evictions.State.BUSY)
         request = self._queue.popleft()
         responder = responses.Responder(
             self,
@@ -559,6 +587,11 @@
         elif self._error is not None:
             self._send_error(self._error)
         elif not self._is_closing:
+            self._set_state(
+                evictions.State.READING
+                if self._is_reading
+                else evictions.State.IDLE
+            )
             self._set_timer(self._server.limits.idle_timeout)
             self._send_continue()
             self._go_on()
--- a/libs/transport/vanillayoke/transport/sockets.py
+++ b/libs/transport/vanillayoke/transport/sockets.py
@@ -16,6 +16,17 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size // 2)
 
 
+def set_backlog(server: asyncio.Server, size: int) -> None:
+    """Set how many connections the kernel keeps that are not accepted yet."""
+    for sock in getattr(server, 'sockets', ()):
+        listening = socket.socket(
+            sock.family, sock.type, sock.proto, sock.fileno()
+        )
+        listening.listen(size)
+        # It belongs to the server.
+        listening.detach()
+
+
 def set_reset_on_close(
     transport: asyncio.BaseTransport, does_reset: bool
 ) -> None:
