Let slow readers yield where requests are refused for their memory.

Callers saw: 503 beside a crowd of slow readers for as long as these read.

Cause: a caller that takes a little now and then never counts as stalled, and many together fill the account up to the part at which not even small requests are admitted.

Change: each 0.1 s in which a request was refused for memory, the caller that has had unsent bytes for longest, 5 s at least, is disconnected. While nobody is refused, slow readers are served at their pace, as before.

The new test fails without the change (no caller is disconnected).

--- a/libs/transport/vanillayoke/transport/server.py
+++ b/libs/transport/vanillayoke/transport/server.py
@@ -210,6 +210,8 @@
                 self.forget(connection)
         if self.memory is not None and self.memory.is_under_pressure:
             self._disconnect_stalled(now)
+        if self.memory is not None and self.memory.take_refusal():
+            self._disconnect_slowest(now)
         for connection in list(self._checked):
             self.check_later(connection)
 
@@ -231,6 +233,22 @@
                 excess -= connection.unsent_bytes
                 self._disconnect(connection, seconds)
 
+    def _disconnect_slowest(self, now: float) -> None:
+        """Disconnect the caller that has been behind for longest.
+
+        Callers that take a little now and then never stall. Together they can
+        fill the account, so that the requests of others are refused.
+        """
+        behind = [
+            connection
+            for connection in self._checked
+            if connection.unsent_bytes
+            and now - connection.behind_since >= MAX_STALL_SECONDS
+        ]
+        if behind:
+            slowest = min(behind, key=lambda one: one.behind_since)
+            self._disconnect(slowest, now - slowest.last_progress_at)
+
     def _disconnect(
         self, connection: server_connection.Connection, seconds: float
     ) -> None:
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -1,6 +1,7 @@
 """Tests of the server and the client with a memory limit."""
 
 import asyncio
+import contextlib
 import socket
 
 from vanillayoke.core import memory
@@ -519,11 +520,12 @@
     http_server.close()
 
 
-@fixtures.on_real_loop
-async def test_slow_reading_that_only_the_kernel_sees_is_progress(
-    case, service
-):
-    """The kernel takes more bytes only when a third of its buffer is free."""
+@contextlib.asynccontextmanager
+async def _read_slowly(case, service, bound):
+    """Read a large response for a while, a little at a time.
+
+    Yield the account and the callers that were disconnected.
+    """
     account = memory.Account(BODY)
     stalled = []
     http_server = server.HttpServer(
@@ -533,7 +535,6 @@
         account,
         on_stalled=stalled.append,
     )
-    bound = 0.5
     for name in ('MAX_STALL_SECONDS', 'FULL_STALL_SECONDS'):
         case.addCleanup(setattr, server, name, getattr(server, name))
         setattr(server, name, bound)
@@ -548,15 +549,36 @@
         for _ in range(20):
             await asyncio.sleep(bound / 5)
             await loop.sock_recv(caller, 16 * 1024)
+        yield account, stalled
+    async with asyncio.timeout(10.0):
+        while account.total:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    http_server.close()
+
+
+@fixtures.on_real_loop
+async def test_slow_reading_that_only_the_kernel_sees_is_progress(
+    case, service
+):
+    """The kernel takes more bytes only when a third of its buffer is free."""
+    bound = 0.5
+    async with _read_slowly(case, service, bound) as (account, stalled):
         case.assertEqual([], stalled)
         case.assertTrue(account.is_under_pressure)
         # Without reading it is disconnected.
         await asyncio.sleep(3 * bound)
         case.assertEqual(1, len(stalled))
-    async with asyncio.timeout(10.0):
-        while account.total:  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-    http_server.close()
+
+
+@fixtures.on_real_loop
+async def test_slow_reader_yields_where_a_request_was_refused(case, service):
+    """Slow readers together left no memory for the requests of others."""
+    bound = 0.5
+    async with _read_slowly(case, service, bound) as (account, stalled):
+        case.assertEqual([], stalled)
+        account.record_refusal()
+        await asyncio.sleep(3 * server.CHECK_INTERVAL_SECONDS)
+        case.assertEqual(1, len(stalled))
 
 
 load_tests = fixtures.adapt(__name__)
