--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -65,11 +65,13 @@
 
 def test_rules_and_limits_of_settings_are_decoded(case, folder):
     path = folder / 'settings.json'
-    more = {'active_rules': ['base', 'pressure'], 'limits': {'memory_mb': 128}}
+    limits = {'memory_mb': 128, 'max_fds': 4100.0}
+    more = {'active_rules': ['base', 'pressure'], 'limits': limits}
     path.write_bytes(msgspec.json.encode({**SETTINGS, **more}))
     decoded = settings.read_settings(str(path))
     case.assertTrue(decoded.has_overload_control)
     case.assertEqual(128 * 1024 * 1024, decoded.memory_limit)
+    case.assertEqual(4100, decoded.descriptor_limit)
 
 
 def test_error_for_invalid_settings_names_file_and_field(case, folder):
