Read in smaller parts, with a window that does not stall large bodies.

Callers saw, since the receive buffers were bounded: at 96 MB and on loopback, a stream of 1 MB and a body of 4 MB were not finished in 2.5 s (0.19 s before), and a response of 1 MB was answered 502. Found by test_large_body_is_served and by a new test of turns with long histories, whose first turn was not served.

Cause: a window of 24 KB is smaller than a segment on loopback (64 KB), so that the sender waits for the delayed acknowledgement of each part. 32 KB fails, 48 KB and more do not. At 170 MB, where a buffer has 79 KB, it was not seen.

Change: receive buffers have 64 KB at least, and the event loop reads as much as a buffer at a time in place of 256 KB. What the kernel holds for a target's connection whose caller is slow is charged, too.

A stop ended with an exception (status 1) where a client had reset a connection that was not being read: shutting it down failed, and the refusal of all others with it.

A body that waits for memory was charged for what the kernel had received of it, and so kept itself waiting in a small account.

--- a/libs/core/vanillayoke/core/memory.py
+++ b/libs/core/vanillayoke/core/memory.py
@@ -31,6 +31,9 @@
 BUFFER_RATIO = 1 / 1024
 MIN_BUFFER_BYTES = 16 * 1024
 MAX_BUFFER_BYTES = 256 * 1024
+# A window that is smaller than a segment, which has up to 64 KB on loopback,
+# lets each wait for a delayed acknowledgement.
+MIN_RECEIVE_BUFFER_BYTES = 64 * 1024
 # A body that alone takes more than this part of what large ones may fill could
 # never be held; it has to wait until this much is free.
 MAX_BODY_RATIO = 0.7
@@ -87,14 +90,17 @@
         on_pressure: typing.Callable[[bool], None] = lambda is_pressed: None,
     ) -> None:
         self.capacity = capacity
-        # Of each buffer of a connection: bytes that are received and not read,
-        # and bytes that are written and not sent.
+        # Of each buffer of a connection.
         self.buffer_bytes = int(
             min(
                 MAX_BUFFER_BYTES,
                 max(MIN_BUFFER_BYTES, BUFFER_RATIO * capacity),
             )
         )
+        # Of what the kernel receives for a connection that is not read.
+        self.receive_buffer_bytes = max(
+            MIN_RECEIVE_BUFFER_BYTES, self.buffer_bytes
+        )
         self._pressure_bytes = PRESSURE_RATIO * capacity
         self.total = 0
         self.held = dict.fromkeys(Kind, 0)
--- a/libs/transport/vanillayoke/transport/client.py
+++ b/libs/transport/vanillayoke/transport/client.py
@@ -136,6 +136,7 @@
         # Whether the memory for the whole response is held.
         self._is_reserved = False
         self._is_paused = False
+        self._unread_bytes = 0
         self._waiter: memory_module.Waiter | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -162,7 +163,11 @@
         if sock is not None:
             _set_socket_options(sock)
         if self._memory is not None:
-            sockets.set_receive_buffer(transport, self._memory.buffer_bytes)
+            sockets.limit_receiving(
+                transport,
+                self._memory.buffer_bytes,
+                self._memory.receive_buffer_bytes,
+            )
 
     def connection_lost(self, error: Exception | None) -> None:
         self._is_reset = error is not None
@@ -474,6 +479,19 @@
         elif self._is_paused and not must_pause:
             self._transport.resume_reading()
         self._is_paused = must_pause
+        # One that waits for memory would wait for what it is charged, too.
+        self._hold_unread(must_pause and self._waiter is None)
+
+    def _hold_unread(self, is_paused: bool) -> None:
+        """Hold memory for what the kernel receives for a slow caller."""
+        if self._memory is None:
+            return
+        size = self._memory.receive_buffer_bytes if is_paused else 0
+        if size != self._unread_bytes:
+            self._memory.add(
+                memory_module.Kind.TARGETS, size - self._unread_bytes
+            )
+            self._unread_bytes = size
 
     def _add_memory(self, memory: memory_module.Account, size: int) -> None:
         self._held_bytes += size
@@ -484,6 +502,7 @@
             self.expected = None
             self._stop_waiting(self._memory)
             self._add_memory(self._memory, -self._held_bytes)
+            self._hold_unread(False)
 
     # Internals
 
--- a/libs/transport/vanillayoke/transport/connection_memory.py
+++ b/libs/transport/vanillayoke/transport/connection_memory.py
@@ -53,16 +53,16 @@
         """Hold memory for the connection."""
         self.set_received(0, False)
 
-    def set_received(self, size: int, is_paused: bool) -> None:
+    def set_received(self, size: int, holds_unread: bool) -> None:
         """Set how many bytes are received and not parsed.
 
-        While reading is paused, the kernel holds more for the process.
+        With ``holds_unread``, the kernel holds more for the process.
         """
         if self._account is None:
             return
         size += CONNECTION_BYTES
-        if is_paused:
-            size += self._account.buffer_bytes
+        if holds_unread:
+            size += self._account.receive_buffer_bytes
         if size != self._connection_bytes:
             self._account.add(
                 memory_module.Kind.CONNECTIONS, size - self._connection_bytes
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -126,7 +126,11 @@
             return
         self._set_state(evictions.State.IDLE)
         if self._memory is not None:
-            sockets.set_receive_buffer(transport, self._memory.buffer_bytes)
+            sockets.limit_receiving(
+                transport,
+                self._memory.buffer_bytes,
+                self._memory.receive_buffer_bytes,
+            )
         self._set_timer(self._server.limits.idle_timeout)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -425,7 +429,9 @@
         elif self._is_paused and not must_pause:
             self._transport.resume_reading()
         self._is_paused = must_pause
-        self._held.set_received(len(self._input), must_pause)
+        # What a body that waits has received must not keep it waiting.
+        holds_unread = must_pause and not self._held.is_waiting
+        self._held.set_received(len(self._input), holds_unread)
         if not must_pause:
             return
         if not self._is_parsing and not self._must_wait:
@@ -523,8 +529,13 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if transport.can_write_eof():
+        try:
             transport.write_eof()
+        except OSError:
+            # The client has reset the connection, which is not known while it
+            # is not read.
+            transport.abort()
+            return
         self._cancel_timer()
         self._set_state(evictions.State.CLOSING)
         self._timer = self._loop.call_later(LINGER_SECONDS, transport.close)
--- a/libs/transport/vanillayoke/transport/sockets.py
+++ b/libs/transport/vanillayoke/transport/sockets.py
@@ -5,15 +5,19 @@
 import struct
 
 
-def set_receive_buffer(transport: asyncio.BaseTransport, size: int) -> None:
-    """Bound how many bytes the kernel receives before they are read.
+def limit_receiving(
+    transport: asyncio.BaseTransport, read_size: int, buffer_size: int
+) -> None:
+    """Bound what is read at a time and what the kernel receives before.
 
-    Without a bound, it grows to megabytes for each connection.
+    Without bounds, that is 256 KB and megabytes for each connection.
     """
+    if hasattr(transport, 'max_size'):
+        transport.max_size = read_size
     sock = transport.get_extra_info('socket')
     if sock is not None:
         # Linux doubles the size for its own data.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size // 2)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_size // 2)
 
 
 def set_backlog(server: asyncio.Server, size: int) -> None:
--- a/tests/crowds/processes.py
+++ b/tests/crowds/processes.py
@@ -198,8 +198,17 @@
             )
             store.put(fields.SERVER_TABLE, target.name, row)
 
+    @property
+    def last_request(self) -> str:
+        """The name of the last request that was made."""
+        return f'r{self._request_count}'
+
     def make_head(
-        self, method: str, path: str, length: int | None = 0
+        self,
+        method: str,
+        path: str,
+        length: int | None = 0,
+        previous_turn: str = '',
     ) -> bytes:
         """Return the head of a new request without its empty line.
 
@@ -207,7 +216,9 @@
         """
         self._request_count += 1
         lines = [f'{method} {path} HTTP/1.1'.encode()]
-        headers = calls.make_headers(f'r{self._request_count}', 20_000)
+        headers = calls.make_headers(self.last_request, 20_000)
+        if previous_turn:
+            headers += calls.make_header_fields(previous_turn=previous_turn)
         lines += [b'%b: %b' % field for field in headers]
         if length is None:
             lines.append(b'Transfer-Encoding: chunked')
--- a/tests/crowds/test_slow_readers.py
+++ b/tests/crowds/test_slow_readers.py
@@ -23,6 +23,24 @@
     await _run(site, case, 60, '/chat/large')
 
 
+@fixtures.on_real_loop
+async def test_slow_readers_of_turns_with_long_histories(site, case):
+    """Each turn held its history and a prompt with it."""
+    await site.start(LIMITS)
+    case.assertEqual(200, await site.call('/chat/large'))
+    previous = site.last_request
+    crowd = [
+        clients.read_slowly(
+            site.front,
+            lambda: site.make_head(
+                'POST', '/chat/large', previous_turn=previous
+            ),
+        )
+        for _ in range(60)
+    ]
+    await processes.run_crowd(site, case, crowd, SECONDS)
+
+
 @fixtures.on_real_loop
 async def test_slow_readers_of_streams(site, case):
     """Streams ran ahead of their readers, unread bytes were not counted."""
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server with valid and invalid requests."""
 
 import asyncio
+import errno
 
 from vanillayoke.testing import fixtures
 from vanillayoke.testing import networks
@@ -346,4 +347,20 @@
     case.assertEqual(8, caller.received.count(b'HTTP/1.1 200'))
 
 
+async def test_reset_that_is_not_known_yet_does_not_fail_a_stop(
+    case, network, handler
+):
+    """An instance ended with an exception when it refused such a request."""
+
+    def raise_not_connected():
+        raise OSError(errno.ENOTCONN, 'not connected')
+
+    caller = await _connect(handler)
+    await _send(caller, b'GET /a HTTP/1.1\r\n')
+    connection = caller.transport.peer.protocol
+    connection._transport.write_eof = raise_not_connected
+    case.assertFalse(connection.interrupt())
+    case.assertFalse(connection.is_open)
+
+
 load_tests = fixtures.adapt(__name__)
