Closed connections that ask on and take no response, to make room.

Callers saw: beside 300 clients that send requests on and on and read nothing, with 260 descriptors, no ordinary request was served.

Cause: a connection whose next request waits until the client takes the responses before counted as busy, and busy ones never make room.

Change: it yields as one whose request is not handled yet. The new test of this crowd fails before ("no ordinary request was served") and holds now; so does one of clients that take nothing of a large response, which held before, too.

--- a/libs/transport/vanillayoke/transport/evictions.py
+++ b/libs/transport/vanillayoke/transport/evictions.py
@@ -15,7 +15,7 @@
     IDLE = 0
     # Its last response is written; it closes soon.
     CLOSING = 1
-    # It has sent a part of a request.
+    # It has sent a request, or a part of one, that is not handled yet.
     READING = 2
     # Its request is handled, or a response is on its way. It does not yield.
     BUSY = 3
--- a/libs/transport/vanillayoke/transport/server_connection.py
+++ b/libs/transport/vanillayoke/transport/server_connection.py
@@ -565,6 +565,7 @@
         self._cancel_timer()
         # Responses to pipelined requests must not add up.
         if self._has_backlog:
+            self._set_state(evictions.State.READING)
             if self._memory is not None:
                 self._server.check_later(self)
             return
--- a/tests/crowds/test_descriptors.py
+++ b/tests/crowds/test_descriptors.py
@@ -50,6 +50,32 @@
     await processes.run_crowd(site, case, crowd, SECONDS)
 
 
+@fixtures.on_real_loop
+async def test_connections_that_ask_and_do_not_read(site, case):
+    """Connections whose responses are not taken never made room."""
+    await site.start(LIMITS)
+    crowd = [
+        clients.ask_on_and_on(
+            site.front, lambda: site.make_head('GET', '/look/large')
+        )
+        for _ in range(CLIENTS)
+    ]
+    await processes.run_crowd(site, case, crowd, SECONDS)
+
+
+@fixtures.on_real_loop
+async def test_connections_that_do_not_read_a_response(site, case):
+    """Connections whose response is not taken never made room."""
+    await site.start(LIMITS)
+    crowd = [
+        clients.never_read(
+            site.front, lambda: site.make_head('GET', '/look/large')
+        )
+        for _ in range(CLIENTS)
+    ]
+    await processes.run_crowd(site, case, crowd, SECONDS)
+
+
 @fixtures.on_real_loop
 async def test_limit_of_the_process_below_that_of_the_settings(site, case):
     """A process with fewer descriptors than its settings say did not tell."""
