Tested the charge of heads, the backlog of responses and recorded refusals.

Not noticed by unit tests: the charge of what the kernel holds for a slow caller, and the size of a read, which the tests of crowds bound.

--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -176,6 +176,7 @@
     case.assertEqual('memory', failed['outcome'])
     page = site.instances['i1'].metrics.render().body
     case.assertIn(b'memory_refusals_total{kind="request"} 1', page)
+    case.assertTrue(account.take_refusal())
     account.add(memory.Kind.RESPONSES, -int(0.96 * CAPACITY))
     response, _ = await _time_call(site, request='b')
     case.assertEqual(200, response.status)
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -8,6 +8,7 @@
 from vanillayoke.testing import fixtures
 from vanillayoke.testing import networks
 from vanillayoke.transport import body_memory
+from vanillayoke.transport import connection_memory
 from vanillayoke.transport import pools
 from vanillayoke.transport import server
 
@@ -520,6 +521,60 @@
     http_server.close()
 
 
+async def test_head_is_held_from_its_first_bytes_to_the_response(
+    case, network, service
+):
+    """Heads were held until the response, and nothing counted them."""
+    service.delay = 5.0
+    started = await _start(service)
+    caller = await _connect()
+    size = 10_000
+    caller.transport.write(b'GET /1 HTTP/1.1\r\n' + b'ab:c\r\n' * (size // 6))
+    await asyncio.sleep(0.1)
+    held = started.account.held
+    case.assertGreater(
+        held[memory.Kind.HEADS], connection_memory.HEAD_COPIES * (size - 100)
+    )
+    caller.transport.write(b'\r\n')
+    await asyncio.sleep(0.1)
+    case.assertGreater(
+        held[memory.Kind.HEADS],
+        connection_memory.HEAD_COPIES * (size - 100)
+        + connection_memory.REQUEST_BYTES,
+    )
+    await asyncio.sleep(service.delay)
+    case.assertEqual(0, held[memory.Kind.HEADS])
+    caller.transport.write(b'GET /1 HTTP/1.1\r\n' + b'ab:c\r\n' * 100)
+    await asyncio.sleep(0.1)
+    caller.transport.abort()
+    await asyncio.sleep(0.1)
+    case.assertEqual(0, started.account.total)
+
+
+@fixtures.on_real_loop
+async def test_next_response_waits_for_the_client_without_a_limit(
+    case, service
+):
+    """Responses to pipelined requests piled up where nothing was counted."""
+    http_server = server.HttpServer(
+        service.handle, lambda error: None, lambda status: None
+    )
+    await http_server.listen('127.0.0.1', 0)
+    address = http_server._servers[0].sockets[0].getsockname()
+    loop = asyncio.get_running_loop()
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        caller.setblocking(False)
+        await loop.sock_connect(caller, address)
+        await loop.sock_sendall(caller, _get(8 * BODY) * 10)
+        await asyncio.sleep(0.5)
+        case.assertLess(len(service.requests), 5)
+    async with asyncio.timeout(10.0):
+        while http_server.connections:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    http_server.close()
+
+
 @contextlib.asynccontextmanager
 async def _read_slowly(case, service, bound):
     """Read a large response for a while, a little at a time.
