--- a/libs/core/vanillayoke/core/memory.py
+++ b/libs/core/vanillayoke/core/memory.py
@@ -49,6 +49,7 @@
     RESPONSES = 4
     HISTORIES = 5
     HEADS = 6
+    # Only waited for; what it takes is held as histories.
     SAVES = 7
 
     @property
